Read the configuration again on SIGHUP and move watch and notices at once

Cause: cmd/slatemux/main.go asked for SIGTERM, SIGINT and SIGUSR1 alone, so SIGHUP ended the process; pool.Watch and notice.Sender held a fixed address.

Now: internal/place is an address that may move, shared by the watch and the notices. A move ends their connections and waits at once; unanswered notices go to the new platform; the new list is asked for whole, as its versions need not go on from the old ones. Limits apply at once, what needs a restart is logged, a bad file is one line and a counter. Each kind of signal has its own channel, so that repeats cannot push a SIGTERM out.

Ruled out as needed: keeping the old watch beside the new one (the old address closes after 1.5 s).

TestReloadMovesDiscovery hangs or fails without the change.

--- a/cmd/slatemux/config.go
+++ b/cmd/slatemux/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -32,6 +33,7 @@
 // config is what the relay runs with.
 type config struct {
 	name, listen, discovery, state string
+	written                        string // discovery as the file has it, whatever the environment says
 	seed                           int64
 	memory, disk                   int64 // bytes
 	sockets                        int
@@ -62,7 +64,7 @@
 		return value
 	}
 	c = config{name: or("NODE_NAME", f.Name), listen: or("NODE_LISTEN", f.Listen),
-		discovery: or("NODE_DISCOVERY", f.Discovery), state: getenv("NODE_STATE"), sockets: f.Limits.Sockets,
+		discovery: or("NODE_DISCOVERY", f.Discovery), written: f.Discovery, state: getenv("NODE_STATE"), sockets: f.Limits.Sockets,
 		serveOn: serveOn, exitAfter: exitAfter}
 	if c.listen == "" || c.discovery == "" || c.state == "" {
 		return c, errors.New("listen, discovery or NODE_STATE is missing")
@@ -102,3 +104,32 @@
 	c.known.Whole = true
 	return c, nil
 }
+
+// caps are the bounds of the parts, derived from the limits.
+type caps struct {
+	heap                    int64 // for the collector: files count as memory too
+	openBytes, disk         int64
+	flows, members, clients int // flows out, connections to pool members, client connections
+}
+
+// caps leaves a quarter of the descriptors to flows and their warm connections, half to clients.
+func (c *config) caps() caps {
+	return caps{heap: c.memory / 2, openBytes: c.memory / 8, disk: c.disk,
+		flows: min(c.settings.MaxCalls, c.sockets/4), members: c.sockets / 4,
+		clients: min(c.sockets/2, int(c.memory/perClient))}
+}
+
+// fixed names what a newer configuration changes that only a restart can apply. The seed and the known list
+// are for a start alone.
+func (c *config) fixed(newer *config) (names []string) {
+	for _, f := range []struct {
+		name    string
+		changed bool
+	}{{"name", c.name != newer.name}, {"listen", c.listen != newer.listen},
+		{"settings", !reflect.DeepEqual(c.settings, newer.settings)}} {
+		if f.changed {
+			names = append(names, f.name)
+		}
+	}
+	return names
+}
--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -17,6 +17,7 @@
 	"wrenford/internal/front"
 	"wrenford/internal/journal"
 	"wrenford/internal/notice"
+	"wrenford/internal/place"
 	"wrenford/internal/pool"
 	"wrenford/internal/relay"
 	"wrenford/internal/traffic"
@@ -34,14 +35,24 @@
 // answerWithin is what clients may still need for the answers to what was read.
 const answerWithin = 100 * time.Millisecond
 
+// signals are what may come while the relay runs. Each kind has a channel of its own, with room for one: what
+// comes again before it is looked at asks for the same, and none can push another out.
+type signals struct{ end, report, reload chan os.Signal }
+
+func listen() signals {
+	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(s.end, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.report, syscall.SIGUSR1)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
 func main() {
+	in := listen() // first of all: a SIGHUP that comes early must not end the program
 	cfg, err := load(os.Getenv)
 	if err == nil {
-		signals := make(chan os.Signal, 4)
-		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 		slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)).With("relay", cfg.name))
-		debug.SetMemoryLimit(cfg.memory / 2) // files count as memory too
-		err = run(cfg, signals, func(net.Addr) {})
+		err = run(cfg, in, func() (config, error) { return load(os.Getenv) }, func(net.Addr) {})
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "slatemux:", err)
@@ -49,24 +60,27 @@
 	}
 }
 
-// run serves until a signal ends it. It tells where it listens once it is ready.
-func run(cfg config, signals <-chan os.Signal, ready func(net.Addr)) error {
+// run serves until a signal ends it. It reads its configuration again when asked to, and tells where it
+// listens once it is ready.
+func run(cfg config, in signals, reread func() (config, error), ready func(net.Addr)) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 
+	most := cfg.caps()
+	debug.SetMemoryLimit(most.heap)
+	discovery := place.New(cfg.discovery)
 	store, err := journal.Open(cfg.state, cfg.disk)
 	if err != nil {
 		return err
 	}
 	defer store.Close()
 
-	// A quarter of the descriptors is for flows and their warm connections, half for clients.
 	var r *relay.Relay
 	flows := flow.New(flow.Config{ConnectWithin: cfg.settings.ConnectTimeout, IdleMost: cfg.settings.KeepAlive,
-		MostFlows: min(cfg.settings.MaxCalls, cfg.sockets/4), MostConns: cfg.sockets / 4}, // the slots
+		MostFlows: most.flows, MostConns: most.members},
 		func(end traffic.FlowEnd) { r.FlowEnded(end) })
-	notices := notice.New(cfg.discovery, func(ids []string) { r.NoticesAnswered(ids) })
-	r, err = relay.New(relay.Config{Settings: cfg.settings, Seed: cfg.seed, MostBytes: cfg.memory / 8, Store: store,
+	notices := notice.New(discovery, func(ids []string) { r.NoticesAnswered(ids) })
+	r, err = relay.New(relay.Config{Settings: cfg.settings, Seed: cfg.seed, MostBytes: most.openBytes, Store: store,
 		Flows: flows, Notices: notices})
 	if err != nil {
 		return err
@@ -74,7 +88,7 @@
 	news := cfg.known.News()
 	flows.Pool(news)
 	open, owed := store.Owed()
-	slog.Info("started", "members", len(news.Members), "recovered", len(open), "notices", len(owed))
+	slog.Info("started", "discovery", cfg.discovery, "members", len(news.Members), "recovered", len(open), "notices", len(owed))
 	r.Start(news, open, owed)
 
 	var parts sync.WaitGroup
@@ -83,11 +97,10 @@
 	parts.Go(func() { r.Run(stepping) })
 	parts.Go(func() { notices.Run(ctx) })
 	parts.Go(func() { flows.Sweep(ctx) })
-	parts.Go(func() { pool.Watch(ctx, cfg.discovery, cfg.known.Seq, r.PoolChanged) })
+	parts.Go(func() { pool.Watch(ctx, discovery, cfg.known.Seq, r.PoolChanged) })
 
 	// Clients are let in last: a PING that is answered says that all before has been taken up.
-	clients := min(cfg.sockets/2, int(cfg.memory/perClient))
-	server, err := front.Listen(cfg.listen, clients, cfg.settings.Classes, r)
+	server, err := front.Listen(cfg.listen, most.clients, cfg.settings.Classes, r)
 	if err != nil {
 		return err
 	}
@@ -96,19 +109,44 @@
 	slog.Info("ready", "listen", server.Addr())
 	ready(server.Addr())
 
+	// apply takes over what a configuration that was read again may change; a bad one changes nothing.
+	var reloads, badReloads int64
+	apply := func() {
+		newer, err := reread()
+		if err != nil {
+			badReloads++
+			slog.Error("configuration not taken over", "err", err)
+			return
+		}
+		reloads++
+		moved := newer.written != cfg.written && discovery.Move(newer.written)
+		if c := newer.caps(); c != most {
+			most = c
+			debug.SetMemoryLimit(c.heap)
+			store.Limit(c.disk)
+			r.Limit(c.openBytes)
+			flows.Limit(c.flows, c.members)
+			server.Limit(c.clients)
+		}
+		at, _ := discovery.Now()
+		slog.Info("configuration read again", "discovery", at, "moved", moved, "restart_for", cfg.fixed(&newer))
+		cfg.written = newer.written
+	}
 	report := func(why string) {
 		size, live, compacted := store.Stats()
 		opened, reused := flows.Counts()
 		slog.Info("counters", "why", why, "relay", r.Counters(), "front", server.Counters(), "connections", opened,
-			"reused", reused, "journal", size, "owed", live, "compacted", compacted)
+			"reused", reused, "journal", size, "owed", live, "compacted", compacted, "reloads", reloads, "bad_reloads", badReloads)
 	}
 	var drain, end <-chan time.Time
 	for running := true; running; {
 		select {
-		case sig := <-signals:
-			if sig == syscall.SIGUSR1 {
-				report("signal")
-			} else if end == nil {
+		case <-in.report:
+			report("signal")
+		case <-in.reload:
+			apply()
+		case sig := <-in.end:
+			if end == nil {
 				slog.Info("ending", "signal", sig.String())
 				drain, end = time.After(cfg.serveOn), time.After(cfg.exitAfter)
 			}
--- a/cmd/slatemux/main_test.go
+++ b/cmd/slatemux/main_test.go
@@ -22,10 +22,14 @@
 	release chan struct{}
 	notices chan string
 	config  string
+
+	platform           string      // its address, and discovery's
+	watched, unwatched chan string // watches that began, and that their client ended
 }
 
 func newAround(t *testing.T) *around {
-	a := &around{calls: make(chan string, 100), release: make(chan struct{}), notices: make(chan string, 100)}
+	a := &around{calls: make(chan string, 100), release: make(chan struct{}), notices: make(chan string, 100),
+		watched: make(chan string, 100), unwatched: make(chan string, 100)}
 	member := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
 		a.calls <- req.Header.Get("X-Correlation-Id")
 		<-a.release
@@ -36,13 +40,16 @@
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
+		a.watched <- req.URL.String()
 		<-req.Context().Done() // discovery is silent
+		a.unwatched <- req.URL.String()
 	}))
 	raw, err := os.ReadFile("../../example/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
 	host := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	a.platform = host(platform)
 	a.config = strings.NewReplacer("127.0.0.1:6379", "127.0.0.1:0", "127.0.0.1:8500", host(platform), `"hosts": []`,
 		`"hosts":[{"host":"m","dial":"`+host(member)+`","site":"here","class":"partner","block":7,"health":"active",`+
 			`"share":20}]`).Replace(string(raw))
@@ -64,22 +71,24 @@
 }
 
 // boot runs a relay and returns where it listens and what ends it.
-func boot(t *testing.T, env map[string]string) (addr string, end func()) {
+func boot(t *testing.T, env map[string]string) (addr string, reload, end func()) {
 	cfg, err := load(func(name string) string { return env[name] })
 	if err != nil {
 		t.Fatal(err)
 	}
 	cfg.serveOn, cfg.exitAfter = time.Millisecond, 20*time.Millisecond
-	signals, ready, ended := make(chan os.Signal, 1), make(chan net.Addr, 1), make(chan error, 1)
-	go func() { ended <- run(cfg, signals, func(a net.Addr) { ready <- a }) }()
+	in := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	ready, ended := make(chan net.Addr, 1), make(chan error, 1)
+	reread := func() (config, error) { return load(func(name string) string { return env[name] }) }
+	go func() { ended <- run(cfg, in, reread, func(a net.Addr) { ready <- a }) }()
 	select {
 	case err := <-ended:
 		t.Fatal(err)
 	case a := <-ready:
 		addr = a.String()
 	}
-	return addr, func() {
-		signals <- syscall.SIGTERM
+	return addr, func() { in.reload <- syscall.SIGHUP }, func() {
+		in.end <- syscall.SIGTERM
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
@@ -111,7 +120,7 @@
 func TestRestartKeepsWhatWasTakenOn(t *testing.T) {
 	a := newAround(t)
 	env := env(t, a.config)
-	addr, end := boot(t, env)
+	addr, _, end := boot(t, env)
 	if got := ask(t, addr, "PING"); got != "+PONG" {
 		t.Fatal(got)
 	}
@@ -122,7 +131,7 @@
 		t.Fatalf("call of %s", id)
 	}
 	end()
-	addr, end = boot(t, env)
+	addr, _, end = boot(t, env)
 	if id := <-a.calls; id != "abc1" {
 		t.Fatalf("call of %s after the restart", id)
 	}
@@ -137,6 +146,41 @@
 	end()
 }
 
+// A changed configuration moves the watch and the notices: the new discovery's list counts, also over the
+// environment's address and although its versions are lower, a notice under way reaches the new platform, and
+// what the old address still holds open ends. A bad file in between changes nothing.
+func TestReloadMovesDiscovery(t *testing.T) {
+	a, b := newAround(t), newAround(t)
+	env := env(t, a.config)
+	env["NODE_DISCOVERY"] = a.platform
+	addr, reload, end := boot(t, env)
+	<-a.watched
+	write := func(text string) {
+		if err := os.WriteFile(env["NODE_CONFIG"], []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		reload()
+	}
+	write(`{"discovery":`)
+	if got := ask(t, addr, "PING"); got != "+PONG" {
+		t.Fatal(got)
+	}
+	write(strings.Replace(a.config, a.platform, b.platform, 1))
+	<-a.unwatched
+	if got := <-b.watched; got != "/discovery/hosts" {
+		t.Errorf("asked the new discovery for %s first, not for the whole list", got)
+	}
+	if got := ask(t, addr, "MSG.PUT", "0", "abc3", "c=slot-status,t=acme,d=300,dest=7", "body"); got != "+OK" {
+		t.Fatal(got)
+	}
+	if n := <-b.notices; !strings.HasPrefix(n, `{"message":"abc3","outcome":"handed_back"`) {
+		t.Error(n)
+	}
+	close(a.release)
+	reload() // while ending, it changes nothing
+	end()
+}
+
 // A bad configuration ends the program with a line that says what is wrong.
 func TestBadConfiguration(t *testing.T) {
 	good := newAround(t).config
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -150,6 +150,13 @@
 	}
 }
 
+// Limit changes how many flows may be out and how many connections there may be; what there is stays.
+func (g *Manager) Limit(flows, conns int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cfg.MostFlows, g.cfg.MostConns = flows, conns
+}
+
 // Cancel gives a flow up by closing its connection.
 func (g *Manager) Cancel(id string, attempt int) {
 	g.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -62,6 +62,13 @@
 	return s, nil
 }
 
+// Limit changes how many connections the server may hold; what it holds stays.
+func (s *Server) Limit(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most = most
+}
+
 // Addr is where the server listens.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -27,7 +27,7 @@
 // Journal is the open file with what it says is owed.
 type Journal struct {
 	dir       string
-	limit     int64
+	limit     atomic.Int64
 	file      *os.File
 	size      int64
 	live      int64 // bytes that a compacted file would take
@@ -51,8 +51,9 @@
 
 // Open replays the journal of a folder that may hold limit bytes, and compacts it.
 func Open(dir string, limit int64) (*Journal, error) {
-	j := &Journal{dir: dir, limit: limit - limit%block, open: map[string]*entry{}, notices: map[string]*entry{}}
-	if j.limit < 8*block {
+	j := &Journal{dir: dir, open: map[string]*entry{}, notices: map[string]*entry{}}
+	j.Limit(limit)
+	if j.limit.Load() < 8*block {
 		return nil, fmt.Errorf("journal: %d bytes are too few", limit)
 	}
 	if err := os.Remove(j.path(newName)); err != nil && !os.IsNotExist(err) {
@@ -82,6 +83,9 @@
 	return j, j.compact()
 }
 
+// Limit changes how many bytes the folder may hold. Any goroutine may call it.
+func (j *Journal) Limit(bytes int64) { j.limit.Store(bytes - bytes%block) }
+
 func (j *Journal) path(name string) string { return filepath.Join(j.dir, name) }
 
 // Owed returns the open transactions and the unanswered notices, in the order they came.
@@ -108,7 +112,7 @@
 
 // Room says whether a transaction of that size can be taken on beside others that need so much.
 func (j *Journal) Room(bytes int64) bool {
-	return float64(j.live+bytes+block) <= livePart*float64(j.limit)
+	return float64(j.live+bytes+block) <= livePart*float64(j.limit.Load())
 }
 
 // Commit writes the changes of one step. After an error none of them counts as written.
@@ -120,13 +124,13 @@
 	for _, ch := range changes {
 		j.buf = appendChange(j.buf, ch)
 	}
-	if float64(j.size+int64(len(j.buf))) > filePart*float64(j.limit) {
+	if float64(j.size+int64(len(j.buf))) > filePart*float64(j.limit.Load()) {
 		if err := j.compact(); err != nil {
 			slog.Error("journal not compacted", "err", err) // it may still fit
 		}
 	}
-	if blocks(j.size+int64(len(j.buf))) > j.limit {
-		return fmt.Errorf("journal: full: %d bytes of %d", j.size, j.limit)
+	if blocks(j.size+int64(len(j.buf))) > j.limit.Load() {
+		return fmt.Errorf("journal: full: %d bytes of %d", j.size, j.limit.Load())
 	}
 	if n, err := j.file.Write(j.buf); err != nil {
 		if n > 0 { // later records must not stand behind a torn one
@@ -236,8 +240,8 @@
 			b = e.appendTo(b)
 		}
 	}
-	if blocks(int64(len(b)))+blocks(j.size) > j.limit {
-		return fmt.Errorf("journal: no room to compact: %d and %d bytes of %d", len(b), j.size, j.limit)
+	if blocks(int64(len(b)))+blocks(j.size) > j.limit.Load() {
+		return fmt.Errorf("journal: no room to compact: %d and %d bytes of %d", len(b), j.size, j.limit.Load())
 	}
 	f, err := os.OpenFile(j.path(newName), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wrenford/internal/flow/http1"
+	"wrenford/internal/place"
 	"wrenford/internal/traffic"
 )
 
@@ -23,18 +24,24 @@
 
 // Sender delivers notices in the order they come.
 type Sender struct {
-	addr     string
+	at       *place.Place
 	answered func(ids []string)
 
 	mu    sync.Mutex
 	queue []traffic.Notice
 	wake  chan struct{}
-	nc    net.Conn // of the running call alone
+
+	// Of the goroutine in Run alone: the connection, the address that it is to, and when that is left. A move
+	// closes it at once, in a call or idle; what had no answer there is sent again to the new address.
+	nc     net.Conn
+	addr   string
+	here   context.Context
+	unhook func() bool
 }
 
-// New returns a Sender to the platform at addr; answered is told what needs no more tries.
-func New(addr string, answered func(ids []string)) *Sender {
-	return &Sender{addr: addr, answered: answered, wake: make(chan struct{}, 1)}
+// New returns a Sender to the platform at a place that may move; answered is told what needs no more tries.
+func New(at *place.Place, answered func(ids []string)) *Sender {
+	return &Sender{at: at, answered: answered, wake: make(chan struct{}, 1)}
 }
 
 // Send queues a notice. It does not block.
@@ -76,10 +83,14 @@
 			s.drop(batch)
 		default:
 			s.hangUp()
+			if s.here.Err() != nil {
+				continue // the platform has moved: nothing is to be waited for here
+			}
 			slog.Warn("notices not answered", "addr", s.addr, "count", len(batch), "status", status, "err", err)
 			select {
 			case <-ctx.Done():
 				return
+			case <-s.here.Done():
 			case <-time.After(retryAfter):
 			}
 		}
@@ -99,6 +110,7 @@
 
 func (s *Sender) hangUp() {
 	if s.nc != nil {
+		s.unhook()
 		s.nc.Close()
 		s.nc = nil
 	}
@@ -106,13 +118,20 @@
 
 func (s *Sender) call(ctx context.Context, batch []traffic.Notice) (int, error) {
 	deadline := time.Now().Add(answerBy)
+	if s.nc != nil && s.here.Err() != nil {
+		s.hangUp()
+	}
 	if s.nc == nil {
+		s.addr, s.here = s.at.Now()
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(s.here, cancel)()
 		dialer := net.Dialer{Deadline: deadline}
 		nc, err := dialer.DialContext(ctx, "tcp", s.addr)
 		if err != nil {
 			return 0, fmt.Errorf("notice: %w", err)
 		}
-		s.nc = nc
+		s.nc, s.unhook = nc, context.AfterFunc(s.here, func() { nc.Close() })
 	}
 	resp, err := http1.Exchange(s.nc, http1.AppendRequest(nil, "POST", "/v1/notices", s.addr, nil, encode(batch)),
 		http1.MaxHead, deadline)
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"wrenford/internal/place"
 	"wrenford/internal/traffic"
 )
 
@@ -32,7 +33,7 @@
 	}))
 	defer platform.Close()
 	answered := make(chan []string, 20)
-	s := New(strings.TrimPrefix(platform.URL, "http://"), func(ids []string) { answered <- ids })
+	s := New(place.New(strings.TrimPrefix(platform.URL, "http://")), func(ids []string) { answered <- ids })
 	s.Send(traffic.Notice{ID: "a", Outcome: traffic.GivenUp})
 	s.Send(traffic.Notice{ID: "bad", Outcome: traffic.HandedBack})
 	s.Send(traffic.Notice{ID: "b", Outcome: traffic.HandedBack, RetryIn: 500 * time.Millisecond})
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,44 @@
+// Package place holds an address that may move while it is in use: discovery's, which the watch and the
+// notices share.
+package place
+
+import (
+	"context"
+	"sync"
+)
+
+// Place is an address that may move.
+type Place struct {
+	mu    sync.Mutex
+	addr  string
+	here  context.Context
+	leave context.CancelFunc
+}
+
+// New returns a Place at addr.
+func New(addr string) *Place {
+	p := &Place{addr: addr}
+	p.here, p.leave = context.WithCancel(context.Background())
+	return p
+}
+
+// Now returns the address and a context that ends when the place moves from it: connections to it and waits
+// for it end with that.
+func (p *Place) Now() (string, context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.addr, p.here
+}
+
+// Move changes the address and says whether it is another one.
+func (p *Place) Move(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.addr == addr {
+		return false
+	}
+	p.leave()
+	p.addr = addr
+	p.here, p.leave = context.WithCancel(context.Background())
+	return true
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"wrenford/internal/flow/http1"
+	"wrenford/internal/place"
 	"wrenford/internal/traffic"
 )
 
@@ -81,23 +82,35 @@
 	return news
 }
 
-// Watch follows the list at addr from version seq on and hands on each change, until ctx ends.
-func Watch(ctx context.Context, addr string, seq int64, told func(traffic.PoolNews)) {
+// Watch follows the list at a place from version seq on and hands on each change, until ctx ends. When the
+// place moves, the watch moves with it at once and begins there with the whole list: the versions of another
+// discovery need not go on from those of the one before.
+func Watch(ctx context.Context, at *place.Place, seq int64, told func(traffic.PoolNews)) {
+	whole := false
 	for ctx.Err() == nil {
-		err := session(ctx, addr, &seq, told)
-		if ctx.Err() != nil {
-			return
-		}
-		slog.Warn("watch broken", "addr", addr, "seq", seq, "err", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryAfter):
+		addr, here := at.Now()
+		ctx, cancel := context.WithCancel(ctx)
+		unhook := context.AfterFunc(here, cancel)
+		err := session(ctx, addr, &seq, &whole, told)
+		if here.Err() != nil {
+			slog.Info("watch moves", "from", addr)
+			whole = true
+		} else if ctx.Err() == nil {
+			slog.Warn("watch broken", "addr", addr, "seq", seq, "err", err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(retryAfter):
+			}
+			whole = whole || here.Err() != nil
 		}
+		unhook()
+		cancel()
 	}
 }
 
-// session watches over one connection until it fails.
-func session(ctx context.Context, addr string, seq *int64, told func(traffic.PoolNews)) error {
+// session watches over one connection until it fails. It asks for the whole list first where whole is set,
+// and unsets that once it has the list.
+func session(ctx context.Context, addr string, seq *int64, whole *bool, told func(traffic.PoolNews)) error {
 	dialer := net.Dialer{Deadline: time.Now().Add(overdue)}
 	nc, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -106,10 +119,12 @@
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	for {
-		target := "/discovery/hosts?from=" + strconv.FormatInt(*seq, 10) + "&hold_ms=" +
-			strconv.FormatInt(hold.Milliseconds(), 10)
-		resp, err := http1.Exchange(nc, http1.AppendRequest(nil, "GET", target, addr, nil, nil), maxList,
-			time.Now().Add(hold+overdue))
+		target, by := "/discovery/hosts", time.Now().Add(overdue)
+		if !*whole {
+			target += "?from=" + strconv.FormatInt(*seq, 10) + "&hold_ms=" + strconv.FormatInt(hold.Milliseconds(), 10)
+			by = by.Add(hold)
+		}
+		resp, err := http1.Exchange(nc, http1.AppendRequest(nil, "GET", target, addr, nil, nil), maxList, by)
 		if err != nil {
 			return fmt.Errorf("pool: %w", err)
 		}
@@ -120,7 +135,11 @@
 		if err != nil {
 			return err
 		}
-		if *seq = list.Seq; list.Whole || len(list.Hosts) > 0 {
+		if ctx.Err() != nil { // what an address that was left still says counts no more
+			return fmt.Errorf("pool: %w", ctx.Err())
+		}
+		list.Whole = list.Whole || *whole
+		if *seq, *whole = list.Seq, false; list.Whole || len(list.Hosts) > 0 {
 			told(list.News())
 		}
 		if !resp.Reusable() {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"wrenford/internal/cuts"
+	"wrenford/internal/place"
 	"wrenford/internal/traffic"
 )
 
@@ -72,7 +73,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	told := make(chan traffic.PoolNews, 10)
-	go Watch(ctx, ln.Addr().String(), 41, func(n traffic.PoolNews) {
+	go Watch(ctx, place.New(ln.Addr().String()), 41, func(n traffic.PoolNews) {
 		select {
 		case told <- n:
 		default:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,6 +115,7 @@
 		answer   chan<- traffic.Answer
 	}
 	answered []string
+	limit    int64
 )
 
 // New makes a Relay.
@@ -162,6 +163,9 @@
 	return answer
 }
 
+// Limit changes how many bytes of open transactions the relay may hold, from the next step on.
+func (r *Relay) Limit(mostBytes int64) { r.post(limit(mostBytes)) }
+
 // FlowEnded takes in the end of a flow.
 func (r *Relay) FlowEnded(f traffic.FlowEnd) { r.post(f) }
 
@@ -287,6 +291,8 @@
 		case traffic.PoolNews:
 			r.cfg.Flows.Pool(in)
 			events = append(events, r.pool(in))
+		case limit:
+			r.cfg.MostBytes = int64(in)
 		case []wrenford.Event: // what follows from a failed write
 			events = append(events, in...)
 		case answered:
