--- a/sender.go
+++ b/sender.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -130,10 +131,12 @@
 
 // destination groups the endpoints that a message may go to.
 type destination struct {
+	id     int
 	eps    []*endpoint
 	shared *ledger
 	out    int // calls out
 	held   int // messages in the queue
+	open   int // messages that have not been forgotten
 }
 
 // New returns a Sender for these settings. The seed spreads what many senders would do at one moment.
@@ -222,7 +225,7 @@
 	for _, row := range ev.Endpoints {
 		e := s.endpoints[row.ID]
 		if e == nil {
-			d, k := at(s.dests, row.Destination), at(s.kinds, row.Kind)
+			d, k := s.destination(row.Destination), at(s.kinds, row.Kind)
 			k.span = cmp.Or(k.span, budgetWindow)
 			if d.shared == nil || k.apart {
 				d.shared = &ledger{kind: k, peers: float64(s.set.Peers)}
@@ -237,6 +240,33 @@
 		e.state, e.zone = row.State, row.Zone
 		e.ledger.weight = row.Weight * weightPart[s.set.Weights]
 	}
+	for _, e := range s.endpoints {
+		s.forget(e)
+	}
+}
+
+// forget ends what is kept of an endpoint that is gone, once no call is out there: what it was like says
+// nothing of another at its destination. A destination's log lasts while anybody is listed or waits there.
+func (s *Sender) forget(e *endpoint) {
+	if e.state != Gone || len(e.flights) > 0 {
+		return
+	}
+	self := func(o *endpoint) bool { return o == e }
+	delete(s.endpoints, e.id)
+	e.dest.eps, e.ledger.eps = slices.DeleteFunc(e.dest.eps, self), slices.DeleteFunc(e.ledger.eps, self)
+	s.forgetDestination(e.dest)
+}
+
+func (s *Sender) forgetDestination(d *destination) {
+	if len(d.eps) == 0 && d.open == 0 && (d.shared == nil || d.shared.waitUntil <= s.now) {
+		delete(s.dests, d.id)
+	}
+}
+
+func (s *Sender) destination(id int) *destination {
+	d := at(s.dests, id)
+	d.id = id
+	return d
 }
 
 // at returns the value under a key, a new one where there is none.
@@ -255,10 +285,9 @@
 	c := s.classes[ev.Class]
 	if c == nil { // a class that the settings don't name gets the promises of the strictest one
 		c = &Class{Name: ev.Class, Effect: Unsafe, Aim: ev.TimeLeft, Deadline: ev.TimeLeft, Worth: 1}
-		s.classes[ev.Class] = c
 	}
 	s.seq++
-	m := &message{id: ev.ID, class: c, dest: at(s.dests, ev.Destination), seq: s.seq,
+	m := &message{id: ev.ID, class: c, dest: s.destination(ev.Destination), seq: s.seq,
 		arrived: s.now, deadline: s.now + ev.TimeLeft, worth: c.Worth, chance: s.rng.Float64(),
 		attempts: ev.Attempts, mayHave: ev.MayHaveRun, firstSent: ev.FirstSent}
 	if t := s.tenants[ev.Tenant]; t != nil {
@@ -269,7 +298,12 @@
 			t.left--
 		}
 	}
+	m.dest.open++
 	if c.OrderedByKey && ev.HasKey {
+		if len(s.lanes) > 2*len(s.messages)+startCalls { // empty ones are over once their rest is
+			over := func(_ int64, l *lane) bool { return len(l.queue) == 0 && l.rest <= s.now }
+			maps.DeleteFunc(s.lanes, over)
+		}
 		m.lane = at(s.lanes, ev.Key)
 		m.lane.queue = append(m.lane.queue, m)
 	}
@@ -512,9 +546,11 @@
 	}
 }
 
-// otherOut says that another endpoint that shares the limit is out.
+// otherOut says that another listed endpoint that shares the limit is out.
 func (e *endpoint) otherOut() bool {
-	return slices.ContainsFunc(e.ledger.eps, func(o *endpoint) bool { return o != e && o.outage })
+	return slices.ContainsFunc(e.ledger.eps, func(o *endpoint) bool {
+		return o != e && o.outage && o.state == Listed
+	})
 }
 
 // takeOut starts or goes on with an outage: one call at a time, further and further apart, none faster
@@ -790,6 +826,7 @@
 	m.flight, m.dest.out, s.out = nil, m.dest.out-1, s.out-1
 	s.flying = slices.DeleteFunc(s.flying, func(o *message) bool { return o == m })
 	e.flights = slices.DeleteFunc(e.flights, func(o *flight) bool { return o == f })
+	defer s.forget(e)
 	e.ledger.finalize(ev.Report, f.sent, s.now)
 	s.learnIdle(e, f, ev.Status)
 	switch ev.Status {
@@ -885,6 +922,8 @@
 		return
 	}
 	delete(s.messages, m.id)
+	m.dest.open--
+	s.forgetDestination(m.dest)
 	if l := m.lane; l != nil {
 		l.queue = slices.DeleteFunc(l.queue, func(o *message) bool { return o == m })
 	}
--- a/sender_test.go
+++ b/sender_test.go
@@ -1204,3 +1204,42 @@
 		t.Error("the message is held after its end")
 	}
 }
+
+// What is kept of an endpoint ends with it, and of a destination with its last endpoint, message and told wait:
+// a day on which all of them are replaced leaves nothing behind, and the health of one that is gone says
+// nothing of the next at its destination. While a call is out, its endpoint is still needed.
+func TestNothingStaysOfWhatIsGone(t *testing.T) {
+	set := testSettings()
+	s := newSender(t, set)
+	now := time.Duration(0)
+	for i := range 50 {
+		id, name := fmt.Sprint("e", i), fmt.Sprint("m", i)
+		s.Step(now, []Event{Members{Endpoints: []Endpoint{ep(id, i%3)}}})
+		if s.endpoints[id].outage {
+			t.Fatalf("%s is out before its first call", id)
+		}
+		r := req(name, "ordered", i%3)
+		r.Key, r.HasKey = int64(i), true
+		if got := sends(s.Step(now, []Event{r})); len(got) != 1 {
+			t.Fatalf("sent %v", got)
+		}
+		gone := ep(id, i%3)
+		gone.State = Gone
+		s.Step(now, []Event{Members{Endpoints: []Endpoint{gone}}})
+		if s.endpoints[id] == nil {
+			t.Fatal("an endpoint with a call out was forgotten")
+		}
+		for attempt, st := range []Status{Errored, OK} { // the second, stray one changes nothing
+			s.Step(now, []Event{answer(name, attempt, id, st)})
+		}
+		now += 2 * set.Classes[4].Deadline
+		run(s, now-set.Classes[4].Deadline, now)
+	}
+	s.Step(now, []Event{Request{ID: "odd", Class: "unheard of", Destination: 99, TimeLeft: time.Second}})
+	run(s, now, now+2*time.Second)
+	if len(s.endpoints)+len(s.dests)+len(s.messages)+len(s.queue)+len(s.flying) > 0 || len(s.lanes) > 8 ||
+		len(s.classes) != len(set.Classes) {
+		t.Errorf("kept: %d endpoints, %d destinations, %d messages, %d lanes, %d classes", len(s.endpoints),
+			len(s.dests), len(s.messages), len(s.lanes), len(s.classes))
+	}
+}
