Count a reset against idling only if no longer idle connection went well

A probe in flow.connect and Release on one relay: 5,525 connections opened, 3,634 releases, no connection stale, the cap of 64 not reached. At fault: sender.go learnIdle. Each reset on a warm connection with one success after it cut idleSafe to 0.7 of what that connection had idled, 20 ms say; members that reset at any time keep it there. Ruled out: the cap on connections, staleness, answers not understood (none).

--- a/sender.go
+++ b/sender.go
@@ -82,6 +82,7 @@
 	rng                    *rand.Rand    // spreads what many senders would do at one moment
 	lost                   float64       // smoothed share of idled connections whose call had no answer
 	idleSafe               time.Duration // how long a connection may idle and still be used, as learned
+	idleGood               time.Duration // how long one had idled whose call went well, fading with each miss
 }
 
 // message is a request that has not ended, or that has an attempt out.
@@ -873,7 +874,8 @@
 
 // learnIdle learns how long a connection may idle before it is dropped unseen: a call on one broke, or a
 // few had no answer, and the next to the same endpoint went well on a new one. It holds against whatever
-// drops connections on the way; a slow answer taken for a drop costs new connections for a while.
+// drops connections on the way; a slow answer taken for a drop costs new connections for a while. Where a
+// connection that idled longer went well of late, idling is not what broke this one.
 func (s *Sender) learnIdle(e *endpoint, f *flight, st Status) {
 	if f.idle > 0 && st == TimedOut {
 		s.lost += failWeight * (1 - s.lost)
@@ -881,6 +883,7 @@
 		s.lost -= failWeight * s.lost
 	}
 	if st == OK {
+		s.idleGood = max(s.idleGood, f.idle)
 		s.idleSafe = min(time.Duration(float64(s.idleSafe)*idleGrow), s.set.KeepAlive)
 		if e.missIdle > 0 && e.fails <= 1 {
 			s.idleSafe = min(s.idleSafe, time.Duration(idleShrink*float64(e.missIdle)))
@@ -888,7 +891,10 @@
 	}
 	e.missIdle = 0
 	if e.fails == 0 && (st == Reset || st == TimedOut && s.lost > failMost) {
-		e.missIdle = f.idle
+		if f.idle > s.idleGood {
+			e.missIdle = f.idle
+		}
+		s.idleGood = time.Duration(idleShrink * float64(s.idleGood))
 	}
 }
 
--- a/sender_test.go
+++ b/sender_test.go
@@ -923,6 +923,35 @@
 	}
 }
 
+// Resets that come whatever a connection idled must not end the use of warm ones: where one that idled longer
+// went well, idling is not at fault. Else every call pays for a new connection and holds a slot for it.
+func TestResetsThatIdlingDoesNotExplain(t *testing.T) {
+	s := newSender(t, testSettings(), ep("e", 1))
+	now := time.Duration(0)
+	ask := func(id string, after time.Duration, attempt int, st Status) (acts []Action) {
+		now += after
+		if attempt == 0 {
+			acts = s.Step(now, []Event{req(id, "safe", 1)})
+		} else {
+			acts = run(s, now, now+100*ms)
+			now += 100 * ms
+		}
+		if len(sends(acts)) != 1 {
+			t.Fatalf("%s: sent %v", id, acts)
+		}
+		now += 50 * ms
+		s.Step(now, []Event{answer(id, attempt, "e", st)})
+		return acts
+	}
+	ask("a", 0, 0, OK)
+	ask("b", 3*time.Second, 0, OK)
+	ask("c", 20*ms, 0, Reset)
+	ask("c", 5*ms, 1, OK)
+	if released(ask("d", time.Second, 0, OK)) {
+		t.Error("a connection that idled 20 ms and broke took away those that idle for a second")
+	}
+}
+
 // Idle connections of many senders fill an endpoint that takes few: they are closed once a connection was
 // refused at the kind, but not where a few senders call.
 func TestShortOfConnections(t *testing.T) {
