Take no endpoint out for a chance failure beside calls that are answered

At fault: sender.go failed. A time-out counted towards the streak although a call sent later had been answered, and with a sibling out the streak was one, also with ten calls under way.

--- a/sender.go
+++ b/sender.go
@@ -513,8 +513,10 @@
 // failed notes a failed call. Calls missed everywhere alike are the network's doing or ours: an outage needs
 // a longer streak then. It hurts when most destinations fall silent at once, by a few more calls to each.
 func (s *Sender) failed(e *endpoint, f *flight, ev Outcome) {
-	if e.fails++; e.fails == 1 {
-		e.failFrom = f.sent
+	if f.sent >= e.lastGood { // else one sent later was answered: this call's trouble, not the endpoint's
+		if e.fails++; e.fails == 1 {
+			e.failFrom = f.sent
+		}
 	}
 	missed := ev.Status == TimedOut || ev.Status == Cancelled
 	e.failing += failWeight * (1 - e.failing)
@@ -530,7 +532,9 @@
 	}
 	second, k := e.otherOut(), e.ledger.kind
 	if second {
-		streak--
+		if len(e.flights) == 0 { // else those that are out will soon tell
+			streak--
+		}
 		k.alone *= 1 - failWeight
 	}
 	if e.outage || e.fails >= streak || e.failing > failMost+s.every/2 {
--- a/sender_test.go
+++ b/sender_test.go
@@ -1272,3 +1272,29 @@
 			len(s.dests), len(s.messages), len(s.lanes), len(s.classes))
 	}
 }
+
+// One call that breaks is no outage while others are out at the endpoint, also where its sibling is out; nor are
+// calls that are missed although one sent later was answered. Else a destination that works loses its last
+// endpoint by chance.
+func TestChanceFailuresAreNoOutage(t *testing.T) {
+	set := testSettings()
+	set.MaxCalls = 40
+	s := newSender(t, set, ep("e", 1), ep("f", 1))
+	s.takeOut(s.endpoints["f"])
+	s.endpoints["e"].window = 20
+	s.Step(0, []Event{req("a", "safe", 1), req("b", "safe", 1), req("c", "safe", 1)})
+	if got := len(s.endpoints["e"].flights); got != 3 {
+		t.Fatalf("%d calls out", got)
+	}
+	s.Step(50*ms, []Event{answer("a", 0, "e", Reset)})
+	if s.endpoints["e"].outage {
+		t.Error("out after one of three calls broke")
+	}
+	s.Step(60*ms, []Event{req("d", "safe", 1)})
+	s.Step(200*ms, []Event{answer("d", 0, "e", OK)})
+	s.Step(400*ms, []Event{answer("b", 0, "e", TimedOut)})
+	s.Step(410*ms, []Event{answer("c", 0, "e", TimedOut)})
+	if e := s.endpoints["e"]; e.outage || e.fails > 0 {
+		t.Errorf("out: %v, %d failures counted although a later call was answered", e.outage, e.fails)
+	}
+}
