Bound an answer in time, and believe nothing but a 200 of one that is spoilt

At fault: conn.take (no clock), call.decode (HeadDone), attempt (reuse at once), parseReport.

Each part's test fails without it.

--- a/internal/flow/call.go
+++ b/internal/flow/call.go
@@ -29,37 +29,43 @@
 	report *traffic.Report
 }
 
-// decode reads an answer, whole or cut off. A 200 counts from its first line on: the message is delivered
-// then, whatever becomes of the rest.
+// decode reads an answer, whole or spoilt. A 200 counts from its first line on: the message is delivered
+// then, whatever becomes of the rest. Of any other answer that is not whole, nothing is to be believed: the call
+// may have run, also where a 503 seems to deny it.
 func decode(r *http1.Response) answer {
-	if !r.HeadDone() && r.Status != 200 {
+	if !r.Done() && r.Status != 200 {
 		return answer{}
 	}
-	a := answer{status: r.Status, noSlot: r.Header("X-No-Slot") == "1", report: parseReport(r.Header("X-Backend-Load"))}
+	a := answer{status: r.Status, noSlot: r.Header("X-No-Slot") == "1"}
+	if r.HeadDone() {
+		a.report = parseReport(r.Header("X-Backend-Load"))
+	}
 	if ms, err := strconv.ParseFloat(r.Header("X-Retry-In-Ms"), 64); err == nil && ms > 0 && ms < 1e9 {
 		a.wait = time.Duration(math.Ceil(ms)) * time.Millisecond
 	}
 	return a
 }
 
-// parseReport reads "x0=0.4,x1=25"; nil where there is nothing usable.
+// mostLimit is the highest limit that is believed, in calls a second.
+const mostLimit = 1e6
+
+// parseReport reads "x0=0.4,x1=25"; nil where either is missing, told twice, or no figure that could be.
 func parseReport(text string) *traffic.Report {
 	var rep traffic.Report
-	seen := 0
+	seen := map[string]bool{}
 	for _, pair := range strings.Split(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+		to := map[string]*float64{"x0": &rep.Left, "x1": &rep.Limit}[name]
+		if to == nil {
 			continue
 		}
-		switch name {
-		case "x0":
-			rep.Left, seen = x, seen+1
-		case "x1":
-			rep.Limit, seen = x, seen+1
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(x >= 0 && x <= mostLimit) || seen[name] {
+			return nil
 		}
+		*to, seen[name] = x, true
 	}
-	if seen < 2 {
+	if len(seen) < 2 {
 		return nil
 	}
 	return &rep
--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -21,6 +21,9 @@
 	dead bool            // over, or not to be used again
 	resp *http1.Response // of the call that is out; nil between calls
 
+	timed bool          // a read deadline is set; of the reader alone
+	over  chan struct{} // closed by the reader at its end
+
 	got    chan struct{} // closed when the call has its answer or none will come
 	result answer        // to be read once got is closed
 }
@@ -65,6 +68,7 @@
 		}
 	}
 	c.nc.Close()
+	close(c.over)
 	c.g.mu.Lock()
 	c.g.conns--
 	c.g.forget(c)
@@ -89,6 +93,7 @@
 	if ferr != nil {
 		slog.Warn("answer not understood", "addr", c.nc.RemoteAddr(), "err", ferr)
 	}
+	c.limit()
 	over := err != nil || ferr != nil || n < len(b)
 	c.dead = over || c.resp.Done() && !c.resp.Reusable()
 	if c.resp.Done() || c.dead {
@@ -98,3 +103,29 @@
 	}
 	return c.dead
 }
+
+// limit bounds the time from an answer's first byte to its last: one that never ends must not hold its call,
+// and with it a slot at the pool member, until the deadline. Between an interim answer and the next it is off.
+func (c *conn) limit() {
+	if under := c.resp.Underway(); under != c.timed {
+		var by time.Time
+		if under {
+			by = time.Now().Add(answerMost)
+		}
+		_ = c.nc.SetReadDeadline(by) // where it fails the connection is over, which the next Read tells
+		c.timed = under
+	}
+}
+
+// settled waits until a connection that just carried an answer has idled for a moment, and says whether it is
+// still open: what a pool member sends behind an answer must not be taken for the answer to the next call.
+func (c *conn) settled(at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.over:
+		return false
+	}
+}
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -18,11 +18,13 @@
 	IdleMost      time.Duration // pool members close a connection that idled for so long
 	MostFlows     int           // flows out at once
 	MostConns     int           // connections, idle ones included
+	Settle        time.Duration // a connection carries nothing for so long after an answer
 }
 
 // sweepEvery is how often idle connections are looked at; writeSlack is kept free before Flow.WriteBy, for
-// what the last byte still takes to arrive.
+// what the last byte still takes to arrive. An answer must be whole answerMost after its first byte.
 const (
+	answerMost = 400 * time.Millisecond
 	sweepEvery = 250 * time.Millisecond
 	writeSlack = 100 * time.Millisecond
 )
@@ -204,7 +206,7 @@
 }
 
 func (g *Manager) attempt(ctx context.Context, r *running, c *conn) traffic.FlowEnd {
-	for c == nil || !c.begin() { // a warm one that the peer has closed by now is not written to
+	for c == nil || !c.idleSince.IsZero() && !c.settled(c.idleSince.Add(g.cfg.Settle)) || !c.begin() { // a warm one that the peer has closed by now is not written to
 		var err error
 		if c, err = g.connect(ctx, r); err != nil {
 			slog.Debug("no connection", "member", r.Member, "id", r.ID, "err", err)
@@ -289,7 +291,7 @@
 		g.closed()
 		return nil, err
 	}
-	c := &conn{nc: nc, m: r.m, g: g}
+	c := &conn{nc: nc, m: r.m, g: g, over: make(chan struct{})}
 	go c.read()
 	return c, nil
 }
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -99,6 +99,8 @@
 		{"HTTP/1.1 503 Full\r\nX-No-Slot: 1\r\nContent-Length: 0\r\n\r\n", traffic.NoSlot, 0},
 		{"HTTP/1.1 504 Spent\r\nContent-Length: 0\r\n\r\n", traffic.Spent, 0},
 		{"HTTP/1.1 410 Over\r\nContent-Length: 0\r\n\r\n", traffic.Over, 0},
+		{"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nshort", traffic.Broken, 0}, // spoilt: it may have run
+		{"HTTP/1.1 429 Wait\r\nX-Retry-In-Ms: 9\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", traffic.Broken, 0},
 		{"", traffic.Broken, 0},
 		{"what is this\r\n", traffic.Broken, 0},
 	} {
@@ -116,6 +118,65 @@
 	}
 }
 
+// An answer that never ends is cut off soon after its first byte, long before the deadline, and its connection is
+// not used again; an interim answer starts no clock for the one behind it.
+func TestAnswerThatNeverEnds(t *testing.T) {
+	for text, status := range map[string]traffic.FlowStatus{
+		"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx": traffic.Delivered,
+		"HTTP/1.1 500 Error\r\nX-Head: goes on":                  traffic.Broken,
+		"noise":                                                  traffic.Broken,
+		"HTTP/1.1 100 Continue\r\n\r\n":                          traffic.Errored,
+	} {
+		r := newRig(t)
+		r.start("a")
+		nc := <-r.conns
+		r.read(nc)
+		if _, err := nc.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		if status == traffic.Errored {
+			time.Sleep(answerMost + answerMost/2)
+			_, _ = nc.Write([]byte("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"))
+		}
+		if end := r.want("a", status); end.Took > 30*time.Second {
+			t.Errorf("%q held its flow for %v", text, end.Took)
+		}
+		if status != traffic.Errored {
+			r.start("b")
+			<-r.conns
+		}
+	}
+}
+
+// What comes behind an answer, in a packet of its own, is not taken for the answer to the next call: a
+// connection rests a moment before it is used again, and is closed if anything comes.
+func TestBytesBehindAnAnswer(t *testing.T) {
+	r := newRig(t)
+	r.g.cfg.Settle = time.Hour
+	r.start("a")
+	nc := <-r.conns
+	r.read(nc)
+	_, _ = nc.Write([]byte(ok))
+	r.want("a", traffic.Delivered)
+	r.start("b")
+	_, _ = nc.Write([]byte(ok))
+	nc = <-r.conns
+	r.read(nc)
+	_, _ = nc.Write([]byte("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"))
+	r.want("b", traffic.Errored)
+}
+
+// An unreadable load report is void as a whole.
+func TestUnreadableReport(t *testing.T) {
+	for text, want := range map[string]bool{"x0=0.4,x1=25": true, " x1=25, x0=1,y=z": true, "x0=0.4": false, "": false,
+		"x0=0.4,x0=0.5": false, "x0=0.4,x1=25,x1=1": false, "x0=-1,x1=25": false, "x0=nan,x1=2": false,
+		"x0=0.4,x1=1e300": false, "x0=,x1=2": false, "\xff\x00": false} {
+		if got := parseReport(text); (got != nil) != want {
+			t.Errorf("%q gave %+v", text, got)
+		}
+	}
+}
+
 func TestCallAndReport(t *testing.T) {
 	r := newRig(t)
 	r.start("a")
--- a/internal/flow/http1/http1.go
+++ b/internal/flow/http1/http1.go
@@ -128,6 +128,11 @@
 // HeadDone says that status and headers are complete.
 func (r *Response) HeadDone() bool { return r.state >= fixedBody }
 
+// Underway says that part of an answer, or of an interim one, has come and the rest has not.
+func (r *Response) Underway() bool {
+	return r.state != done && (r.state != statusLine || len(r.line) > 0)
+}
+
 // Done says that the answer is complete.
 func (r *Response) Done() bool { return r.state == done }
 
