Bound bad clients in bytes and time, and refuse what names no destination

At fault: relay.admit took any destination number, and answered +OK to another message under an open id; front closed the connection that was quiet longest, be it a usual client's; a command half said was waited for without end; a close with unread input reset the connection over the error line; the cap of clients was memory / 768 KiB, 62 at 48 MB, less than the third of the descriptors clients hold.

--- a/cmd/slatemux/config.go
+++ b/cmd/slatemux/config.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wrenford"
+	"wrenford/internal/front"
 	"wrenford/internal/pool"
 	"wrenford/internal/settings"
 )
@@ -107,16 +108,22 @@
 
 // caps are the bounds of the parts, derived from the limits.
 type caps struct {
-	heap                    int64 // for the collector: files count as memory too
-	openBytes, disk         int64
-	flows, members, clients int // flows out, connections to pool members, client connections
+	heap            int64 // for the collector: files count as memory too
+	openBytes, disk int64
+	flows, members  int // flows out, connections to pool members
+	clients         front.Limits
 }
 
-// caps leaves a quarter of the descriptors to flows and their warm connections, half to clients.
+// spare is how many descriptors are for all but clients and pool members: files, the listener, discovery.
+const spare = 16
+
+// caps leaves a quarter of the descriptors to flows and their warm connections, half to clients, and a quarter
+// of that again to refused clients that are read past. Open transactions may take an eighth of the memory, and
+// large commands of clients, with the parser's buffers, another.
 func (c *config) caps() caps {
-	return caps{heap: c.memory / 2, openBytes: c.memory / 8, disk: c.disk,
-		flows: min(c.settings.MaxCalls, c.sockets/4), members: c.sockets / 4,
-		clients: min(c.sockets/2, int(c.memory/perClient))}
+	n := c.sockets - spare
+	return caps{heap: c.memory / 2, openBytes: c.memory / 8, disk: c.disk, flows: min(c.settings.MaxCalls, n/4),
+		members: n / 4, clients: front.Limits{Clients: n / 2, Buffered: c.memory / 8}}
 }
 
 // fixed names what a newer configuration changes that only a restart can apply. The seed and the known list
--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -28,9 +28,8 @@
 // then is in the journal.
 const serveOn, exitAfter = 3000 * time.Millisecond, 3550 * time.Millisecond
 
-// perClient is the most that one client connection takes while it hands in the largest body, with what the
-// collector has not freed yet.
-const perClient = 768 << 10
+// settle is how long a connection to a pool member rests after an answer: less than half of a step.
+const settle = 2 * time.Millisecond
 
 // answerWithin is what clients may still need for the answers to what was read.
 const answerWithin = 100 * time.Millisecond
@@ -51,7 +50,7 @@
 	in := listen() // first of all: a SIGHUP that comes early must not end the program
 	cfg, err := load(os.Getenv)
 	if err == nil {
-		slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)).With("relay", cfg.name))
+		slog.SetDefault(slog.New(sparingly(slog.NewTextHandler(os.Stderr, nil))).With("relay", cfg.name))
 		err = run(cfg, in, func() (config, error) { return load(os.Getenv) }, func(net.Addr) {})
 	}
 	if err != nil {
@@ -77,7 +76,8 @@
 
 	var r *relay.Relay
 	flows := flow.New(flow.Config{ConnectWithin: cfg.settings.ConnectTimeout, IdleMost: cfg.settings.KeepAlive,
-		MostFlows: most.flows, MostConns: most.members},
+		MostFlows: most.flows, MostConns: most.members,
+		Settle: settle},
 		func(end traffic.FlowEnd) { r.FlowEnded(end) })
 	notices := notice.New(discovery, func(ids []string) { r.NoticesAnswered(ids) })
 	r, err = relay.New(relay.Config{Settings: cfg.settings, Seed: cfg.seed, MostBytes: most.openBytes, Store: store,
--- a/cmd/slatemux/main_test.go
+++ b/cmd/slatemux/main_test.go
@@ -181,6 +181,20 @@
 	end()
 }
 
+// All that may be open at once fits in the descriptors, also in the smallest configuration, and clients have
+// room for the third of them that the deployment's clients may hold.
+func TestCapsFitTheDescriptors(t *testing.T) {
+	for _, sockets := range []int{64, 256, 384, 1024} {
+		cfg := config{sockets: sockets, memory: 32e6}
+		cfg.settings.MaxCalls = 38
+		c := cfg.caps()
+		if all := c.clients.Clients + c.clients.Clients/4 + c.members + spare; all > sockets ||
+			sockets > 64 && c.clients.Clients < sockets/3 || c.flows < 1 || c.flows > c.members {
+			t.Errorf("%d descriptors: %+v, %d at most", sockets, c, all)
+		}
+	}
+}
+
 // A bad configuration ends the program with a line that says what is wrong.
 func TestBadConfiguration(t *testing.T) {
 	good := newAround(t).config
--- /dev/null
+++ b/internal/front/client.go
@@ -0,0 +1,174 @@
+package front
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// silentMost is how long a connection may take to its first whole command, and halfMost any command from
+	// its first byte to its last; both are looked at every sweepEvery. A client connection that was of use
+	// may idle for idleMost.
+	silentMost, halfMost, idleMost, sweepEvery = 2 * time.Second, 2 * time.Second, 5 * time.Second, 250 * time.Millisecond
+	// writeMost is how long a client may leave its answers unread, lingerMost how long a refused one is still
+	// listened to, so that what it sends does not reset the connection before it has read why.
+	writeMost, lingerMost = 2 * time.Second, 2 * time.Second
+	// A command of so many bytes is in memory weight times, counting the parser's buffers; light ones fit in
+	// what each connection has anyway.
+	weight, light = 4, 4096
+)
+
+var (
+	errRoom = errors.New("no room for a command of that size")
+	errHalf = errors.New("command not finished in time")
+)
+
+// refusals are the lines that a client reads before its connection is closed.
+var refusals = map[error]string{errFrame: "-ERR Protocol error: " + errFrame.Error() + "\r\n",
+	errHalf: "-ERR Protocol error: " + errHalf.Error() + "\r\n", errRoom: "-BUSY 1000\r\n"}
+
+// client is a connection whose framing is checked before redcon sees it.
+type client struct {
+	net.Conn
+	s    *Server
+	born time.Time
+	gone sync.Once
+
+	// Of the reading goroutine alone, which also handles commands and writes answers.
+	guard    guard
+	answered int // commands
+	bad      error
+
+	weight int64 // bytes taken from the server's budget; under its lock
+
+	mu    sync.Mutex
+	due   bool      // a whole command was read whose answer is not written
+	asked bool      // a whole command has come
+	late  bool      // the unfinished command is waited for no more
+	shut  bool      // nothing more is taken from this connection
+	half  time.Time // when the unfinished command began; zero without one
+	last  time.Time // of the newest bytes
+}
+
+func (c *client) Read(b []byte) (int, error) {
+	if c.bad != nil {
+		c.s.badFrames.Add(1)
+		slog.Warn("bad frame", "client", c.RemoteAddr(), "err", c.bad)
+		c.refuse(c.bad)
+		return 0, c.bad
+	}
+	n, err := c.Conn.Read(b)
+	if c.tooLate() {
+		c.bad = errHalf
+		return c.Read(b)
+	}
+	good, bad := c.guard.Feed(b[:n])
+	if n > 0 && !c.note(time.Now()) {
+		return 0, net.ErrClosed // nobody could be answered any more, so nothing is taken on
+	}
+	if bad == nil && !c.s.reserve(c, int64(c.guard.total)) {
+		bad = errRoom
+	}
+	if c.bad = bad; bad != nil && good == 0 {
+		return c.Read(b)
+	}
+	return good, err
+}
+
+// note brings what others may see up to date with the guard; false if the connection was closed meanwhile.
+func (c *client) note(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.guard.fresh {
+		c.guard.fresh, c.asked, c.half = false, true, time.Time{}
+	}
+	if c.guard.at == atStart {
+		c.half = time.Time{}
+	} else if c.half.IsZero() {
+		c.half = now
+	}
+	c.due, c.last = c.answered < c.guard.whole, now
+	return !c.shut
+}
+
+// Write carries answers. Between the last one and the next Read the connection may be closed without harm.
+func (c *client) Write(b []byte) (int, error) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeMost)) // a Write then fails and ends the connection
+	n, err := c.Conn.Write(b)
+	c.mu.Lock()
+	c.due = c.answered < c.guard.whole
+	c.mu.Unlock()
+	if c.s.ending.Load() {
+		c.closeIf(func() bool { return !c.due && c.half.IsZero() })
+	}
+	return n, err
+}
+
+func (c *client) tooLate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.late
+}
+
+// closeIf closes the connection if that holds and it is not closed yet.
+func (c *client) closeIf(may func() bool) {
+	c.mu.Lock()
+	ends := !c.shut && may()
+	c.shut = c.shut || ends
+	c.mu.Unlock()
+	if ends {
+		c.Close()
+	}
+}
+
+// sweep closes a connection that has been of no use for too long.
+func (c *client) sweep(now time.Time) {
+	c.mu.Lock()
+	c.late = !c.shut && !c.due && !c.half.IsZero() && now.Sub(c.half) >= halfMost
+	if c.late { // ends the Read, which refuses the rest
+		_ = c.Conn.SetReadDeadline(now)
+	}
+	c.mu.Unlock()
+	c.closeIf(func() bool {
+		if c.due || !c.half.IsZero() {
+			return false
+		}
+		return !c.asked && now.Sub(c.born) >= silentMost || now.Sub(c.last) >= idleMost
+	})
+}
+
+// refuse writes why the connection is about to be closed. What its client still sends is then read past.
+func (c *client) refuse(why error) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeMost))
+	_, _ = c.Conn.Write([]byte(refusals[why]))
+	c.linger(time.Now().Add(lingerMost))
+}
+
+// linger reads past what comes until the client closes, if there is room for one more connection in that state:
+// closing with unread input would reset the connection, and the client might never read what was written.
+func (c *client) linger(until time.Time) {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if n := c.s.lingering.Add(1); ok && n <= int64(c.s.room().Clients/4) {
+		c.s.leave(c)
+		_ = half.CloseWrite()
+		_ = c.Conn.SetReadDeadline(until)
+		for b := make([]byte, 16<<10); ; {
+			if _, err := c.Conn.Read(b); err != nil {
+				break
+			}
+		}
+	}
+	c.s.lingering.Add(-1)
+}
+
+// Close closes the connection, once.
+func (c *client) Close() (err error) {
+	c.gone.Do(func() {
+		c.s.leave(c)
+		err = c.Conn.Close()
+	})
+	return err
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -25,48 +25,56 @@
 }
 
 // Counters count since the start.
-type Counters struct{ Accepted, TurnedAway, Commands, BadCommands, BadFrames int64 }
+type Counters struct{ Accepted, TurnedAway, MadeRoom, Commands, BadCommands, BadFrames int64 }
 
 // LogValue names the counters in a log line.
 func (c Counters) LogValue() slog.Value {
 	return slog.GroupValue(slog.Int64("accepted", c.Accepted), slog.Int64("turned_away", c.TurnedAway),
-		slog.Int64("commands", c.Commands), slog.Int64("bad_commands", c.BadCommands),
-		slog.Int64("bad_frames", c.BadFrames))
+		slog.Int64("made_room", c.MadeRoom), slog.Int64("commands", c.Commands),
+		slog.Int64("bad_commands", c.BadCommands), slog.Int64("bad_frames", c.BadFrames))
 }
 
 // Server serves clients on one listener.
 type Server struct {
 	relay   Relay
 	classes map[string]wrenford.Effect
-	most    int
 	ln      net.Listener
 
-	mu    sync.Mutex
-	conns map[*client]bool
+	mu       sync.Mutex
+	limits   Limits
+	buffered int64 // of Limits.Buffered
+	conns    map[*client]bool
 
-	ending atomic.Bool
+	ending    atomic.Bool
+	lingering atomic.Int64 // connections that were refused and are read past
 
-	accepted, turnedAway, commands, badCommands, badFrames atomic.Int64
+	accepted, turnedAway, madeRoom, commands, badCommands, badFrames atomic.Int64
 }
 
-// Listen opens a virtual server that holds at most most connections.
-func Listen(addr string, most int, classes []wrenford.Class, relay Relay) (*Server, error) {
+// Limits bound what a server holds.
+type Limits struct {
+	Clients  int   // connections
+	Buffered int64 // bytes of memory for commands that are not light, over all connections
+}
+
+// Listen opens a virtual server that holds no more than its limits.
+func Listen(addr string, limits Limits, classes []wrenford.Class, relay Relay) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("front: %w", err)
 	}
-	s := &Server{relay: relay, classes: map[string]wrenford.Effect{}, most: most, ln: ln, conns: map[*client]bool{}}
+	s := &Server{relay: relay, classes: map[string]wrenford.Effect{}, limits: limits, ln: ln, conns: map[*client]bool{}}
 	for _, c := range classes {
 		s.classes[c.Name] = c.Effect
 	}
 	return s, nil
 }
 
-// Limit changes how many connections the server may hold; what it holds stays.
-func (s *Server) Limit(most int) {
+// Limit changes what the server may hold; what it holds stays.
+func (s *Server) Limit(limits Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.most = most
+	s.limits = limits
 }
 
 // Addr is where the server listens.
@@ -74,6 +82,9 @@
 
 // Serve serves until Drain; then it returns, and connections with a request under way are served on.
 func (s *Server) Serve() error {
+	ended := make(chan struct{})
+	defer close(ended)
+	go s.sweep(ended)
 	if err := redcon.Serve(listener{s.ln, s}, s.handle, nil, nil); err != nil {
 		return fmt.Errorf("front: %w", err)
 	}
@@ -86,7 +97,7 @@
 	s.ending.Store(true)
 	s.ln.Close()
 	for _, c := range s.clients() {
-		c.closeIdle()
+		c.closeIf(func() bool { return !c.due && c.half.IsZero() })
 	}
 }
 
@@ -109,12 +120,16 @@
 
 // Counters returns the counters.
 func (s *Server) Counters() Counters {
-	return Counters{s.accepted.Load(), s.turnedAway.Load(), s.commands.Load(), s.badCommands.Load(), s.badFrames.Load()}
+	return Counters{s.accepted.Load(), s.turnedAway.Load(), s.madeRoom.Load(), s.commands.Load(), s.badCommands.Load(),
+		s.badFrames.Load()}
 }
 
 func (s *Server) handle(conn redcon.Conn, cmd redcon.Command) {
 	received := time.Now()
 	s.commands.Add(1)
+	if c, ok := conn.NetConn().(*client); ok {
+		c.answered++ // in this goroutine, before the answer is written
+	}
 	parsed, err := Parse(cmd.Args, s.classes, received)
 	if err != nil {
 		s.badCommands.Add(1)
@@ -171,118 +186,107 @@
 			}
 			return nil, err
 		}
-		c := &client{Conn: nc, s: l.s, last: time.Now()}
-		l.s.mu.Lock()
-		full := len(l.s.conns) >= l.s.most && !l.s.makeRoom()
-		if !full {
-			l.s.conns[c] = true
-		}
-		l.s.mu.Unlock()
-		if !full {
+		now := time.Now()
+		c := &client{Conn: nc, s: l.s, born: now, last: now}
+		if l.s.enter(c) {
 			l.s.accepted.Add(1)
 			return c, nil
 		}
 		l.s.turnedAway.Add(1)
 		slog.Warn("client turned away: too many connections", "client", nc.RemoteAddr())
-		_ = nc.SetWriteDeadline(time.Now().Add(time.Second))
-		_, _ = nc.Write([]byte("-BUSY 1000\r\n")) // mostly read before the close is
-		nc.Close()
+		go func() {
+			c.refuse(errRoom)
+			c.Close()
+		}()
 	}
 }
 
-// stuck is how old a half-read command must be for its connection to be closed where another wants in.
-const stuck = 10 * time.Second
-
-// makeRoom closes the connection that has been quiet longest, if no answer is due on it. It needs the lock.
-func (s *Server) makeRoom() bool {
+// enter holds a connection, if there is room or another makes some.
+func (s *Server) enter(c *client) bool {
+	s.mu.Lock()
 	var quiet *client
-	var since time.Time
-	for c := range s.conns {
-		c.mu.Lock()
-		last, free := c.last, !c.busy || time.Since(c.last) > stuck
-		c.mu.Unlock()
-		if free && (quiet == nil || last.Before(since)) {
-			quiet, since = c, last
-		}
+	full := len(s.conns) >= s.limits.Clients
+	if full {
+		quiet = s.quietest()
 	}
-	if quiet == nil {
+	if full && quiet == nil {
+		s.mu.Unlock()
 		return false
 	}
-	delete(s.conns, quiet)
-	quiet.mu.Lock()
-	quiet.shut = true
-	quiet.mu.Unlock()
-	quiet.Conn.Close()
+	s.conns[c] = true
+	s.mu.Unlock()
+	if quiet != nil {
+		s.madeRoom.Add(1)
+		quiet.closeIf(func() bool { return !quiet.due }) // if one came just now, there is one too many for a while
+	}
 	return true
 }
 
-// client is a connection whose framing is checked before redcon sees it.
-type client struct {
-	net.Conn
-	s     *Server
-	guard guard // of the reading goroutine alone
-	bad   error
-
-	mu   sync.Mutex
-	busy bool // bytes have been read whose answer is not written
-	shut bool
-	last time.Time // of the newest bytes
+// quietest finds the connection that may go to make room: first one on which no command has come, then one
+// that idled longest, so that a flood of connections that say nothing drives out itself and not the clients in
+// use. It needs the lock.
+func (s *Server) quietest() (quiet *client) {
+	var rank int
+	var since time.Time
+	for c := range s.conns {
+		c.mu.Lock()
+		r, from, free := 1, c.last, !c.due && (!c.asked || c.half.IsZero())
+		if !c.asked {
+			r, from = 0, c.born
+		}
+		c.mu.Unlock()
+		if free && (quiet == nil || r < rank || r == rank && from.Before(since)) {
+			quiet, rank, since = c, r, from
+		}
+	}
+	return quiet
 }
 
-func (c *client) Read(b []byte) (int, error) {
-	if c.bad != nil {
-		c.s.badFrames.Add(1)
-		slog.Warn("bad frame", "client", c.RemoteAddr(), "err", c.bad)
-		_ = c.SetWriteDeadline(time.Now().Add(time.Second))
-		_, _ = c.Conn.Write([]byte("-ERR Protocol error: " + c.bad.Error() + "\r\n"))
-		return 0, c.bad
+// reserve takes the memory for a command of so many bytes from the budget, before they are buffered. The
+// parser keeps its buffers, so it is given back only with the connection.
+func (s *Server) reserve(c *client, bytes int64) bool {
+	if bytes <= light {
+		return true
 	}
-	n, err := c.Conn.Read(b)
-	if n > 0 && !c.begin() {
-		return 0, net.ErrClosed
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	more := weight*bytes - c.weight
+	if more > 0 && s.buffered+more > s.limits.Buffered {
+		return false
 	}
-	good, bad := c.guard.Feed(b[:n])
-	if c.bad = bad; bad != nil && good == 0 {
-		return c.Read(b)
+	if more > 0 && s.conns[c] {
+		c.weight, s.buffered = c.weight+more, s.buffered+more
 	}
-	return good, err
+	return true
 }
 
-// begin notes that a request is under way. It is not if the connection was closed while its bytes were
-// being read: nobody could be answered, so nothing is taken on.
-func (c *client) begin() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.busy, c.last = !c.shut, time.Now()
-	return c.busy
+// leave ends what the server holds of a connection.
+func (s *Server) leave(c *client) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	s.buffered -= c.weight
+	c.weight = 0
 }
 
-// Write carries the answers to all commands that were read: between it and the next Read the connection
-// may be closed without harm.
-func (c *client) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.mu.Lock()
-	c.busy = c.guard.at != atStart
-	c.mu.Unlock()
-	if c.s.ending.Load() {
-		c.closeIdle()
-	}
-	return n, err
+func (s *Server) room() Limits {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limits
 }
 
-// closeIdle closes the connection if no request is under way on it.
-func (c *client) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.busy {
-		c.shut = true
-		c.Conn.Close()
+// sweep looks after connections that are of no use, until the last is gone after Drain.
+func (s *Server) sweep(ended <-chan struct{}) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case now := <-tick.C:
+			for _, c := range s.clients() {
+				c.sweep(now)
+			}
+		}
 	}
 }
-
-func (c *client) Close() error {
-	c.s.mu.Lock()
-	delete(c.s.conns, c)
-	c.s.mu.Unlock()
-	return c.Conn.Close()
-}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -39,6 +39,9 @@
 		if g.at != atStart {
 			t.Fatalf("the guard is in state %d after whole commands", g.at)
 		}
+		if g.whole != 4 {
+			t.Fatalf("the guard counted %d commands", g.whole)
+		}
 	})
 }
 
@@ -49,11 +52,14 @@
 		var g guard
 		text := cuts.Garbage(t, put)
 		n, _ := g.Feed(text)
-		rd := redcon.NewReader(bytes.NewReader(text[:n]))
+		rd, handled := redcon.NewReader(bytes.NewReader(text[:n])), 0
 		for cmd, err := rd.ReadCommand(); err == nil; cmd, err = rd.ReadCommand() {
 			if c, err := Parse(cmd.Args, classes, time.Now()); err == nil && c == nil {
 				t.Fatalf("no error and no command from %q", cmd.Raw)
 			}
+			if handled++; handled > g.whole {
+				t.Fatalf("%d commands of %d that the guard counted", handled, g.whole)
+			}
 		}
 	})
 }
@@ -107,7 +113,7 @@
 }
 
 func serve(t *testing.T, most int, a traffic.Answer) *Server {
-	s, err := Listen("127.0.0.1:0", most, []wrenford.Class{{Name: "pay", Effect: wrenford.Keyed}}, fixed(a))
+	s, err := Listen("127.0.0.1:0", Limits{most, 1 << 20}, []wrenford.Class{{Name: "pay", Effect: wrenford.Keyed}}, fixed(a))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -161,7 +167,7 @@
 // that, the message would count as lost.
 func TestDrainAnswersWhatWasRead(t *testing.T) {
 	relay := make(slow)
-	s, err := Listen("127.0.0.1:0", 10, []wrenford.Class{{Name: "pay", Effect: wrenford.Keyed}}, relay)
+	s, err := Listen("127.0.0.1:0", Limits{10, 1 << 20}, []wrenford.Class{{Name: "pay", Effect: wrenford.Keyed}}, relay)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -181,20 +187,126 @@
 	}
 }
 
-// Idle connections must not keep new clients out: the one that was quiet longest makes room.
-func TestIdleClientMakesRoom(t *testing.T) {
-	s := serve(t, 1, traffic.Answer{})
-	idle, err := net.Dial("tcp", s.Addr().String())
+// dial opens a connection, sends a text and returns a reader of what comes back.
+func dial(t *testing.T, s *Server, text string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	nc, err := net.Dial("tcp", s.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer idle.Close()
-	if got := ask(t, s, command("PING")); got[0] != "+PONG" {
-		t.Errorf("%q", got)
+	t.Cleanup(func() { nc.Close() })
+	_ = nc.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := nc.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	return nc, bufio.NewReader(nc)
+}
+
+func expect(t *testing.T, what string, rd *bufio.Reader, want string) {
+	t.Helper()
+	if got, err := rd.ReadString('\n'); strings.TrimSpace(got) != want || want == "" && err == nil {
+		t.Errorf("%s read %q, %v, want %q", what, got, err, want)
+	}
+}
+
+func until(what func() bool) {
+	for !what() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// halves counts the connections on which a command has begun and not ended.
+func halves(s *Server) (n int) {
+	for _, c := range s.clients() {
+		c.mu.Lock()
+		if !c.half.IsZero() {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
+// A connection that says nothing is closed and one that leaves its command half said is told so, within 3 s; one
+// that was of use may idle for longer, and none is closed on which an answer is due.
+func TestUselessConnectionsEnd(t *testing.T) {
+	relay := make(slow)
+	s, err := Listen("127.0.0.1:0", Limits{10, 1 << 20}, []wrenford.Class{{Name: "pay", Effect: wrenford.Keyed}}, relay)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve() }()
+	defer s.Drain()
+	_, silent := dial(t, s, "")
+	_, half := dial(t, s, string(put[:20]))
+	_, due := dial(t, s, string(put))
+	used, answers := dial(t, s, "PING\r\n")
+	expect(t, "one that asked", answers, "+PONG")
+	until(func() bool { return s.Counters().Accepted == 4 && s.Counters().Commands == 2 && halves(s) == 1 })
+	sweep := func(after time.Duration) {
+		for _, c := range s.clients() {
+			c.sweep(time.Now().Add(after))
+		}
+	}
+	sweep(3*time.Second - sweepEvery)
+	expect(t, "a silent one", silent, "")
+	expect(t, "half a command", half, "-ERR Protocol error: "+errHalf.Error())
+	_, _ = used.Write([]byte("PING\r\n"))
+	expect(t, "one in use", answers, "+PONG")
+	sweep(time.Hour)
+	expect(t, "an idle one", answers, "")
+	relay <- traffic.Answer{Verdict: traffic.Accepted}
+	expect(t, "one whose answer was due", due, "+OK")
+}
+
+// Who sends much that cannot be taken still reads why: what follows is read past before the close, for unread
+// input would reset the connection.
+func TestRefusalArrives(t *testing.T) {
+	s := serve(t, 10, traffic.Answer{})
+	nc, rd := dial(t, s, "*5\r\n$60000000\r\n")
+	if _, err := nc.Write(make([]byte, 8<<20)); err != nil {
+		t.Errorf("the connection was reset: %v", err)
+	}
+	expect(t, "a client with too much", rd, "-ERR Protocol error: "+errFrame.Error())
+}
+
+// A flood of connections that say nothing, or half a command, drives out itself, not the clients in use.
+func TestFloodSparesClientsInUse(t *testing.T) {
+	s := serve(t, 4, traffic.Answer{})
+	used, answers := dial(t, s, "PING\r\n")
+	expect(t, "one in use", answers, "+PONG")
+	for i := range 20 {
+		dial(t, s, []string{"", "*5\r\n"}[i%2])
+	}
+	until(func() bool { return s.Counters().Accepted == 21 })
+	_, _ = used.Write([]byte("PING\r\n"))
+	expect(t, "one in use", answers, "+PONG")
+	if n := s.Counters().MadeRoom; n != 17 {
+		t.Errorf("%d made room", n)
+	}
+}
+
+// Large commands are bounded before they are buffered: over the budget they are refused, and a connection that
+// ends gives back what it took.
+func TestLargeCommandsAreBounded(t *testing.T) {
+	s := serve(t, 10, traffic.Answer{})
+	large := "*5\r\n$7\r\nMSG.PUT\r\n$1\r\nk\r\n$1\r\ni\r\n$1\r\nn\r\n$65000\r\n"
+	taken := func() int64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.buffered
 	}
-	if n, err := idle.Read(make([]byte, 9)); err == nil {
-		t.Errorf("the idle connection is open and read %d bytes", n)
+	var first net.Conn
+	for range 4 {
+		first, _ = dial(t, s, large)
 	}
+	until(func() bool { return taken() > 4*weight*65000 })
+	_, rd := dial(t, s, large)
+	expect(t, "one too many", rd, "-BUSY 1000")
+	first.Close()
+	until(func() bool { return taken() < 4*weight*65000 })
+	dial(t, s, large)
+	until(func() bool { return taken() > 4*weight*65000 })
 }
 
 // A client too many reads a refusal, which tells it that handing in again is harmless.
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -34,8 +34,17 @@
 	at    frame
 	n     int // digits or bytes of the present part
 	value int
-	args  int // still to come
-	total int // bytes of the command
+	args  int  // still to come
+	total int  // bytes of the command
+	inked bool // the inline command is more than blanks, which the parser passes over
+
+	whole int  // commands that ended
+	fresh bool // one did since this was unset
+}
+
+// end is the end of a command.
+func (g *guard) end() {
+	g.at, g.total, g.whole, g.fresh = atStart, 0, g.whole+1, true
 }
 
 // Feed says how many of the bytes may be passed on; with an error, what follows them may not.
@@ -57,16 +66,18 @@
 func (g *guard) byte(c byte) error {
 	switch g.at {
 	case atStart:
-		g.n, g.value, g.total = 0, 0, 0
+		g.n, g.value, g.total, g.inked = 0, 0, 0, c != ' ' && c != '\r'
 		if c == '*' {
 			g.at = inCount
 		} else if c != '\n' {
 			g.at = inLine
 		}
 	case inLine:
-		if g.n++; c == '\n' {
+		if g.n++; c == '\n' && g.inked {
+			g.end()
+		} else if c == '\n' {
 			g.at = atStart
-		} else if g.n > maxInline {
+		} else if g.inked = g.inked || c != ' ' && c != '\r'; g.n > maxInline {
 			return errFrame
 		}
 	case inCount, inSize:
@@ -86,7 +97,7 @@
 			return errFrame
 		}
 		if g.args--; g.args == 0 {
-			g.at = atStart
+			g.end()
 		} else {
 			g.at = atSize
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -54,6 +55,7 @@
 // Counters count since the start.
 type Counters struct {
 	HandedIn, TakenOn, Refused, Failed, Full, Late int64 // at the front
+	Unlisted, Borrowed                             int64 // at the front too: no such destination; another's id
 	Recovered                                      int64
 	Flows                                          int64
 	HandedBack, GivenUp, NoticesAnswered           int64
@@ -67,7 +69,7 @@
 func (c Counters) LogValue() slog.Value {
 	attrs := []slog.Attr{slog.Int64("handed_in", c.HandedIn), slog.Int64("taken_on", c.TakenOn),
 		slog.Int64("refused", c.Refused), slog.Int64("failed", c.Failed), slog.Int64("full", c.Full),
-		slog.Int64("late", c.Late), slog.Int64("recovered", c.Recovered), slog.Int64("flows", c.Flows)}
+		slog.Int64("late", c.Late), slog.Int64("unlisted", c.Unlisted), slog.Int64("borrowed", c.Borrowed), slog.Int64("recovered", c.Recovered), slog.Int64("flows", c.Flows)}
 	for status, n := range c.Ends {
 		if n > 0 {
 			attrs = append(attrs, slog.Int64(traffic.FlowStatus(status).String(), n))
@@ -85,7 +87,7 @@
 	origin  time.Time // of the module's time
 	classes map[string]*wrenford.Class
 	apart   map[string]bool
-	groups  map[string]string // by member
+	pool    roster
 	open    map[string]*held
 	bytes   int64
 	fresh   int64 // bytes that this step has admitted and not journalled yet
@@ -125,7 +127,7 @@
 		return nil, fmt.Errorf("relay: %w", err)
 	}
 	r := &Relay{cfg: cfg, sender: sender, origin: time.Now(), classes: map[string]*wrenford.Class{},
-		apart: map[string]bool{}, groups: map[string]string{}, open: map[string]*held{},
+		apart: map[string]bool{}, pool: newRoster(), open: map[string]*held{},
 		signal: make(chan struct{}, 1)}
 	for i := range cfg.Settings.Classes {
 		r.classes[cfg.Settings.Classes[i].Name] = &cfg.Settings.Classes[i]
@@ -140,7 +142,8 @@
 // left unanswered are owed again.
 func (r *Relay) Start(known traffic.PoolNews, open []traffic.Open, notices []traffic.Notice) {
 	now := time.Now()
-	events := []wrenford.Event{r.pool(known)}
+	r.pool.take(known, now)
+	events := []wrenford.Event{members(known)}
 	for _, o := range open {
 		h := &held{Open: o}
 		r.open[o.ID] = h
@@ -290,7 +293,9 @@
 			events, changes = r.flowEnd(in, events, changes)
 		case traffic.PoolNews:
 			r.cfg.Flows.Pool(in)
-			events = append(events, r.pool(in))
+			r.pool.take(in, now)
+			r.pool.told = true
+			events = append(events, members(in))
 		case limit:
 			r.cfg.MostBytes = int64(in)
 		case []wrenford.Event: // what follows from a failed write
@@ -308,12 +313,21 @@
 	r.count.HandedIn++
 	size := int64(in.t.Size())
 	switch h := r.open[in.t.ID]; {
+	case h != nil && !same(&h.Transaction, &in.t): // another client's id: that one's message is not touched
+		r.count.Borrowed++
+		in.answer <- traffic.Answer{Verdict: traffic.Failed}
+		return nil
 	case h != nil && h.fresh != nil:
 		h.fresh = append(h.fresh, in.answer)
 		return nil
 	case h != nil: // taken on already, and owed once
 		in.answer <- traffic.Answer{Verdict: traffic.Accepted}
 		return nil
+	case !r.pool.knows(in.t.Destination, now):
+		if r.count.Unlisted++; r.pool.told {
+			in.answer <- traffic.Answer{Verdict: traffic.Failed}
+			return nil
+		}
 	case now.Sub(in.received) > staleHandIn:
 		r.count.Late++
 	case len(r.open) >= r.cfg.Settings.MaxOpen, r.bytes+size > r.cfg.MostBytes, !r.cfg.Store.Room(r.fresh + size):
@@ -328,6 +342,13 @@
 	return nil
 }
 
+// same says that two hand-ins with one id are the same message, sent once more, and not another that borrows
+// the id. The time left may differ.
+func same(a, b *traffic.Transaction) bool {
+	return a.Class == b.Class && a.Tenant == b.Tenant && a.Key == b.Key && a.Destination == b.Destination &&
+		bytes.Equal(a.Body, b.Body)
+}
+
 func (r *Relay) flowEnd(f traffic.FlowEnd, events []wrenford.Event, changes []traffic.Change) ([]wrenford.Event,
 	[]traffic.Change) {
 	r.count.Ends[f.Status]++
@@ -350,13 +371,6 @@
 	return append(events, outcome(f)), changes
 }
 
-func (r *Relay) pool(news traffic.PoolNews) wrenford.Event {
-	for _, m := range news.Members {
-		r.groups[m.Host] = r.group(m)
-	}
-	return members(news)
-}
-
 func (r *Relay) forget(h *held) {
 	delete(r.open, h.ID)
 	r.bytes -= int64(h.Size())
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -167,6 +167,58 @@
 	}
 }
 
+// A destination that the pool does not have is refused: with a word to come again while discovery has not been
+// heard, for good after that. One whose last member just left is still known, for a successor may come.
+func TestUnknownDestination(t *testing.T) {
+	r, _, now := start(t)
+	odd := transaction("a", "slot", now.Add(5*time.Second))
+	odd.Destination = 99
+	if a := hand(t, r, now, odd); a.Verdict != traffic.Busy {
+		t.Errorf("before discovery was heard: %+v", a)
+	}
+	news := func(after time.Duration, health traffic.Health) {
+		r.PoolChanged(traffic.PoolNews{Members: []traffic.Member{{Host: "m1", Class: "partner", Destination: 7,
+			Health: health}, {Host: "m2", Class: "partner", Destination: 7, Health: health}}})
+		r.step(now.Add(after), r.take())
+	}
+	news(0, traffic.Left)
+	if a := hand(t, r, now, odd); a.Verdict != traffic.Failed || len(r.pool.members) > 0 {
+		t.Errorf("not in the pool: %+v, kept %v", a, r.pool.members)
+	}
+	if a := hand(t, r, now, transaction("b", "slot", now.Add(5*time.Second))); a.Verdict != traffic.Accepted {
+		t.Errorf("just left: %+v", a)
+	}
+	if a := hand(t, r, now.Add(2*goneFor), transaction("c", "slot", now.Add(3*goneFor))); a.Verdict != traffic.Failed {
+		t.Errorf("long left: %+v", a)
+	}
+	news(2*goneFor, traffic.Left)
+	if len(r.pool.gone) > 0 || r.count.Unlisted != 3 {
+		t.Errorf("kept %v, counted %d", r.pool.gone, r.count.Unlisted)
+	}
+}
+
+// Another message under the id of one that is open is not taken on and changes nothing; the same one sent once
+// more, as after a close that crossed it, is answered as taken on.
+func TestBorrowedID(t *testing.T) {
+	r, w, now := start(t)
+	tr := transaction("a", "pay", now.Add(28*time.Second))
+	if a := hand(t, r, now, tr); a.Verdict != traffic.Accepted {
+		t.Fatal(a)
+	}
+	w.took()
+	other := tr
+	other.Body = []byte("other")
+	if a := hand(t, r, now, other); a.Verdict != traffic.Failed || string(r.open["a"].Body) != "b" {
+		t.Errorf("another message with the id: %+v, held %q", a, r.open["a"].Body)
+	}
+	if a := hand(t, r, now, tr); a.Verdict != traffic.Accepted {
+		t.Errorf("the same once more: %+v", a)
+	}
+	if got := w.took(); strings.Contains(got, "Taken") || strings.Contains(got, "start") || r.count.Borrowed != 1 {
+		t.Errorf("did %s, counted %d", got, r.count.Borrowed)
+	}
+}
+
 // After a restart a keyed transaction that may have run is repeated within the memory of its destination
 // alone, its attempts count on, and one that may not go again ends with a notice at once.
 func TestRestart(t *testing.T) {
--- a/internal/relay/translate.go
+++ b/internal/relay/translate.go
@@ -65,7 +65,7 @@
 
 // flow turns a send into a flow with absolute times.
 func (r *Relay) flow(o *traffic.Open, a wrenford.Send, now time.Time) traffic.Flow {
-	f := traffic.Flow{ID: o.ID, Attempt: o.Attempts, Member: a.Endpoint, Group: r.groups[a.Endpoint], Key: o.Key,
+	f := traffic.Flow{ID: o.ID, Attempt: o.Attempts, Member: a.Endpoint, Group: r.group(r.pool.members[a.Endpoint]), Key: o.Key,
 		Body: o.Body, Begun: now, Deadline: o.Deadline}
 	if a.TimeOut != 0 && now.Add(a.TimeOut).Before(f.Deadline) {
 		f.Deadline = now.Add(a.TimeOut)
