--- a/sender.go
+++ b/sender.go
@@ -19,6 +19,8 @@
 	// budgetWindow is how many seconds of the reported rate a full allowance holds at first (the design's
 	// window); spanShrink and spanGrow adapt it to refusals and successes, for many destinations hold less.
 	budgetWindow, spanShrink, spanGrow, spanLeast = 1.0, 0.8, 1.005, 0.1
+	// spendsKept is how long a spend is kept for a report that may not hold it yet.
+	spendsKept = 10 * time.Second
 	// Shares of the newest value, in smoothing: reported limits, latencies, missed calls over all endpoints,
 	// failures of one endpoint.
 	limitWeight, latencyWeight, everyWeight, failWeight = 0.3, 0.1, 0.04, 0.25
@@ -339,14 +341,14 @@
 
 func (l *ledger) spend(now time.Duration) {
 	l.left--
+	for len(l.spends) > 0 && now-l.spends[0] > spendsKept {
+		l.spends = l.spends[1:]
+	}
 	l.spends = append(l.spends, now)
 }
 
 // finalize takes in a report that came with an attempt sent at sent. Later spends may not be in it.
 func (l *ledger) finalize(r *Report, sent, now time.Duration) {
-	for len(l.spends) > 0 && l.spends[0] <= sent {
-		l.spends = l.spends[1:]
-	}
 	if r == nil || !(r.Limit > 0) || math.IsInf(r.Limit, 0) || !(r.Left >= 0) {
 		if r != nil && r.Limit == 0 {
 			l.limit = 0
@@ -358,6 +360,9 @@
 	if sent < l.since {
 		return // an older attempt tells nothing new
 	}
+	for len(l.spends) > 0 && l.spends[0] <= sent {
+		l.spends = l.spends[1:]
+	}
 	// What reads nearly full is not drawn on by others; what reads nearly empty, or can't go round, is
 	// shared. A report that shows room for a call pays for one: it holds everybody's spends.
 	left := min(r.Left, 1)
--- a/sender_test.go
+++ b/sender_test.go
@@ -952,6 +952,24 @@
 	}
 }
 
+// An answer without a report, or with one that cannot be read, tells nothing of the spends before it: an older
+// attempt's report that comes late must still be less those made after it.
+func TestLateReportKeepsLaterSpends(t *testing.T) {
+	l := &ledger{kind: &kind{span: 1}, peers: 1}
+	for _, at := range []time.Duration{100 * ms, 200 * ms, 300 * ms} {
+		l.spend(at)
+	}
+	l.finalize(nil, 300*ms, 390*ms)
+	l.finalize(&Report{Left: 0.5, Limit: 10}, 100*ms, 400*ms)
+	if got := l.estimate(400 * ms); got > 3.01 {
+		t.Errorf("5 reported as left, 2 spent since: estimate %.2f", got)
+	}
+	l.spend(400*ms + 2*spendsKept)
+	if len(l.spends) != 1 {
+		t.Errorf("%d spends kept", len(l.spends))
+	}
+}
+
 // Idle connections of many senders fill an endpoint that takes few: they are closed once a connection was
 // refused at the kind, but not where a few senders call.
 func TestShortOfConnections(t *testing.T) {
