Add the overload controller, meters, governor and the gateway file's schema

Need: nothing measures the relay's own load; it sheds only near fixed caps. These are the decision part without I/O, the meters, the driver and the settings; nothing is wired yet, so the relay serves as before. Not measured yet.

--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,173 @@
+// Package gateway reads the program's own settings, protobuf text format by the schema under proto/, and checks
+// them. Without a file every setting has the value that the program had before there was one.
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/encoding/prototext"
+
+	"wrenford/internal/gateway/gatewayv1"
+	"wrenford/internal/overload"
+)
+
+//go:generate protoc -I ../../proto --go_out=../.. --go_opt=module=wrenford ../../proto/slatemux/gateway/v1/gateway.proto
+
+// Config is what the file says, with defaults where it says nothing.
+type Config struct {
+	Overload Overload
+	Log      Log
+}
+
+// Overload holds the settings of the program's own overload.
+type Overload struct {
+	Enabled, Brownout bool
+	Tick              time.Duration
+	Control           overload.Config // without classes, tenants and bounds, which the platform's settings give
+}
+
+// Format is how log lines are written.
+type Format int
+
+// The formats. Auto is colour on a terminal, else text.
+const (
+	Auto Format = iota
+	Text
+	JSON
+	Colour
+)
+
+// Log holds the settings of the log.
+type Log struct {
+	Format         Format
+	Level          slog.Level
+	LinesPerSecond int
+}
+
+// Default is the configuration without a file.
+func Default() Config {
+	return Config{Overload: Overload{Brownout: true, Tick: 50 * time.Millisecond, Control: overload.Defaults()},
+		Log: Log{LinesPerSecond: 5}}
+}
+
+// Load reads a file. An empty path is no file.
+func Load(path string) (Config, error) {
+	if path == "" {
+		return Default(), nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, err
+	}
+	return Parse(path, raw)
+}
+
+// Parse decodes a file's text. Errors name the file, and the line and column or the field.
+func Parse(path string, raw []byte) (Config, error) {
+	var g gatewayv1.Gateway
+	if err := prototext.Unmarshal(raw, &g); err != nil {
+		return Config{}, fmt.Errorf("%s: %s", path, syntax(err))
+	}
+	c := Default()
+	if err := errors.Join(c.Overload.take(g.GetOverload()), c.Log.take(g.GetLog())); err != nil {
+		return Config{}, fmt.Errorf("%s: %s", path, strings.ReplaceAll(err.Error(), "\n", "; "))
+	}
+	return c, nil
+}
+
+// syntax tells a parser's error in words that do not change from one build to the next: prototext puts a
+// no-break space into its own on purpose.
+func syntax(err error) string {
+	text := strings.ReplaceAll(err.Error(), "\u00a0", " ")
+	return strings.TrimPrefix(text, "proto: ")
+}
+
+// number is an optional field, its range and where its value goes.
+type number struct {
+	field       string
+	value       *float64
+	least, most float64
+	to          func(float64)
+}
+
+func (o *Overload) take(p *gatewayv1.Overload) error {
+	if p == nil {
+		return nil
+	}
+	o.Enabled = p.GetEnabled()
+	if p.Brownout != nil {
+		o.Brownout = *p.Brownout
+	}
+	c := &o.Control
+	set := func(to *float64) func(float64) { return func(x float64) { *to = x } }
+	whole := func(to *int) func(float64) { return func(x float64) { *to = int(x) } }
+	millis := func(to *time.Duration) func(float64) {
+		return func(x float64) { *to = time.Duration(x * float64(time.Millisecond)) }
+	}
+	errs := numbers("overload", []number{
+		{"target_busy", p.TargetBusy, 0.1, 1, set(&c.TargetBusy)},
+		{"target_delay_ms", p.TargetDelayMs, 1, 300, millis(&c.TargetDelay)},
+		{"tick_ms", p.TickMs, 20, 500, millis(&o.Tick)},
+		{"confirm_ticks", float(p.ConfirmTicks), 1, 100, whole(&c.Confirm)},
+		{"least_rate", p.LeastRate, 0, 1e6, set(&c.LeastRate)},
+		{"class_floor", p.ClassFloor, 0, 0.2, set(&c.Floor)},
+		{"body_work_bytes", float(p.BodyWorkBytes), 64, 1e9, whole(&c.BodyWork)},
+		{"refusal_share", p.RefusalShare, 0.01, 0.9, set(&c.RefusalShare)},
+		{"most_pace_ms", p.MostPaceMs, 0, 300, millis(&c.MostPace)},
+		{"retry_least_ms", p.RetryLeastMs, 1, 60_000, millis(&c.RetryLeast)},
+		{"memory_high", p.MemoryHigh, 0.1, 1, set(&c.MemoryHigh)},
+		{"memory_full", p.MemoryFull, 0.1, 1, set(&c.MemoryFull)},
+	})
+	if c.MemoryHigh >= c.MemoryFull {
+		errs = append(errs, fmt.Errorf("overload.memory_high: %v is not below memory_full, %v", c.MemoryHigh, c.MemoryFull))
+	}
+	return errors.Join(errs...)
+}
+
+func (l *Log) take(p *gatewayv1.Log) error {
+	if p == nil {
+		return nil
+	}
+	var errs []error
+	if _, ok := gatewayv1.Format_name[int32(p.GetFormat())]; !ok {
+		errs = append(errs, fmt.Errorf("log.format: %d is not a format", p.GetFormat()))
+	}
+	l.Format = map[gatewayv1.Format]Format{gatewayv1.Format_TEXT: Text, gatewayv1.Format_JSON: JSON,
+		gatewayv1.Format_COLOUR: Colour}[p.GetFormat()]
+	if _, ok := gatewayv1.Level_name[int32(p.GetLevel())]; !ok {
+		errs = append(errs, fmt.Errorf("log.level: %d is not a level", p.GetLevel()))
+	}
+	l.Level = map[gatewayv1.Level]slog.Level{gatewayv1.Level_DEBUG: slog.LevelDebug, gatewayv1.Level_WARN: slog.LevelWarn,
+		gatewayv1.Level_ERROR: slog.LevelError}[p.GetLevel()]
+	return errors.Join(append(errs, numbers("log", []number{{"lines_per_second", float(p.LinesPerSecond), 1, 100_000,
+		func(x float64) { l.LinesPerSecond = int(x) }}})...)...)
+}
+
+// numbers takes over fields that are present and within their ranges.
+func numbers(message string, list []number) (errs []error) {
+	for _, n := range list {
+		if n.value == nil {
+			continue
+		}
+		if x := *n.value; !(x >= n.least && x <= n.most) || math.IsNaN(x) {
+			errs = append(errs, fmt.Errorf("%s.%s: %v is not within %v to %v", message, n.field, x, n.least, n.most))
+			continue
+		}
+		n.to(*n.value)
+	}
+	return errs
+}
+
+func float(p *int32) *float64 {
+	if p == nil {
+		return nil
+	}
+	x := float64(*p)
+	return &x
+}
--- a/sender.go
+++ b/sender.go
@@ -54,6 +54,8 @@
 	// crowded is the share of the hold cap above which held messages are shed, destinationPart the most of
 	// the slots that one destination may hold.
 	crowded, destinationPart = 0.85, 0.7
+	// heavySize bytes double what a message counts in shedding where its caller says that memory is short.
+	heavySize = 4096.0
 	// watchEvery is the pause before a broken subscription is asked for again; logEvery parts log lines.
 	watchEvery, logEvery = 2 * time.Second, time.Second
 )
@@ -82,6 +84,8 @@
 	wakeAt, logAt, watchAt time.Duration // 0: no wake pending
 	acts                   []Action
 	rng                    *rand.Rand    // spreads what many senders would do at one moment
+	most                   int           // messages held at once, as the caller allows at present
+	heavy                  float64       // how much a message's size counts against holding it on
 	lost                   float64       // smoothed share of idled connections whose call had no answer
 	idleSafe               time.Duration // how long a connection may idle and still be used, as learned
 	idleGood               time.Duration // how long one had idled whose call went well, fading with each miss
@@ -96,7 +100,7 @@
 	seq                          int64
 	arrived, deadline, notBefore time.Duration
 	worth, chance                float64
-	attempts                     int
+	attempts, size               int
 	flight                       *flight
 	firstSent                    time.Duration // of the first attempt that may have run
 	zone                         string        // where that attempt went
@@ -150,7 +154,7 @@
 	s := &Sender{set: set, classes: map[string]*Class{}, kinds: map[string]*kind{},
 		fees: map[string]float64{}, tenants: map[string]*tenant{}, endpoints: map[string]*endpoint{},
 		dests: map[int]*destination{}, messages: map[string]*message{}, lanes: map[int64]*lane{},
-		rng: rand.New(rand.NewPCG(uint64(seed), 0)), idleSafe: set.KeepAlive}
+		rng: rand.New(rand.NewPCG(uint64(seed), 0)), idleSafe: set.KeepAlive, most: set.MaxOpen}
 	for i := range set.Classes {
 		s.classes[set.Classes[i].Name] = &set.Classes[i]
 	}
@@ -182,6 +186,8 @@
 			s.request(ev)
 		case Outcome:
 			s.outcome(ev)
+		case HoldCap:
+			s.most, s.heavy = min(max(ev.Messages, 1), s.set.MaxOpen), ev.Heavy
 		case Hangup:
 			if m := s.messages[ev.ID]; m != nil {
 				s.close(m)
@@ -292,7 +298,7 @@
 	s.seq++
 	m := &message{id: ev.ID, class: c, dest: s.destination(ev.Destination), seq: s.seq,
 		arrived: s.now, deadline: s.now + ev.TimeLeft, worth: c.Worth, chance: s.rng.Float64(),
-		attempts: ev.Attempts, mayHave: ev.MayHaveRun, firstSent: ev.FirstSent}
+		attempts: ev.Attempts, size: ev.Size, mayHave: ev.MayHaveRun, firstSent: ev.FirstSent}
 	if t := s.tenants[ev.Tenant]; t != nil {
 		t.left, t.at = min(t.left+t.rate*(s.now-t.at).Seconds(), t.rate*2), s.now
 		if t.left < 1 {
@@ -1005,9 +1011,9 @@
 		if !s.harmless(m) {
 			return -1
 		}
-		return s.backlog(m.dest) / (m.worth + 0.1)
+		return s.backlog(m.dest) / (m.worth + 0.1) * (1 + s.heavy*float64(m.size)/heavySize)
 	}
-	for len(s.messages) > int(crowded*float64(s.set.MaxOpen)) && len(s.queue) > 0 {
+	for len(s.messages) > int(crowded*float64(s.most)) && len(s.queue) > 0 {
 		worst := slices.MaxFunc(s.queue, func(a, b *message) int { return cmp.Compare(score(a), score(b)) })
 		if score(worst) < 0 {
 			return
--- a/wrenford.go
+++ b/wrenford.go
@@ -195,8 +195,8 @@
 	Weight      float64 // see Settings.Weights
 }
 
-// Event is something that happened: [Members], [MembersLost], [Request], [Outcome], [Hangup], [Woken] or
-// [ProbeResult].
+// Event is something that happened: [Members], [MembersLost], [Request], [Outcome], [Hangup], [HoldCap],
+// [Woken] or [ProbeResult].
 type Event interface{ event() }
 
 // Members brings registry entries: all of them when Whole, else the changed ones.
@@ -218,6 +218,7 @@
 	Key         int64 // with HasKey: what the message is about, in classes ordered by key
 	HasKey      bool
 	TimeLeft    time.Duration
+	Size        int           // bytes that holding it takes; counts where HoldCap says so
 	Attempts    int           // sends before; the next is numbered so
 	MayHaveRun  bool          // one of them may have taken effect
 	FirstSent   time.Duration // with MayHaveRun: when the first such was sent; may lie before the origin
@@ -239,6 +240,13 @@
 // Hangup says that the client has withdrawn the message; nothing more is owed for it.
 type Hangup struct{ ID string }
 
+// HoldCap says how many messages may be held from now on, at most Settings.MaxOpen: its caller is short of
+// something. What is over it goes back by the module's own rule; with Heavy above 0, larger messages sooner.
+type HoldCap struct {
+	Messages int
+	Heavy    float64
+}
+
 // Woken says that a Wake has fallen due.
 type Woken struct{}
 
@@ -255,6 +263,7 @@
 func (Request) event()     {}
 func (Outcome) event()     {}
 func (Hangup) event()      {}
+func (HoldCap) event()     {}
 func (Woken) event()       {}
 func (ProbeResult) event() {}
 
