Wire the overload controller into front, relay and flows; a command line on cobra

Need: the controller and the meters exist but act on nothing. The guard in front of redcon rules on a hand-in before its body is passed on and cuts a refused body out in place; the relay takes hold caps, byte scales and a longer step from the governor; flows and front give up idle connections while memory is short. slatemux has serve, check, version and counters; without a subcommand it serves as before. All of it is off without a gateway file.

--- /dev/null
+++ b/cmd/slatemux/cli.go
@@ -0,0 +1,200 @@
+// Command slatemux is the relay: it takes transactions from clients and delivers them to outside partners.
+package main
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+
+	"github.com/lmittmann/tint"
+	"github.com/spf13/cobra"
+	"golang.org/x/term"
+
+	"wrenford/internal/gateway"
+	"wrenford/internal/governor"
+)
+
+func main() {
+	in := listen() // first of all: a SIGHUP that comes early must not end the program
+	if err := command(in, os.Getenv).Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "slatemux:", err)
+		os.Exit(1)
+	}
+}
+
+// command builds the command line. Without a subcommand the program serves.
+func command(in signals, getenv func(string) string) *cobra.Command {
+	var path, format, level string
+	root := &cobra.Command{
+		Use:   "slatemux",
+		Short: "A relay that delivers messages to outside partners",
+		Long: `slatemux takes messages from clients over RESP2, keeps them in a journal that outlives the process, and
+delivers them by HTTP/1.1 to an endpoint of their destination, or tells the platform how they ended.
+
+Without a subcommand it serves. The environment names the platform's configuration (NODE_CONFIG) and the
+folder that lasts (NODE_STATE); the gateway's own settings come from --config or SLATEMUX_CONFIG.`,
+		Args:          cobra.NoArgs,
+		SilenceErrors: true, SilenceUsage: true,
+	}
+	root.PersistentFlags().StringVar(&path, "config", "", "the gateway's own settings, protobuf text format (default $SLATEMUX_CONFIG, or none)")
+	_ = root.MarkPersistentFlagFilename("config", "textproto", "txtpb")
+	serve := &cobra.Command{
+		Use:   "serve",
+		Short: "Serve until a signal ends it (what slatemux alone does)",
+		Long: `Serve until SIGTERM or SIGINT. SIGHUP reads the configuration again, SIGUSR1 logs the counters.
+See ONCALL.md for the lines and counters.`,
+		Example: "  NODE_CONFIG=example/config.json NODE_STATE=bin/state slatemux serve --config deploy/gateway.textproto",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			cfg, err := load(getenv, path)
+			if err != nil {
+				return err
+			}
+			logging := cfg.gateway.Log
+			if err := logFlags(&logging, format, level); err != nil {
+				return err
+			}
+			slog.SetDefault(slog.New(handler(os.Stderr, logging)).With("relay", cfg.name))
+			return run(cfg, in, func() (config, error) { return load(getenv, path) }, func(net.Addr) {})
+		},
+	}
+	for _, c := range []*cobra.Command{root, serve} {
+		c.Flags().StringVar(&format, "log-format", "", "auto, text, json or colour (default: as the settings say, or auto)")
+		c.Flags().StringVar(&level, "log-level", "", "debug, info, warn or error (default: as the settings say, or info)")
+		_ = c.RegisterFlagCompletionFunc("log-format", cobra.FixedCompletions([]string{"auto", "text", "json", "colour"}, cobra.ShellCompDirectiveNoFileComp))
+		_ = c.RegisterFlagCompletionFunc("log-level", cobra.FixedCompletions([]string{"debug", "info", "warn", "error"}, cobra.ShellCompDirectiveNoFileComp))
+	}
+	root.RunE = serve.RunE
+	check := &cobra.Command{
+		Use:   "check",
+		Short: "Check both configuration files and say what they come to",
+		Long: `Read the platform's configuration and the gateway's own settings as serve would, and name the first file
+and field that make no sense. NODE_STATE need not exist. Exit code 1 if anything is wrong.`,
+		Example: "  NODE_CONFIG=example/config.json slatemux check --config deploy/gateway.textproto",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg, err := load(func(name string) string {
+				if name == "NODE_STATE" && getenv(name) == "" {
+					return os.TempDir()
+				}
+				return getenv(name)
+			}, path)
+			if err != nil {
+				return err
+			}
+			if cfg.gateway.Overload.Enabled {
+				if _, err := governor.New(governor.Config{Control: cfg.control()}); err != nil {
+					return fmt.Errorf("%s: %w", cfg.gatewayPath, err)
+				}
+			}
+			return summary(cmd.OutOrStdout(), cfg)
+		},
+	}
+	version := &cobra.Command{
+		Use: "version", Short: "Print the version that was built", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), buildVersion()) },
+	}
+	counters := &cobra.Command{
+		Use:   "counters PID",
+		Short: "Have a running relay log its counters",
+		Long: `Send SIGUSR1 to the relay with this process id. It writes its counters to its own log, as it does at its
+exit; ONCALL.md explains each of them. No port is open for it, for the platform gives a relay one listener.`,
+		Example: "  slatemux counters 4711",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			pid, err := strconv.Atoi(args[0])
+			if err != nil || pid <= 1 {
+				return fmt.Errorf("counters: %q is not a process id", args[0])
+			}
+			if exe, err := os.Readlink("/proc/" + args[0] + "/exe"); err == nil && !strings.Contains(exe, "slatemux") {
+				return fmt.Errorf("counters: process %d is %s, not a slatemux: the signal would end it", pid, exe)
+			}
+			if err := syscall.Kill(pid, syscall.SIGUSR1); err != nil {
+				return fmt.Errorf("counters: process %d: %w", pid, err)
+			}
+			return nil
+		},
+	}
+	root.AddCommand(serve, check, version, counters)
+	return root
+}
+
+// logFlags puts what the command line says over what the settings say.
+func logFlags(l *gateway.Log, format, level string) error {
+	if format != "" {
+		f, ok := map[string]gateway.Format{"auto": gateway.Auto, "text": gateway.Text, "json": gateway.JSON, "colour": gateway.Colour}[format]
+		if !ok {
+			return fmt.Errorf("--log-format: %q is not auto, text, json or colour", format)
+		}
+		l.Format = f
+	}
+	if level != "" {
+		if err := l.Level.UnmarshalText([]byte(level)); err != nil {
+			return fmt.Errorf("--log-level: %q is not debug, info, warn or error", level)
+		}
+	}
+	return nil
+}
+
+// handler writes log lines as the settings say.
+func handler(w *os.File, l gateway.Log) slog.Handler {
+	var h slog.Handler
+	opts := &slog.HandlerOptions{Level: l.Level}
+	switch f := l.Format; {
+	case f == gateway.JSON:
+		h = slog.NewJSONHandler(w, opts)
+	case f == gateway.Colour || f == gateway.Auto && term.IsTerminal(int(w.Fd())):
+		h = tint.NewHandler(w, &tint.Options{Level: l.Level, TimeFormat: "15:04:05.000"})
+	default:
+		h = slog.NewTextHandler(w, opts)
+	}
+	return sparingly(h, l.LinesPerSecond)
+}
+
+// summary says what the files come to.
+func summary(w io.Writer, cfg config) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "relay\t%s\n", cfg.name)
+	fmt.Fprintf(t, "clients connect to\t%s\n", cfg.listen)
+	fmt.Fprintf(t, "discovery and platform\t%s\n", cfg.discovery)
+	fmt.Fprintf(t, "known pool members\t%d\n", len(cfg.known.Hosts))
+	most := cfg.caps()
+	fmt.Fprintf(t, "memory, bytes\t%d, of them %d for open messages, collector's limit %d\n", cfg.memory, most.openBytes, most.heap)
+	fmt.Fprintf(t, "descriptors\t%d: %d clients, %d to pool members\n", cfg.sockets, most.clients.Clients, most.members)
+	for _, k := range cfg.settings.Classes {
+		fmt.Fprintf(t, "class %s\tworth %v, aim %v, deadline %v\n", k.Name, k.Worth, k.Aim, k.Deadline)
+	}
+	own := "none: all defaults"
+	if cfg.gatewayPath != "" {
+		own = cfg.gatewayPath
+	}
+	fmt.Fprintf(t, "gateway settings\t%s\n", own)
+	if o := cfg.gateway.Overload; o.Enabled {
+		fmt.Fprintf(t, "overload\ton: busy %.2f, delay %v, a decision each %v, brownout %v\n", o.Control.TargetBusy, o.Control.TargetDelay, o.Tick, o.Brownout)
+	} else {
+		fmt.Fprintf(t, "overload\toff\n")
+	}
+	return t.Flush()
+}
+
+// buildVersion is what the Go tool knows of the build.
+func buildVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "slatemux (unknown build)"
+	}
+	text := "slatemux " + info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" || s.Key == "vcs.time" || s.Key == "vcs.modified" && s.Value == "true" {
+			text += " " + strings.TrimPrefix(s.Key, "vcs.") + "=" + s.Value
+		}
+	}
+	return text + " " + info.GoVersion
+}
--- a/cmd/slatemux/config.go
+++ b/cmd/slatemux/config.go
@@ -12,6 +12,8 @@
 
 	"wrenford"
 	"wrenford/internal/front"
+	"wrenford/internal/gateway"
+	"wrenford/internal/overload"
 	"wrenford/internal/pool"
 	"wrenford/internal/settings"
 )
@@ -23,6 +25,7 @@
 	Discovery string `json:"discovery"`
 	Seed      string `json:"seed"`
 	Limits    struct {
+		Cores    float64 `json:"cores"`
 		MemoryMB float64 `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 		DiskMB   float64 `json:"disk_mb"`
@@ -38,14 +41,25 @@
 	seed                           int64
 	memory, disk                   int64 // bytes
 	sockets                        int
+	cores                          float64 // 0 where the file says nothing
+	gateway                        gateway.Config
+	gatewayPath                    string
 	known                          pool.List
 	settings                       wrenford.Settings
 	serveOn, exitAfter             time.Duration // after SIGTERM
 }
 
-// load reads the configuration file that the environment names; other variables override what it says.
-func load(getenv func(string) string) (config, error) {
+// load reads the platform's configuration file that the environment names, and the gateway's own, if there is
+// one; other variables override what the first says.
+func load(getenv func(string) string, gatewayPath string) (config, error) {
 	var c config
+	if gatewayPath == "" {
+		gatewayPath = getenv("SLATEMUX_CONFIG")
+	}
+	own, err := gateway.Load(gatewayPath)
+	if err != nil {
+		return c, err
+	}
 	path := getenv("NODE_CONFIG")
 	if path == "" {
 		return c, errors.New("NODE_CONFIG is not set")
@@ -64,7 +78,7 @@
 		}
 		return value
 	}
-	c = config{name: or("NODE_NAME", f.Name), listen: or("NODE_LISTEN", f.Listen),
+	c = config{gateway: own, gatewayPath: gatewayPath, cores: f.Limits.Cores, name: or("NODE_NAME", f.Name), listen: or("NODE_LISTEN", f.Listen),
 		discovery: or("NODE_DISCOVERY", f.Discovery), written: f.Discovery, state: getenv("NODE_STATE"), sockets: f.Limits.Sockets,
 		serveOn: serveOn, exitAfter: exitAfter}
 	if c.listen == "" || c.discovery == "" || c.state == "" {
@@ -83,6 +97,9 @@
 		}
 		*limit.to = int64(math.Floor(limit.mb * 1e6)) // the smaller of the two megabytes
 	}
+	if c.cores < 0 || c.cores > 1e4 {
+		return c, fmt.Errorf("limits: %v cores make no sense", c.cores)
+	}
 	if c.sockets < 64 {
 		return c, fmt.Errorf("limits: %d sockets are too few", c.sockets)
 	}
@@ -134,7 +151,7 @@
 	for _, f := range []struct {
 		name    string
 		changed bool
-	}{{"name", c.name != newer.name}, {"listen", c.listen != newer.listen},
+	}{{"cores", c.cores != newer.cores}, {"gateway", !reflect.DeepEqual(c.gateway, newer.gateway)}, {"name", c.name != newer.name}, {"listen", c.listen != newer.listen},
 		{"settings", !reflect.DeepEqual(c.settings, newer.settings)}} {
 		if f.changed {
 			names = append(names, f.name)
@@ -142,3 +159,23 @@
 	}
 	return names
 }
+
+// control is what the overload controller works with: the gateway's figures, with the classes and tenants of the
+// platform's settings.
+func (c *config) control() overload.Config {
+	o := c.gateway.Overload.Control
+	o.OverShare, o.LateByHalves, o.OpenMost = c.settings.OverShareWorth, c.settings.LateByHalves, c.settings.MaxOpen
+	o.Seed = uint64(c.seed)
+	for _, k := range c.settings.Classes {
+		o.Classes = append(o.Classes, overload.Class{Name: k.Name, Worth: k.Worth, LateWorth: k.LateWorth, Aim: k.Aim,
+			Deadline: k.Deadline})
+	}
+	for _, t := range c.settings.Tenants {
+		o.Tenants = append(o.Tenants, overload.Tenant{Name: t.Name, Share: t.Share})
+	}
+	// A platform whose clients honour no wait is told none that is longer than it says.
+	if most := c.settings.MaxRetryAfter; most > 0 {
+		o.RetryMost = max(most, o.RetryLeast)
+	}
+	return o
+}
--- a/cmd/slatemux/log.go
+++ b/cmd/slatemux/log.go
@@ -7,11 +7,8 @@
 	"time"
 )
 
-// linesMost is how many lines with one message are logged in a second. A bad client or a spoilt partner may
-// cause hundreds of them, and the log must not take the core from those that are served.
-const linesMost = 5
-
-// sparing is a log handler that passes over lines of a message beyond linesMost a second; the next line that is
+// sparing is a log handler that passes over lines of a message beyond so many a second: a bad client or a spoilt
+// partner may cause hundreds of them, and the log must not take the core from those that are served; the next line that is
 // logged tells how many there were.
 type sparing struct {
 	slog.Handler
@@ -19,8 +16,9 @@
 }
 
 type lines struct {
-	mu sync.Mutex
-	by map[string]*count // by message, of which there are as many as calls of slog
+	mu   sync.Mutex
+	most int64
+	by   map[string]*count // by message, of which there are as many as calls of slog
 }
 
 type count struct {
@@ -28,7 +26,11 @@
 	n, passed int64
 }
 
-func sparingly(h slog.Handler) sparing { return sparing{h, &lines{by: map[string]*count{}}} }
+// sparingly writes at most so many lines of one message a second. The libraries that sample log lines count what
+// they pass over in a hook apart; here the next line tells, which is what those on call read.
+func sparingly(h slog.Handler, most int) sparing {
+	return sparing{h, &lines{most: int64(most), by: map[string]*count{}}}
+}
 
 // Handle logs a line or passes over it. Errors always pass.
 func (s sparing) Handle(ctx context.Context, r slog.Record) error {
@@ -55,7 +57,7 @@
 	if !c.second.Equal(second) {
 		c.second, c.n = second, 0
 	}
-	if c.n++; c.n > linesMost {
+	if c.n++; c.n > l.most {
 		c.passed++
 		return 0, false
 	}
--- a/cmd/slatemux/log_test.go
+++ b/cmd/slatemux/log_test.go
@@ -8,11 +8,13 @@
 	"time"
 )
 
+const linesMost = 5
+
 // A flood of lines with one message costs little: the rest of a second's are counted, not written. Other
 // messages and errors are not held back by it.
 func TestFloodOfLinesIsSpared(t *testing.T) {
 	var text strings.Builder
-	h := sparingly(slog.NewTextHandler(&text, nil)).WithAttrs([]slog.Attr{slog.String("relay", "n0")})
+	h := sparingly(slog.NewTextHandler(&text, nil), linesMost).WithAttrs([]slog.Attr{slog.String("relay", "n0")})
 	log := func(level slog.Level, message string, second int64) {
 		r := slog.NewRecord(time.Unix(second, 0), level, message, 0)
 		if err := h.Handle(context.Background(), r); err != nil {
--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -1,9 +1,7 @@
-// Command slatemux is the relay: it takes transactions from clients and delivers them to outside partners.
 package main
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
 	"os"
@@ -15,12 +13,14 @@
 
 	"wrenford/internal/flow"
 	"wrenford/internal/front"
+	"wrenford/internal/governor"
 	"wrenford/internal/journal"
 	"wrenford/internal/notice"
 	"wrenford/internal/place"
 	"wrenford/internal/pool"
 	"wrenford/internal/relay"
 	"wrenford/internal/traffic"
+	"wrenford/internal/vitals"
 )
 
 // After SIGTERM the relay serves on for serveOn; then it closes its clients' connections between requests,
@@ -46,19 +46,6 @@
 	return s
 }
 
-func main() {
-	in := listen() // first of all: a SIGHUP that comes early must not end the program
-	cfg, err := load(os.Getenv)
-	if err == nil {
-		slog.SetDefault(slog.New(sparingly(slog.NewTextHandler(os.Stderr, nil))).With("relay", cfg.name))
-		err = run(cfg, in, func() (config, error) { return load(os.Getenv) }, func(net.Addr) {})
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "slatemux:", err)
-		os.Exit(1)
-	}
-}
-
 // run serves until a signal ends it. It reads its configuration again when asked to, and tells where it
 // listens once it is ready.
 func run(cfg config, in signals, reread func() (config, error), ready func(net.Addr)) error {
@@ -74,13 +61,25 @@
 	}
 	defer store.Close()
 
+	meters := vitals.New(cfg.cores)
+	var gov *governor.Governor
+	var admission front.Admission // a nil interface where nothing is governed
+	if own := cfg.gateway.Overload; own.Enabled {
+		gov, err = governor.New(governor.Config{Control: cfg.control(), Tick: own.Tick, Brownout: own.Brownout,
+			Step: cfg.settings.Resolution, Memory: cfg.memory, Meters: meters})
+		if err != nil {
+			return err
+		}
+		admission = gov
+	}
+
 	var r *relay.Relay
 	flows := flow.New(flow.Config{ConnectWithin: cfg.settings.ConnectTimeout, IdleMost: cfg.settings.KeepAlive,
 		MostFlows: most.flows, MostConns: most.members,
 		Settle: settle},
 		func(end traffic.FlowEnd) { r.FlowEnded(end) })
 	notices := notice.New(discovery, func(ids []string) { r.NoticesAnswered(ids) })
-	r, err = relay.New(relay.Config{Settings: cfg.settings, Seed: cfg.seed, MostBytes: most.openBytes, Store: store,
+	r, err = relay.New(relay.Config{Meters: meters, Settings: cfg.settings, Seed: cfg.seed, MostBytes: most.openBytes, Store: store,
 		Flows: flows, Notices: notices})
 	if err != nil {
 		return err
@@ -100,10 +99,14 @@
 	parts.Go(func() { pool.Watch(ctx, discovery, cfg.known.Seq, r.PoolChanged) })
 
 	// Clients are let in last: a PING that is answered says that all before has been taken up.
-	server, err := front.Listen(cfg.listen, most.clients, cfg.settings.Classes, r)
+	server, err := front.Listen(cfg.listen, most.clients, cfg.settings.Classes, r, admission)
 	if err != nil {
 		return err
 	}
+	if gov != nil {
+		parts.Go(func() { meters.Probe(ctx) })
+		parts.Go(func() { gov.Run(ctx, r, server, flows) })
+	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	slog.Info("ready", "listen", server.Addr())
@@ -126,6 +129,9 @@
 			store.Limit(c.disk)
 			r.Limit(c.openBytes)
 			flows.Limit(c.flows, c.members)
+			if gov != nil {
+				gov.Limit(newer.memory)
+			}
 			server.Limit(c.clients)
 		}
 		at, _ := discovery.Now()
@@ -135,6 +141,9 @@
 	report := func(why string) {
 		size, live, compacted := store.Stats()
 		opened, reused := flows.Counts()
+		if gov != nil {
+			slog.Info("overload counters", "why", why, "overload", gov.State(), "vitals", meters.Totals())
+		}
 		slog.Info("counters", "why", why, "relay", r.Counters(), "front", server.Counters(), "connections", opened,
 			"reused", reused, "journal", size, "owed", live, "compacted", compacted, "reloads", reloads, "bad_reloads", badReloads)
 	}
--- a/cmd/slatemux/main_test.go
+++ b/cmd/slatemux/main_test.go
@@ -72,14 +72,14 @@
 
 // boot runs a relay and returns where it listens and what ends it.
 func boot(t *testing.T, env map[string]string) (addr string, reload, end func()) {
-	cfg, err := load(func(name string) string { return env[name] })
+	cfg, err := load(func(name string) string { return env[name] }, "")
 	if err != nil {
 		t.Fatal(err)
 	}
 	cfg.serveOn, cfg.exitAfter = time.Millisecond, 20*time.Millisecond
 	in := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
 	ready, ended := make(chan net.Addr, 1), make(chan error, 1)
-	reread := func() (config, error) { return load(func(name string) string { return env[name] }) }
+	reread := func() (config, error) { return load(func(name string) string { return env[name] }, "") }
 	go func() { ended <- run(cfg, in, reread, func(a net.Addr) { ready <- a }) }()
 	select {
 	case err := <-ended:
@@ -211,12 +211,12 @@
 		{`{`, ``}: "invalid",
 	} {
 		env := env(t, strings.Replace(good, change[0], change[1], 1))
-		_, err := load(func(name string) string { return env[name] })
+		_, err := load(func(name string) string { return env[name] }, "")
 		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v, want a line with %q", change[1], err, want)
 		}
 	}
-	if _, err := load(func(string) string { return "" }); err == nil {
+	if _, err := load(func(string) string { return "" }, ""); err == nil {
 		t.Error("no configuration was taken")
 	}
 }
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -38,7 +38,8 @@
 	members map[string]*member
 	waits   map[string]time.Time // by Flow.Group: nothing is written before
 	flows   map[flowID]*running
-	conns   int // open or being opened
+	frugal  bool // idle connections are given up at once
+	conns   int  // open or being opened
 	opened  int64
 	reused  int64
 }
@@ -168,6 +169,17 @@
 	}
 }
 
+// FreeIdle gives up all idle connections, and keeps none warm while it is on.
+func (g *Manager) FreeIdle(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.frugal = on; on {
+		for _, m := range g.members {
+			g.dropIdle(m)
+		}
+	}
+}
+
 // Release closes the idle connections to a member.
 func (g *Manager) Release(host string) {
 	g.mu.Lock()
@@ -300,7 +312,7 @@
 func (g *Manager) giveBack(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !c.m.open || c.isDead() {
+	if !c.m.open || g.frugal || c.isDead() {
 		c.kill()
 		return
 	}
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -6,12 +6,16 @@
 	"net"
 	"sync"
 	"time"
+
+	"wrenford/internal/overload"
 )
 
 const (
 	// silentMost is how long a connection may idle on which nothing was handed in, idleMost another, and halfMost
 	// how long a command may take from its first byte to its last; they are looked at every sweepEvery.
 	silentMost, halfMost, idleMost, sweepEvery = 2 * time.Second, 2 * time.Second, 5 * time.Second, 250 * time.Millisecond
+	// frugalMost takes the place of idleMost while memory is short.
+	frugalMost = 500 * time.Millisecond
 	// writeMost is how long a client may leave its answers unread, lingerMost how long a refused one is still
 	// listened to, so that what it sends does not reset the connection before it has read why.
 	writeMost, lingerMost = 2 * time.Second, 2 * time.Second
@@ -40,6 +44,8 @@
 	guard    guard
 	answered int // commands
 	bad      error
+	rulings  []ruling      // on hand-ins that are not handled yet, oldest first
+	rest     time.Duration // before more is read: a refusal was answered
 
 	weight int64 // bytes taken from the server's budget; under its lock
 
@@ -87,6 +93,10 @@
 		c.refuse(c.bad)
 		return 0, c.bad
 	}
+	if c.rest > 0 { // what its client sends meanwhile stays with its own system
+		time.Sleep(c.rest)
+		c.rest = 0
+	}
 	n, err := c.Conn.Read(b)
 	if c.tooLate() {
 		c.bad = errHalf
@@ -99,12 +109,44 @@
 	if bad == nil && !c.s.reserve(c, int64(c.guard.total)) {
 		bad = errRoom
 	}
-	if c.bad = bad; bad != nil && good == 0 {
-		return c.Read(b)
+	if c.bad = bad; good == 0 && (bad != nil || n > 0 && err == nil) {
+		return c.Read(b) // to say why, or because all that came was of a body that is not read
 	}
 	return good, err
 }
 
+// ruling is what was ruled on the hand-in that is the connection's command number at.
+type ruling struct {
+	at int
+	overload.Ruling
+}
+
+// rule rules on a hand-in of which all but the body has come. What cannot be read is ruled on when it is parsed.
+func (c *client) rule(fields []byte, size int) bool {
+	h, ok := c.s.sketch(fields, size)
+	if !ok {
+		return false
+	}
+	r := c.s.admission.Admit(h)
+	c.rulings = append(c.rulings, ruling{c.guard.whole, r})
+	return r.Refused
+}
+
+// ruled returns what was ruled on command number at, if anything was.
+func (c *client) ruled(at int) (overload.Ruling, bool) {
+	for len(c.rulings) > 0 && c.rulings[0].at < at {
+		c.rulings = c.rulings[1:]
+	}
+	if len(c.rulings) == 0 || c.rulings[0].at != at {
+		return overload.Ruling{}, false
+	}
+	r := c.rulings[0].Ruling
+	if c.rulings = c.rulings[1:]; len(c.rulings) == 0 {
+		c.rulings = nil
+	}
+	return r, true
+}
+
 // note brings what others may see up to date with the guard; false if the connection was closed meanwhile.
 func (c *client) note(now time.Time) bool {
 	c.mu.Lock()
@@ -159,6 +201,10 @@
 		_ = c.Conn.SetReadDeadline(now)
 	}
 	c.mu.Unlock()
+	idleMost := idleMost
+	if c.s.frugal.Load() {
+		idleMost = frugalMost
+	}
 	c.closeIf(func() bool {
 		if c.due || !c.half.IsZero() {
 			return false
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 	"github.com/tidwall/redcon"
 
 	"wrenford"
+	"wrenford/internal/overload"
 	"wrenford/internal/traffic"
 )
 
@@ -24,21 +25,29 @@
 	Put(t traffic.Transaction, received time.Time) <-chan traffic.Answer
 }
 
+// Admission rules on hand-ins before they reach the relay, and says how long a connection rests after a refusal.
+type Admission interface {
+	Admit(overload.HandIn) overload.Ruling
+	Pace() time.Duration
+}
+
 // Counters count since the start.
-type Counters struct{ Accepted, TurnedAway, MadeRoom, Commands, BadCommands, BadFrames int64 }
+type Counters struct{ Accepted, TurnedAway, MadeRoom, Commands, BadCommands, BadFrames, Shed, ShedUnread, Rested int64 }
 
 // LogValue names the counters in a log line.
 func (c Counters) LogValue() slog.Value {
 	return slog.GroupValue(slog.Int64("accepted", c.Accepted), slog.Int64("turned_away", c.TurnedAway),
 		slog.Int64("made_room", c.MadeRoom), slog.Int64("commands", c.Commands),
-		slog.Int64("bad_commands", c.BadCommands), slog.Int64("bad_frames", c.BadFrames))
+		slog.Int64("bad_commands", c.BadCommands), slog.Int64("bad_frames", c.BadFrames),
+		slog.Int64("shed", c.Shed), slog.Int64("shed_unread", c.ShedUnread), slog.Int64("rested", c.Rested))
 }
 
 // Server serves clients on one listener.
 type Server struct {
-	relay   Relay
-	classes map[string]wrenford.Effect
-	ln      net.Listener
+	relay     Relay
+	admission Admission // nil for none
+	classes   map[string]wrenford.Effect
+	ln        net.Listener
 
 	mu       sync.Mutex
 	limits   Limits
@@ -47,6 +56,9 @@
 
 	ending    atomic.Bool
 	lingering atomic.Int64 // connections that were refused and are read past
+	frugal    atomic.Bool  // idle connections are closed soon
+
+	shed, shedUnread, rested atomic.Int64
 
 	accepted, turnedAway, madeRoom, commands, badCommands, badFrames atomic.Int64
 }
@@ -58,13 +70,13 @@
 	Buffered int64 // bytes of memory for commands that are not light, over all connections
 }
 
-// Listen opens a virtual server that holds no more than its limits.
-func Listen(addr string, limits Limits, classes []wrenford.Class, relay Relay) (*Server, error) {
+// Listen opens a virtual server that holds no more than its limits. Admission may be nil.
+func Listen(addr string, limits Limits, classes []wrenford.Class, relay Relay, admission Admission) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("front: %w", err)
 	}
-	s := &Server{relay: relay, classes: map[string]wrenford.Effect{}, limits: limits, ln: ln, conns: map[*client]bool{}}
+	s := &Server{relay: relay, admission: admission, classes: map[string]wrenford.Effect{}, limits: limits, ln: ln, conns: map[*client]bool{}}
 	for _, c := range classes {
 		s.classes[c.Name] = c.Effect
 	}
@@ -122,7 +134,28 @@
 // Counters returns the counters.
 func (s *Server) Counters() Counters {
 	return Counters{s.accepted.Load(), s.turnedAway.Load(), s.madeRoom.Load(), s.commands.Load(), s.badCommands.Load(),
-		s.badFrames.Load()}
+		s.badFrames.Load(), s.shed.Load(), s.shedUnread.Load(), s.rested.Load()}
+}
+
+// FreeIdle closes connections that idle for longer than a moment, while it is on.
+func (s *Server) FreeIdle(on bool) { s.frugal.Store(on) }
+
+// Handing is how many connections there are.
+func (s *Server) Handing() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// refuse answers a hand-in that is not admitted. Its connection then rests, if admission wants that.
+func (s *Server) refuse(conn redcon.Conn, c *client, r overload.Ruling) {
+	s.shed.Add(1)
+	writeAnswer(conn, traffic.Answer{Verdict: traffic.Busy, RetryIn: r.RetryIn})
+	if c != nil {
+		if c.rest = s.admission.Pace(); c.rest > 0 {
+			s.rested.Add(1)
+		}
+	}
 }
 
 func (s *Server) handle(conn redcon.Conn, cmd redcon.Command) {
@@ -132,6 +165,15 @@
 	if ok {
 		c.answered++ // in this goroutine, before the answer is written
 	}
+	ruling, ruled := overload.Ruling{}, false
+	if ok && s.admission != nil {
+		if ruling, ruled = c.ruled(c.answered - 1); ruling.Refused { // its body was not read
+			s.shedUnread.Add(1)
+			c.handsIn()
+			s.refuse(conn, c, ruling)
+			return
+		}
+	}
 	parsed, err := Parse(cmd.Args, s.classes, received)
 	if err != nil {
 		s.badCommands.Add(1)
@@ -150,6 +192,13 @@
 		if ok {
 			c.handsIn()
 		}
+		if t := &cmd.Transaction; s.admission != nil && !ruled {
+			if ruling = s.admission.Admit(overload.HandIn{Class: t.Class, Tenant: t.Tenant, Size: len(t.Body),
+				Left: t.Deadline.Sub(received)}); ruling.Refused {
+				s.refuse(conn, c, ruling)
+				return
+			}
+		}
 		writeAnswer(conn, <-s.relay.Put(cmd.Transaction, received))
 	case Unknown:
 		s.badCommands.Add(1)
@@ -193,6 +242,9 @@
 		}
 		now := time.Now()
 		c := &client{Conn: nc, s: l.s, born: now, last: now}
+		if l.s.admission != nil {
+			c.guard.rule = c.rule
+		}
 		if l.s.enter(c) {
 			l.s.accepted.Add(1)
 			return c, nil
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -113,7 +113,7 @@
 }
 
 func serve(t *testing.T, most int, a traffic.Answer) *Server {
-	s, err := Listen("127.0.0.1:0", Limits{most, most, 1 << 20}, []wrenford.Class{{Name: "pay", Effect: wrenford.Keyed}}, fixed(a))
+	s, err := Listen("127.0.0.1:0", Limits{most, most, 1 << 20}, []wrenford.Class{{Name: "pay", Effect: wrenford.Keyed}}, fixed(a), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -167,7 +167,7 @@
 // that, the message would count as lost.
 func TestDrainAnswersWhatWasRead(t *testing.T) {
 	relay := make(slow)
-	s, err := Listen("127.0.0.1:0", Limits{10, 10, 1 << 20}, []wrenford.Class{{Name: "pay", Effect: wrenford.Keyed}}, relay)
+	s, err := Listen("127.0.0.1:0", Limits{10, 10, 1 << 20}, []wrenford.Class{{Name: "pay", Effect: wrenford.Keyed}}, relay, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -231,7 +231,7 @@
 // that was of use may idle for longer, and none is closed on which an answer is due.
 func TestUselessConnectionsEnd(t *testing.T) {
 	relay := make(slow)
-	s, err := Listen("127.0.0.1:0", Limits{10, 10, 1 << 20}, []wrenford.Class{{Name: "pay", Effect: wrenford.Keyed}}, relay)
+	s, err := Listen("127.0.0.1:0", Limits{10, 10, 1 << 20}, []wrenford.Class{{Name: "pay", Effect: wrenford.Keyed}}, relay, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 
 	"wrenford/internal/traffic"
 )
@@ -40,6 +41,15 @@
 
 	whole int  // commands that ended
 	fresh bool // one did since this was unset
+
+	// Of a command that hands in: what stands before its body, and what is ruled on it then.
+	arg    int    // number of the present part
+	first  []byte // of the command's name
+	fields []byte // of its names and values
+	sizeAt int    // where the body's size line begins in the bytes being fed; -1 if it began before them
+	rule   func(fields []byte, size int) (refused bool)
+	drop   bool // the body is refused: it is not passed on
+	kept   int  // bytes of the present Feed that are passed on so far
 }
 
 // end is the end of a command.
@@ -47,26 +57,76 @@
 	g.at, g.total, g.whole, g.fresh = atStart, 0, g.whole+1, true
 }
 
-// Feed says how many of the bytes may be passed on; with an error, what follows them may not.
+// Feed says how many of the bytes may be passed on; with an error, what follows them may not. Where a rule
+// refuses a command before its body, the body is cut out of the bytes in place, and an empty one stands for it.
 func (g *guard) Feed(b []byte) (int, error) {
+	g.kept, g.sizeAt = 0, -1
 	for i := 0; i < len(b); i++ {
 		if g.at == inText && g.value > 0 { // the body in one stride
 			step := min(g.value, len(b)-i)
 			g.value -= step
+			g.sniff(b[i : i+step])
+			if !g.drop {
+				g.kept += g.keep(b, i, step)
+			}
 			i += step - 1
 			continue
 		}
-		if err := g.byte(b[i]); err != nil {
-			return i, err
+		if g.at == atSize {
+			g.sizeAt = g.kept
+		}
+		err := g.byte(b[i])
+		if err != nil {
+			return g.kept, err
 		}
+		g.kept += g.keep(b, i, 1)
+		if g.at == inText && g.n == -1 { // a size line has just ended
+			g.n = 0
+			g.sized(b)
+		}
+	}
+	return g.kept, nil
+}
+
+// keep moves bytes to where the kept ones end, which is where they are unless something was cut out before them.
+func (g *guard) keep(b []byte, from, n int) int {
+	if g.kept != from {
+		copy(b[g.kept:], b[from:from+n])
+	}
+	return n
+}
+
+// bodyArg and fieldsArg are the numbers of a hand-in's body and of its names and values, counted from its name.
+const bodyArg, fieldsArg = 4, 3
+
+// sniff keeps the parts that a rule is told of.
+func (g *guard) sniff(b []byte) {
+	switch {
+	case g.rule == nil:
+	case g.arg == 0 && len(g.first)+len(b) <= 16:
+		g.first = append(g.first, b...)
+	case g.arg == fieldsArg && len(g.fields)+len(b) <= maxInline:
+		g.fields = append(g.fields, b...)
+	}
+}
+
+// sized asks the rule, if the size that has just been read is that of a hand-in's body and its line can still be
+// changed. Otherwise the command is ruled on once it is whole.
+func (g *guard) sized(b []byte) {
+	if g.rule == nil || g.arg != bodyArg || g.args != 1 || g.sizeAt < 0 || len(g.fields) == 0 ||
+		!strings.EqualFold(string(g.first), "MSG.PUT") || !g.rule(g.fields, g.value) {
+		return
 	}
-	return len(b), nil
+	g.drop = true
+	g.total -= g.value
+	g.kept = g.sizeAt + copy(b[g.sizeAt:], "$0\r\n")
 }
 
 func (g *guard) byte(c byte) error {
 	switch g.at {
 	case atStart:
 		g.n, g.value, g.total, g.inked = 0, 0, 0, c != ' ' && c != '\r'
+		g.arg, g.drop, g.first, g.fields = 0, false, g.first[:0], g.fields[:0]
 		if c == '*' {
 			g.at = inCount
 		} else if c != '\n' {
@@ -96,6 +156,7 @@
 		if c != '\n' {
 			return errFrame
 		}
+		g.arg++
 		if g.args--; g.args == 0 {
 			g.end()
 		} else {
--- a/internal/front/put.go
+++ b/internal/front/put.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strconv"
@@ -8,6 +9,7 @@
 	"time"
 
 	"wrenford"
+	"wrenford/internal/overload"
 	"wrenford/internal/traffic"
 )
 
@@ -105,6 +107,35 @@
 	return t, nil
 }
 
+// sketch reads what a rule needs from the names and values of a hand-in; false where the class is unknown or a
+// value cannot be read, for the whole command is then to be answered with what is wrong with it.
+func (s *Server) sketch(fields []byte, size int) (overload.HandIn, bool) {
+	h := overload.HandIn{Size: size}
+	for len(fields) > 0 {
+		pair := fields
+		if comma := bytes.IndexByte(fields, ','); comma >= 0 {
+			pair, fields = fields[:comma], fields[comma+1:]
+		} else {
+			fields = nil
+		}
+		name, value, _ := bytes.Cut(pair, []byte("="))
+		switch string(name) {
+		case "c":
+			h.Class = string(value)
+		case "t":
+			h.Tenant = string(value)
+		case "d":
+			left, err := strconv.ParseInt(string(value), 10, 64)
+			if err != nil || left <= 0 || left > farthest.Milliseconds() {
+				return h, false
+			}
+			h.Left = time.Duration(left) * time.Millisecond
+		}
+	}
+	_, known := s.classes[h.Class]
+	return h, known && h.Left > 0 && size <= traffic.MaxBody
+}
+
 // plain says that a text can stand in a header and a log line as it is.
 func plain(s string) bool {
 	for i := 0; i < len(s); i++ {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wrenford"
@@ -42,8 +43,22 @@
 // Notices tells the platform of ends. Each Send leads to the id in a call of Relay.NoticesAnswered.
 type Notices interface{ Send(traffic.Notice) }
 
+// Meters measure the stepping. Section runs f and notes what it took.
+type Meters interface {
+	Stepped(due, began time.Time)
+	HandedIn(age time.Duration)
+	Section(f func())
+}
+
+type noMeters struct{}
+
+func (noMeters) Stepped(_, _ time.Time) {}
+func (noMeters) HandedIn(time.Duration) {}
+func (noMeters) Section(f func())       { f() }
+
 // Config is what a Relay works with.
 type Config struct {
+	Meters    Meters // nil for none
 	Settings  wrenford.Settings
 	Seed      int64
 	MostBytes int64 // of open transactions in memory
@@ -94,11 +109,17 @@
 	count   Counters
 	unsaved []traffic.Change // ends that the store has not taken yet
 	wakes   []time.Time
+	squeeze squeeze
+
+	stretch atomic.Int64 // least time between two steps, where it is more than the module's
 
 	mu        sync.Mutex
 	inbox     []any
 	stopped   bool
 	published Counters
+	full      float64   // share of the bytes that open transactions may take
+	dueAt     time.Time // when the next step could run; zero while nothing asks for one
+	earliest  time.Time // the module's least time after the last step
 	signal    chan struct{}
 }
 
@@ -118,6 +139,10 @@
 	}
 	answered []string
 	limit    int64
+	squeeze  struct {
+		messages         int
+		heavy, byteScale float64
+	}
 )
 
 // New makes a Relay.
@@ -126,7 +151,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	r := &Relay{cfg: cfg, sender: sender, origin: time.Now(), classes: map[string]*wrenford.Class{},
+	if cfg.Meters == nil {
+		cfg.Meters = noMeters{}
+	}
+	r := &Relay{cfg: cfg, squeeze: squeeze{messages: cfg.Settings.MaxOpen, byteScale: 1}, sender: sender, origin: time.Now(), classes: map[string]*wrenford.Class{},
 		apart: map[string]bool{}, pool: newRoster(), open: map[string]*held{},
 		signal: make(chan struct{}, 1)}
 	for i := range cfg.Settings.Classes {
@@ -169,6 +197,22 @@
 // Limit changes how many bytes of open transactions the relay may hold, from the next step on.
 func (r *Relay) Limit(mostBytes int64) { r.post(limit(mostBytes)) }
 
+// Squeeze bounds how many transactions may be open, and the bytes that they take as a share of the limit, from
+// the next step on. What is over the first goes back by the module's rule; with heavy above 0, large ones sooner.
+func (r *Relay) Squeeze(messages int, heavy, byteScale float64) {
+	r.post(squeeze{messages, heavy, byteScale})
+}
+
+// Stretch sets the least time between two steps; the module's own is the least of all.
+func (r *Relay) Stretch(least time.Duration) { r.stretch.Store(int64(least)) }
+
+// Load tells how many transactions are open, and which share of their bytes is taken.
+func (r *Relay) Load() (open int, bytes float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.published.Open, r.full
+}
+
 // FlowEnded takes in the end of a flow.
 func (r *Relay) FlowEnded(f traffic.FlowEnd) { r.post(f) }
 
@@ -191,6 +235,11 @@
 	if r.stopped {
 		return false
 	}
+	if len(r.inbox) == 0 { // the step that takes this is due now, or as soon as the module may step again
+		if r.dueAt = time.Now(); r.dueAt.Before(r.earliest) {
+			r.dueAt = r.earliest
+		}
+	}
 	r.inbox = append(r.inbox, in)
 	select {
 	case r.signal <- struct{}{}:
@@ -213,20 +262,35 @@
 		case <-timer.C:
 		}
 		// The module wants its least time between steps; what comes meanwhile shares the next one.
-		time.Sleep(time.Until(last.Add(r.cfg.Settings.Resolution)))
+		time.Sleep(time.Until(last.Add(r.spacing())))
 		last = time.Now()
-		r.step(last, r.take())
+		batch, due := r.take()
+		if wake := r.nextWake(last); due.IsZero() || wake.Before(due) {
+			due = wake
+		}
+		if due.Before(last) {
+			r.cfg.Meters.Stepped(due, last)
+		}
+		r.step(last, batch)
+		r.mu.Lock()
+		r.earliest = last.Add(r.spacing())
+		r.mu.Unlock()
 		timer.Reset(time.Until(r.nextWake(last)))
 	}
 }
 
-// take empties the inbox.
-func (r *Relay) take() []any {
+// spacing is the least time between two steps.
+func (r *Relay) spacing() time.Duration {
+	return max(r.cfg.Settings.Resolution, time.Duration(r.stretch.Load()))
+}
+
+// take empties the inbox and says since when a step has been due for what was in it.
+func (r *Relay) take() (batch []any, due time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	batch := r.inbox
-	r.inbox = nil
-	return batch
+	batch, due = r.inbox, r.dueAt
+	r.inbox, r.dueAt = nil, time.Time{}
+	return batch, due
 }
 
 // stop ends the stepping. What no step has seen is not decided on any more: hand-ins are refused, but flows
@@ -236,7 +300,8 @@
 	r.stopped = true
 	r.mu.Unlock()
 	changes := r.unsaved
-	for _, in := range r.take() {
+	batch, _ := r.take()
+	for _, in := range batch {
 		switch in := in.(type) {
 		case handIn:
 			in.answer <- traffic.Answer{Verdict: traffic.Busy, RetryIn: fullRetry}
@@ -298,6 +363,9 @@
 			events = append(events, members(in))
 		case limit:
 			r.cfg.MostBytes = int64(in)
+		case squeeze:
+			r.squeeze = in
+			events = append(events, wrenford.HoldCap{Messages: in.messages, Heavy: in.heavy})
 		case []wrenford.Event: // what follows from a failed write
 			events = append(events, in...)
 		case answered:
@@ -311,6 +379,7 @@
 // admit holds a hand-in that the relay has room for; others it answers.
 func (r *Relay) admit(in handIn, now time.Time) *held {
 	r.count.HandedIn++
+	r.cfg.Meters.HandedIn(now.Sub(in.received))
 	size := int64(in.t.Size())
 	switch h := r.open[in.t.ID]; {
 	case h != nil && !same(&h.Transaction, &in.t): // another client's id: that one's message is not touched
@@ -330,7 +399,7 @@
 		}
 	case now.Sub(in.received) > staleHandIn:
 		r.count.Late++
-	case len(r.open) >= r.cfg.Settings.MaxOpen, r.bytes+size > r.cfg.MostBytes, !r.cfg.Store.Room(r.fresh + size):
+	case len(r.open) >= r.squeeze.messages, r.bytes+size > r.mostBytes(), !r.cfg.Store.Room(r.fresh + size):
 		r.count.Full++
 	default:
 		h = &held{Open: traffic.Open{Transaction: in.t}, fresh: []chan<- traffic.Answer{in.answer}}
@@ -342,6 +411,8 @@
 	return nil
 }
 
+func (r *Relay) mostBytes() int64 { return int64(float64(r.cfg.MostBytes) * r.squeeze.byteScale) }
+
 // same says that two hand-ins with one id are the same message, sent once more, and not another that borrows
 // the id. The time left may differ.
 func same(a, b *traffic.Transaction) bool {
@@ -385,7 +456,8 @@
 // decide lets the module step, journals what comes of it in one write, and only then acts on it.
 func (r *Relay) decide(now time.Time, events []wrenford.Event, changes []traffic.Change) {
 	r.count.Steps++
-	actions := r.sender.Step(now.Sub(r.origin), events)
+	var actions []wrenford.Action
+	r.cfg.Meters.Section(func() { actions = r.sender.Step(now.Sub(r.origin), events) })
 	var after []deed // in the module's order: a released connection is not one that an earlier send took
 	ended := map[string]bool{}
 	for _, a := range actions {
@@ -442,6 +514,7 @@
 	r.count.Open, r.count.Bytes = len(r.open), r.bytes
 	r.mu.Lock()
 	r.published = r.count
+	r.full = float64(r.bytes) / float64(max(r.cfg.MostBytes, 1))
 	r.mu.Unlock()
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -68,7 +68,7 @@
 func hand(t *testing.T, r *Relay, now time.Time, tr traffic.Transaction) traffic.Answer {
 	t.Helper()
 	answer := r.Put(tr, now)
-	r.step(now, r.take())
+	r.step(now, taken(r))
 	select {
 	case a := <-answer:
 		return a
@@ -136,7 +136,7 @@
 	if got := w.took(); strings.Contains(got, "start") || len(r.open) != 1 {
 		t.Errorf("%s, %d open", got, len(r.open))
 	}
-	r.step(now, append(r.take(), traffic.FlowEnd{ID: "a", Member: w.flows[0].Member, Status: traffic.Delivered}))
+	r.step(now, append(taken(r), traffic.FlowEnd{ID: "a", Member: w.flows[0].Member, Status: traffic.Delivered}))
 	w.took()
 	w.fail = nil
 	r.step(now.Add(time.Second), nil)
@@ -157,7 +157,7 @@
 	}
 	r.cfg.MostBytes = 1 << 20
 	late := r.Put(transaction("c", "slot", now.Add(5*time.Second)), now.Add(-time.Second))
-	r.step(now, r.take())
+	r.step(now, taken(r))
 	if a := <-late; a.Verdict != traffic.Busy { // its client has gone
 		t.Errorf("a hand-in that waited for a second: %+v", a)
 	}
@@ -179,7 +179,7 @@
 	news := func(after time.Duration, health traffic.Health) {
 		r.PoolChanged(traffic.PoolNews{Members: []traffic.Member{{Host: "m1", Class: "partner", Destination: 7,
 			Health: health}, {Host: "m2", Class: "partner", Destination: 7, Health: health}}})
-		r.step(now.Add(after), r.take())
+		r.step(now.Add(after), taken(r))
 	}
 	news(0, traffic.Left)
 	if a := hand(t, r, now, odd); a.Verdict != traffic.Failed || len(r.pool.members) > 0 {
@@ -279,3 +279,9 @@
 		t.Errorf("a hand-in that no step saw: %+v", a)
 	}
 }
+
+// taken is what the inbox held.
+func taken(r *Relay) []any {
+	batch, _ := r.take()
+	return batch
+}
--- a/internal/relay/translate.go
+++ b/internal/relay/translate.go
@@ -25,7 +25,7 @@
 
 func (r *Relay) request(o *traffic.Open, now time.Time) wrenford.Request {
 	ev := wrenford.Request{ID: o.ID, Destination: o.Destination, Class: o.Class, Tenant: o.Tenant,
-		TimeLeft: o.Deadline.Sub(now), Attempts: o.Attempts}
+		TimeLeft: o.Deadline.Sub(now), Attempts: o.Attempts, Size: o.Size()}
 	if !o.FirstSent.IsZero() {
 		ev.MayHaveRun, ev.FirstSent = true, o.FirstSent.Sub(r.origin)
 	}
