--- /dev/null
+++ b/cmd/slatelab/main.go
@@ -0,0 +1,126 @@
+// Command slatelab is the laboratory: it puts deployments up on loopback, runs loads and failures against a
+// relay, and reports what came of every message. The serving program links none of it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"wrenford/internal/lab"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "slatelab:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "slatelab",
+		Short: "The laboratory of slatemux",
+		Long: `slatelab puts up partners, discovery, platform and clients on loopback addresses, runs a relay among them,
+and reports what came of every message. Everything that it starts it also ends.`,
+		SilenceErrors: true, SilenceUsage: true,
+	}
+	root.AddCommand(overloadCommand(), burnCommand(), idleCommand())
+	return root
+}
+
+// burnCommand takes a processor from whatever shares it with.
+func burnCommand() *cobra.Command {
+	var cpu int
+	var span time.Duration
+	c := &cobra.Command{
+		Use:   "burn",
+		Short: "Keep one processor busy for a while",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if span <= 0 || span > 10*time.Minute {
+				return fmt.Errorf("burn: %v is not within 0 to 10 minutes", span)
+			}
+			runtime.GOMAXPROCS(1)
+			if err := lab.Keep([]int{cpu}); err != nil {
+				return err
+			}
+			for until := time.Now().Add(span); time.Now().Before(until); {
+				for i := 0; i < 100_000; i++ {
+					sink += i
+				}
+			}
+			return nil
+		},
+	}
+	c.Flags().IntVar(&cpu, "cpu", 0, "processor")
+	c.Flags().DurationVar(&span, "for", time.Second, "how long, 10 minutes at most")
+	return c
+}
+
+// sink keeps the compiler from leaving the loop out.
+var sink int
+
+// idleCommand compares what two programs take while nothing happens.
+func idleCommand() *cobra.Command {
+	var binary, versus, gateway string
+	var span time.Duration
+	c := &cobra.Command{
+		Use:   "idle",
+		Short: "Measure the memory and processor time of an idle relay, side by side with another build",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			text, err := readGateway(gateway)
+			if err != nil {
+				return err
+			}
+			for _, run := range []struct{ name, binary, gateway string }{{"versus", versus, ""}, {"without file", binary, ""}, {"with file", binary, text}} {
+				if run.binary == "" {
+					continue
+				}
+				dir, err := os.MkdirTemp("", "slatelab")
+				if err != nil {
+					return err
+				}
+				d, err := lab.Put(dir, place(1, 32, 20*time.Millisecond))
+				if err != nil {
+					return err
+				}
+				p, err := d.Relay(run.binary, nil, run.gateway)
+				if err != nil {
+					return err
+				}
+				before := p.Usage()
+				time.Sleep(span)
+				after := p.Usage()
+				fmt.Fprintf(cmd.OutOrStdout(), "%-13s RSS %5.1f MB, processor %.2f%% of a core over %v\n", run.name, float64(after.RSS)/1e6,
+					100*float64(after.CPU-before.CPU)/float64(span), span)
+				p.Kill()
+				d.Close()
+				_ = os.RemoveAll(dir)
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&binary, "binary", "bin/slatemux", "the relay")
+	c.Flags().StringVar(&versus, "versus", "", "another build of it")
+	c.Flags().StringVar(&gateway, "config", "deploy/gateway.textproto", "the gateway's settings")
+	c.Flags().DurationVar(&span, "for", 10*time.Second, "how long")
+	return c
+}
+
+func readGateway(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	raw, err := os.ReadFile(path)
+	return string(raw), err
+}
--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -76,7 +76,7 @@
 	var r *relay.Relay
 	flows := flow.New(flow.Config{ConnectWithin: cfg.settings.ConnectTimeout, IdleMost: cfg.settings.KeepAlive,
 		MostFlows: most.flows, MostConns: most.members,
-		Settle: settle},
+		Settle: settle, OwnDelay: meters.Wait},
 		func(end traffic.FlowEnd) { r.FlowEnded(end) })
 	notices := notice.New(discovery, func(ids []string) { r.NoticesAnswered(ids) })
 	r, err = relay.New(relay.Config{Meters: meters, Settings: cfg.settings, Seed: cfg.seed, MostBytes: most.openBytes, Store: store,
@@ -142,10 +142,11 @@
 		size, live, compacted := store.Stats()
 		opened, reused := flows.Counts()
 		if gov != nil {
-			slog.Info("overload counters", "why", why, "overload", gov.State(), "vitals", meters.Totals())
+			slog.Info("overload counters", "why", why, "overload", gov.State())
 		}
 		slog.Info("counters", "why", why, "relay", r.Counters(), "front", server.Counters(), "connections", opened,
-			"reused", reused, "journal", size, "owed", live, "compacted", compacted, "reloads", reloads, "bad_reloads", badReloads)
+			"reused", reused, "journal", size, "owed", live, "compacted", compacted, "reloads", reloads, "bad_reloads", badReloads,
+			"vitals", meters.Totals())
 	}
 	var drain, end <-chan time.Time
 	for running := true; running; {
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -19,6 +19,9 @@
 	MostFlows     int           // flows out at once
 	MostConns     int           // connections, idle ones included
 	Settle        time.Duration // a connection carries nothing for so long after an answer
+
+	// OwnDelay is how long what has come waits at present until this program looks at it; nil for not known.
+	OwnDelay func() time.Duration
 }
 
 // sweepEvery is how often idle connections are looked at; writeSlack is kept free before Flow.WriteBy, for
@@ -61,6 +64,7 @@
 	traffic.Flow
 	m      *member
 	cancel context.CancelFunc
+	queued time.Duration // from the flow's beginning until its goroutine ran
 }
 
 // New returns a Manager that hands the end of each flow to done, which must not block.
@@ -196,14 +200,21 @@
 	return g.opened, g.reused
 }
 
+// end ends a flow. What the program itself let it wait, before its goroutine ran and before its answer was looked
+// at, is not the pool member's doing and not counted: a relay short of processor would take its members to be slow,
+// send them less, and hold the more.
 func (r *running) end(status traffic.FlowStatus) traffic.FlowEnd {
 	return traffic.FlowEnd{ID: r.ID, Attempt: r.Attempt, Member: r.Member, Status: status,
-		Took: time.Since(r.Begun)}
+		Took: max(time.Since(r.Begun)-r.queued, 0)}
 }
 
 // run carries one flow from its connection to its end.
 func (g *Manager) run(ctx context.Context, r *running, c *conn) {
+	r.queued = time.Since(r.Begun)
 	end := g.attempt(ctx, r, c)
+	if g.cfg.OwnDelay != nil {
+		end.Took = max(end.Took-g.cfg.OwnDelay(), 0)
+	}
 	r.cancel()
 	g.mu.Lock()
 	delete(g.flows, flowID{r.ID, r.Attempt})
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"wrenford/internal/overload"
+	"wrenford/internal/relay"
 	"wrenford/internal/vitals"
 )
 
@@ -26,8 +27,7 @@
 	Squeeze(messages int, heavy, byteScale float64)
 	// Stretch sets the least time between two steps.
 	Stretch(least time.Duration)
-	// Load tells how many messages are open, and which share of their bytes is taken.
-	Load() (open int, bytes float64)
+	Load() relay.Load
 }
 
 // Idler gives up idle connections while it is asked to.
@@ -72,6 +72,7 @@
 	front   Front
 	flows   Idler
 	given   given
+	ended   int64 // messages, as of the newest tick
 	percent int
 }
 
@@ -133,9 +134,10 @@
 // step is one tick.
 func (g *Governor) step(now time.Time) {
 	r := g.cfg.Meters.Read(now)
-	open, bytes := g.relay.Load()
-	s := overload.Sample{Busy: r.Busy, Bytes: bytes, Held: open, Clients: g.front.Handing(),
-		Delay: max(r.Age-g.given.step, 0)}
+	l := g.relay.Load()
+	s := overload.Sample{Busy: r.Busy, Bytes: l.Bytes, Held: l.Open, Waiting: l.Waiting, Clients: g.front.Handing(),
+		Ended: int(l.Ended - g.ended), Holding: r.Section / r.Cores, Delay: max(r.Age-g.given.step, 0)}
+	g.ended = l.Ended
 	// A step comes up to its own spacing after a hand-in; that is no queue. The probe waits for the processor alone.
 	s.Delay = max(s.Delay, r.Probe)
 	if most := g.memory.Load(); most > 0 {
@@ -145,6 +147,11 @@
 	act := g.ctrl.Tick(now.Sub(g.origin), s)
 	g.act, g.read = act, r
 	g.mu.Unlock()
+	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		slog.Debug("overload tick", "shedding", act.Shedding, "limit", int(act.Limit), "cut", act.Cut, "pace", act.Pace,
+			"open_most", act.OpenMost, "busy", s.Busy, "cpu", r.CPU, "stretch", r.Stretch, "age", r.Age, "probe", r.Probe,
+			"loop", r.Loop, "open", s.Held, "waiting", s.Waiting, "ended", s.Ended, "holding", s.Holding, "hand_ins", r.HandIns)
+	}
 	g.apply(act, s, r)
 }
 
--- /dev/null
+++ b/internal/lab/deployment.go
@@ -0,0 +1,197 @@
+// Package lab is the laboratory: it puts up a whole deployment on loopback (partners, discovery, platform, relay,
+// clients), lets a scripted load and scripted failures run, and judges what came of every message.
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"wrenford/internal/lab/ledger"
+	"wrenford/internal/lab/load"
+	"wrenford/internal/lab/partner"
+	"wrenford/internal/lab/platform"
+)
+
+// Class is a class as the platform's settings hold it.
+type Class struct {
+	Name      string
+	Repeat    string // safe, keyed or unsafe
+	Worth     float64
+	LateWorth float64
+	Memory    time.Duration
+	Aim       time.Duration
+	Deadline  time.Duration
+}
+
+// Usual are the two classes that Bortsvi Tyre Service has.
+func Usual() []Class {
+	return []Class{
+		{Name: "order-payment", Repeat: "keyed", Worth: 1, LateWorth: 0.5, Memory: 15 * time.Second, Aim: 4 * time.Second, Deadline: 28 * time.Second},
+		{Name: "slot-status", Repeat: "safe", Worth: 3, LateWorth: 0.1, Memory: 5 * time.Second, Aim: time.Second, Deadline: 5 * time.Second},
+	}
+}
+
+// Tenant is a tenant as the settings hold it.
+type Tenant struct {
+	Name      string
+	Allowance float64
+	Share     float64
+}
+
+// Place is where a relay works.
+type Place struct {
+	Classes   []Class
+	Tenants   []Tenant
+	Partners  []partner.Config // Ledger is filled in
+	MemoryMB  float64
+	DiskMB    float64
+	Sockets   int
+	MaxOpen   int
+	MaxCalls  int
+	KeepAlive time.Duration
+	Seed      uint64
+}
+
+// Deployment is everything around one relay.
+type Deployment struct {
+	Place    Place
+	Ledger   *ledger.Ledger
+	Platform *platform.Server
+	Partners []*partner.Server
+	Listen   string
+	Dir      string // configuration, state
+	Classes  []ledger.Class
+}
+
+// Put puts a deployment up in a folder. Close ends it.
+func Put(dir string, p Place) (*Deployment, error) {
+	d := &Deployment{Place: p, Ledger: &ledger.Ledger{}, Dir: dir}
+	for _, c := range p.Classes {
+		effect := map[string]ledger.Effect{"safe": ledger.Safe, "keyed": ledger.Keyed, "unsafe": ledger.Unsafe}[c.Repeat]
+		d.Classes = append(d.Classes, ledger.Class{Name: c.Name, Effect: effect, Memory: c.Memory, Worth: c.Worth, Aim: c.Aim})
+	}
+	var hosts []platform.Host
+	for _, cfg := range p.Partners {
+		cfg.Ledger = d.Ledger
+		if cfg.Addr == "" {
+			cfg.Addr = "127.0.0.1:0"
+		}
+		s, err := partner.Start(cfg)
+		if err != nil {
+			d.Close()
+			return nil, err
+		}
+		d.Partners = append(d.Partners, s)
+		hosts = append(hosts, platform.Host{Host: cfg.Name, Dial: s.Addr(), Site: "here", Class: "partner", Block: cfg.Dest,
+			Health: "active", Share: max(cfg.Life[0].Rate, 20)})
+	}
+	var err error
+	if d.Platform, err = platform.Start("127.0.0.1:0", d.Ledger, hosts); err != nil {
+		d.Close()
+		return nil, err
+	}
+	if d.Listen, err = FreePort(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	if err := d.write(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Close ends partners and platform.
+func (d *Deployment) Close() {
+	var wg sync.WaitGroup
+	for _, s := range d.Partners {
+		wg.Go(s.Close)
+	}
+	wg.Wait()
+	if d.Platform != nil {
+		d.Platform.Close()
+	}
+}
+
+// Config and State are the platform's configuration file and the folder that lasts.
+func (d *Deployment) Config() string { return filepath.Join(d.Dir, "config.json") }
+
+// State is the folder that outlives a relay.
+func (d *Deployment) State() string { return filepath.Join(d.Dir, "state") }
+
+// write writes the configuration of the relay.
+func (d *Deployment) write() error {
+	p := d.Place
+	ms := func(t time.Duration) float64 { return float64(t) / float64(time.Millisecond) }
+	var classes, orgs []map[string]any
+	for _, c := range p.Classes {
+		classes = append(classes, map[string]any{"name": c.Name, "repeat": c.Repeat, "dedup-scope": "all", "memory-span-ms": ms(c.Memory),
+			"slo-ms": ms(c.Aim), "deadline-ms": ms(c.Deadline), "late-worth": c.LateWorth, "value": c.Worth})
+	}
+	for _, t := range p.Tenants {
+		orgs = append(orgs, map[string]any{"name": t.Name, "allowance-per-s": t.Allowance, "portion": t.Share})
+	}
+	file := map[string]any{
+		"name": "lab", "listen": d.Listen, "discovery": d.Platform.Addr(), "seed": fmt.Sprintf("%x", p.Seed),
+		"limits": map[string]any{"cores": 1, "memory_mb": p.MemoryMB, "sockets": p.Sockets, "disk_mb": p.DiskMB},
+		"known":  d.Platform.Known(),
+		"settings": map[string]any{
+			"classes": classes, "kinds": []string{"partner"}, "localities": []string{"here"}, "zone": "here", "orgs": orgs,
+			"over-share-worth": 0.1, "peers-total": 1, "self-index": 0, "resolution-ms": 5, "membership-mode": "pushed", "weights": "rough",
+			"family-info": map[string]any{"max-calls": p.MaxCalls, "late": "halves", "own-limits": []bool{false}, "carriage": []float64{0}},
+			"limits": map[string]any{"connect-timeout-ms": 1000, "keepalive-ms": ms(p.KeepAlive), "max-attempts": 8, "max-open": p.MaxOpen,
+				"max-retry-after-ms": 3000, "retry-after": true, "cancel": true, "streams-per-conn": 1},
+			"safety":  map[string]any{"start-capacity": 0.23, "cold-ms": 13000, "fall-multiple": 1.5, "tip-after-ms": 1500},
+			"tariffs": map[string]any{"handshake": 0.02},
+		},
+	}
+	raw, err := json.MarshalIndent(file, "", " ")
+	if err != nil {
+		return fmt.Errorf("lab: %w", err)
+	}
+	if err := os.MkdirAll(d.State(), 0o700); err != nil {
+		return fmt.Errorf("lab: %w", err)
+	}
+	if err := os.WriteFile(d.Config(), raw, 0o600); err != nil {
+		return fmt.Errorf("lab: %w", err)
+	}
+	return nil
+}
+
+// Relay starts a relay on processors and waits until it is ready. gateway is the text of its own settings; empty
+// for none.
+func (d *Deployment) Relay(binary string, cpus []int, gateway string, flags ...string) (*Process, error) {
+	args := append([]string{"--log-format", "json"}, flags...)
+	if gateway != "" {
+		path := filepath.Join(d.Dir, "gateway.textproto")
+		if err := os.WriteFile(path, []byte(gateway), 0o600); err != nil {
+			return nil, fmt.Errorf("lab: %w", err)
+		}
+		args = append(args, "--config", path)
+	}
+	p, err := Run(cpus, []string{"NODE_CONFIG=" + d.Config(), "NODE_STATE=" + d.State()}, binary, args...)
+	if err != nil {
+		return nil, err
+	}
+	if err := p.Await("ready", time.Now().Add(10*time.Second)); err != nil {
+		p.Kill()
+		return nil, err
+	}
+	return p, nil
+}
+
+// Load runs a load against the relay. Address, classes and ledger are filled in.
+func (d *Deployment) Load(ctx context.Context, cfg load.Config) error {
+	cfg.Addr, cfg.Classes, cfg.Ledger = d.Listen, d.Classes, d.Ledger
+	return load.Run(ctx, cfg)
+}
+
+// Judge judges what was recorded. Partners must be closed before.
+func (d *Deployment) Judge(end time.Time) ledger.Verdict {
+	return d.Ledger.Judge(ledger.Usual(d.Classes), end)
+}
--- /dev/null
+++ b/internal/lab/ledger/ledger.go
@@ -0,0 +1,431 @@
+// Package ledger keeps what a test deployment saw of every message, and judges it: exactly one end for what was
+// taken on, in time, no run of what was refused, no repeat beyond the class, drains and told waits kept.
+//
+// Recording takes no lock that another recorder holds: each client and each connection of a partner writes to a
+// Book of its own, and the books are joined when all is over.
+package ledger
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Effect is what a repeat of a class's message may do.
+type Effect int
+
+// The effects.
+const (
+	Safe   Effect = iota // may run again and again
+	Keyed                // may run again within Memory of its first run
+	Unsafe               // may not run twice
+)
+
+// Class is what a verdict needs to know of a class.
+type Class struct {
+	Name   string
+	Effect Effect
+	Memory time.Duration
+	Worth  float64
+	Aim    time.Duration // a delivery within it earns the whole worth
+}
+
+// Answer is what a client read.
+type Answer int
+
+// The answers.
+const (
+	NoAnswer Answer = iota // none within the client's patience, or the connection ended
+	Accepted
+	Refused
+	Failed
+	Unsent // no client was free to send it within its patience
+)
+
+// HandIn is one hand-in, each under an id of its own.
+type HandIn struct {
+	ID       uint64
+	Class    int // index of Rules.Classes
+	Dest     int
+	Due      time.Time // when it was to be sent
+	Sent     time.Time
+	Answered time.Time
+	Deadline time.Time
+	Answer   Answer
+	RetryIn  time.Duration
+	Again    bool // the same message was refused before
+}
+
+// Call is one call that a partner's endpoint read.
+type Call struct {
+	ID       uint64
+	Dest     int
+	Member   string
+	First    time.Time // first byte
+	Arrived  time.Time // last byte
+	Answered time.Time // zero if it never was
+	Status   int
+	Wait     time.Duration // told with it
+	Cold     bool          // over what a cold partner bears
+}
+
+// Notice is a line that the platform read.
+type Notice struct {
+	ID      uint64
+	At      time.Time
+	Outcome string
+	RetryIn time.Duration
+}
+
+// Leave says that a member's draining was told.
+type Leave struct {
+	Member string
+	At     time.Time
+}
+
+// Kill says that the relay was away, and since when it was ready again.
+type Kill struct{ From, Ready time.Time }
+
+// Book is what one recorder wrote. It belongs to one goroutine until its Ledger is closed.
+type Book struct {
+	HandIns []HandIn
+	Calls   []Call
+	Notices []Notice
+}
+
+// Ledger hands out books.
+type Ledger struct {
+	mu     sync.Mutex
+	books  []*Book
+	leaves []Leave
+	kills  []Kill
+}
+
+// Book returns a new book.
+func (l *Ledger) Book() *Book {
+	b := &Book{}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.books = append(l.books, b)
+	return b
+}
+
+// Leave notes that a member's draining was told.
+func (l *Ledger) Leave(v Leave) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaves = append(l.leaves, v)
+}
+
+// Kill notes an absence of the relay.
+func (l *Ledger) Kill(v Kill) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kills = append(l.kills, v)
+}
+
+// Rules are what a verdict checks against.
+type Rules struct {
+	Classes    []Class
+	EndSlack   time.Duration // after a deadline, until an end is overdue
+	WaitSlack  time.Duration // after a told wait began, calls under way are let through
+	DrainGrace time.Duration // after a drain was told
+	ReadyGrace time.Duration // after a restart
+	From, To   time.Time     // of the due times that are summed up; zero for all. Rules are checked on all.
+}
+
+// Usual are the platform's figures.
+func Usual(classes []Class) Rules {
+	return Rules{Classes: classes, EndSlack: 350 * time.Millisecond, WaitSlack: 150 * time.Millisecond,
+		DrainGrace: 2050 * time.Millisecond, ReadyGrace: 1500 * time.Millisecond}
+}
+
+// Breach is one broken rule.
+type Breach struct {
+	Rule string
+	ID   uint64
+	Text string
+}
+
+// PerClass sums up one class.
+type PerClass struct {
+	Class                                                string
+	Offered, Accepted, Refused, Failed, NoAnswer, Unsent int
+	Delivered, InAim, GivenUp, HandedBack, Late          int
+	Worth                                                float64
+	ToAccept, ToRefuse, ToDeliver                        []time.Duration // since due; sorted
+	RefuseFromSent                                       []time.Duration
+}
+
+// Verdict is what a run came to.
+type Verdict struct {
+	Breaches []Breach
+	Classes  []PerClass
+	Calls    int
+}
+
+// fate is what is known of one message by id.
+type fate struct {
+	calls   []*Call
+	notices []*Notice
+}
+
+// Judge joins the books. Nothing may be recorded any more. Messages whose time is not up at the end are not
+// judged for want of an end.
+func (l *Ledger) Judge(r Rules, end time.Time) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fates := map[uint64]*fate{}
+	at := func(id uint64) *fate {
+		f := fates[id]
+		if f == nil {
+			f = &fate{}
+			fates[id] = f
+		}
+		return f
+	}
+	v := Verdict{Classes: make([]PerClass, len(r.Classes))}
+	for i, c := range r.Classes {
+		v.Classes[i].Class = c.Name
+	}
+	var calls []*Call
+	for _, b := range l.books {
+		for i := range b.Calls {
+			f := at(b.Calls[i].ID)
+			f.calls = append(f.calls, &b.Calls[i])
+			calls = append(calls, &b.Calls[i])
+		}
+		for i := range b.Notices {
+			f := at(b.Notices[i].ID)
+			f.notices = append(f.notices, &b.Notices[i])
+		}
+	}
+	v.Calls = len(calls)
+	for _, b := range l.books {
+		for i := range b.HandIns {
+			h := &b.HandIns[i]
+			f := fates[h.ID]
+			if f == nil {
+				f = &fate{}
+			}
+			v.Breaches = append(v.Breaches, l.judge(r, h, f, end)...)
+			if !r.From.IsZero() && h.Due.Before(r.From) || !r.To.IsZero() && !h.Due.Before(r.To) {
+				continue
+			}
+			v.Classes[h.Class].count(&r.Classes[h.Class], h, f)
+		}
+	}
+	v.Breaches = append(v.Breaches, l.waits(r, calls)...)
+	v.Breaches = append(v.Breaches, l.drains(r, calls)...)
+	for i := range v.Classes {
+		c := &v.Classes[i]
+		for _, list := range [][]time.Duration{c.ToAccept, c.ToRefuse, c.ToDeliver, c.RefuseFromSent} {
+			slices.Sort(list)
+		}
+	}
+	return v
+}
+
+// delivered is when the first 200 was written; zero if none was.
+func (f *fate) delivered() (at time.Time) {
+	for _, c := range f.calls {
+		if c.Status == 200 && (at.IsZero() || c.Answered.Before(at)) {
+			at = c.Answered
+		}
+	}
+	return at
+}
+
+// ran are the calls that may have taken effect.
+func (f *fate) ran() (list []*Call) {
+	for _, c := range f.calls {
+		if c.Status != 429 && c.Status != 503 && c.Status != 504 && c.Status != 410 {
+			list = append(list, c)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Call) int { return a.Arrived.Compare(b.Arrived) })
+	return list
+}
+
+func (l *Ledger) judge(r Rules, h *HandIn, f *fate, end time.Time) (out []Breach) {
+	breach := func(rule, format string, args ...any) {
+		out = append(out, Breach{rule, h.ID, fmt.Sprintf(format, args...)})
+	}
+	ended := f.delivered()
+	outcomes := map[string]bool{}
+	for _, n := range f.notices { // the same line may come twice, if its answer was lost
+		outcomes[n.Outcome] = true
+		if ended.IsZero() || n.At.Before(ended) {
+			ended = n.At
+		}
+	}
+	due := l.excused(h.Deadline.Add(r.EndSlack), r.ReadyGrace)
+	switch h.Answer {
+	case Accepted:
+		if ended.IsZero() && due.Before(end) {
+			breach("one end", "taken on at %v and never ended", h.Answered.Format(time.StampMicro))
+		} else if !ended.IsZero() && ended.After(due) {
+			breach("in time", "ended %v after its time was up", ended.Sub(h.Deadline))
+		}
+		if len(outcomes) > 1 {
+			breach("one end", "%d different notices", len(outcomes))
+		}
+	case Refused:
+		if len(f.calls) > 0 {
+			breach("refused is refused", "%d calls of a message that was refused", len(f.calls))
+		}
+		if len(f.notices) > 0 {
+			breach("refused is refused", "a notice of a message that was refused")
+		}
+	}
+	ran := f.ran()
+	class := r.Classes[h.Class]
+	if len(ran) > 1 && class.Effect == Unsafe {
+		breach("repeats", "%d runs of a message that may run once", len(ran))
+	}
+	if len(ran) > 1 && class.Effect == Keyed {
+		if apart := ran[len(ran)-1].Arrived.Sub(ran[0].First); apart > class.Memory {
+			breach("repeats", "run again after %v, remembered for %v", apart, class.Memory)
+		}
+	}
+	for i, c := range f.calls {
+		for _, o := range f.calls[i+1:] {
+			a, b := c, o
+			if b.Arrived.Before(a.Arrived) {
+				a, b = b, a
+			}
+			if !a.Answered.IsZero() && b.Arrived.Before(a.Answered) {
+				breach("one copy", "a second call while the first was out")
+			}
+		}
+		if c.Dest != h.Dest {
+			breach("destination", "sent to %d, not %d", c.Dest, h.Dest)
+		}
+	}
+	return out
+}
+
+// excused moves a time at which something is due behind the restart in which it falls.
+func (l *Ledger) excused(due time.Time, grace time.Duration) time.Time {
+	for _, k := range l.kills {
+		if !due.Before(k.From) && due.Before(k.Ready.Add(grace)) {
+			due = k.Ready.Add(grace)
+		}
+	}
+	return due
+}
+
+// waits finds calls that began in a wait that had been told to their destination.
+func (l *Ledger) waits(r Rules, calls []*Call) (out []Breach) {
+	byDest := map[int][]*Call{}
+	for _, c := range calls {
+		byDest[c.Dest] = append(byDest[c.Dest], c)
+	}
+	for dest, list := range byDest {
+		var told []*Call
+		for _, c := range list {
+			if c.Wait > 0 {
+				told = append(told, c)
+			}
+		}
+		if len(told) == 0 {
+			continue
+		}
+		slices.SortFunc(told, func(a, b *Call) int { return a.Answered.Compare(b.Answered) })
+		for _, c := range list {
+			for _, w := range told {
+				if w.Answered.Add(r.WaitSlack).After(c.Arrived) {
+					break
+				}
+				if c.Arrived.Before(w.Answered.Add(w.Wait)) && !l.between(w.Answered, c.Arrived) {
+					out = append(out, Breach{"waits", c.ID, fmt.Sprintf("called destination %d %v into a wait of %v", dest,
+						c.Arrived.Sub(w.Answered), w.Wait)})
+					break
+				}
+			}
+		}
+	}
+	return out
+}
+
+// between says that the relay was started anew between two times: that ends its waits.
+func (l *Ledger) between(from, to time.Time) bool {
+	for _, k := range l.kills {
+		if k.From.After(from) && k.From.Before(to) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) drains(r Rules, calls []*Call) (out []Breach) {
+	left := map[string]time.Time{}
+	for _, v := range l.leaves {
+		left[v.Member] = v.At
+	}
+	for _, c := range calls {
+		if at, ok := left[c.Member]; ok && c.First.After(at.Add(r.DrainGrace)) {
+			out = append(out, Breach{"drains", c.ID, fmt.Sprintf("sent to %s %v after its drain", c.Member, c.First.Sub(at))})
+		}
+		if c.Cold {
+			out = append(out, Breach{"cold returns", c.ID, fmt.Sprintf("%s was pushed over while cold", c.Member)})
+		}
+	}
+	return out
+}
+
+func (p *PerClass) count(class *Class, h *HandIn, f *fate) {
+	p.Offered++
+	switch h.Answer {
+	case Accepted:
+		p.Accepted++
+		p.ToAccept = append(p.ToAccept, h.Answered.Sub(h.Due))
+	case Refused:
+		p.Refused++
+		p.ToRefuse = append(p.ToRefuse, h.Answered.Sub(h.Due))
+		p.RefuseFromSent = append(p.RefuseFromSent, h.Answered.Sub(h.Sent))
+		return
+	case Failed:
+		p.Failed++
+		return
+	case Unsent:
+		p.Unsent++
+		return
+	case NoAnswer:
+		p.NoAnswer++
+		return
+	}
+	for _, n := range f.notices {
+		if n.Outcome == "given_up" {
+			p.GivenUp++
+		} else {
+			p.HandedBack++
+		}
+		break
+	}
+	at := f.delivered()
+	if at.IsZero() {
+		return
+	}
+	if at.After(h.Deadline) {
+		p.Late++
+		return
+	}
+	p.Delivered++
+	p.ToDeliver = append(p.ToDeliver, at.Sub(h.Due))
+	if at.Sub(h.Due) <= class.Aim {
+		p.InAim++
+		p.Worth += class.Worth
+	} else {
+		p.Worth += class.Worth / 2
+	}
+}
+
+// At is a quantile of sorted durations; 0 of none.
+func At(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
--- /dev/null
+++ b/internal/lab/partner/partner.go
@@ -0,0 +1,350 @@
+// Package partner is a stand-in for an outside partner's endpoint: HTTP/1.1 on loopback, with a life that a
+// script sets. It speaks what the platform's protocol page says of endpoints, and records every call.
+package partner
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"wrenford/internal/lab/ledger"
+)
+
+// Mode is what an endpoint does with a call.
+type Mode int
+
+// The modes.
+const (
+	Serving   Mode = iota
+	Refusing       // no listener; open connections are reset
+	Silent         // connections come up and calls are read, but nothing is answered
+	Resetting      // calls are read, and then the connection is reset
+	Shut           // 503 for every call
+)
+
+// Latency is a distribution of service times.
+type Latency struct {
+	Mean time.Duration
+	CV   float64 // coefficient of variation of a lognormal; 0 for always the mean
+}
+
+func (l Latency) draw(rng *rand.Rand) time.Duration {
+	if l.CV <= 0 {
+		return l.Mean
+	}
+	s2 := math.Log1p(l.CV * l.CV)
+	return time.Duration(float64(l.Mean) * math.Exp(rng.NormFloat64()*math.Sqrt(s2)-s2/2))
+}
+
+// Phase is a stretch of an endpoint's life, until the next one begins.
+type Phase struct {
+	From      time.Duration // since the start
+	Mode      Mode
+	Latency   Latency
+	Rate      float64       // calls a second that are let in; 0 for no limit
+	Wait      time.Duration // told with a refusal over Rate
+	ErrorRate float64       // share answered 500 after the work
+	Cold      time.Duration // the phase begins cold and is warm after this
+	ColdFrom  float64       // share of Rate that it has at once; it falls where twice that arrives
+}
+
+// Config says what an endpoint is.
+type Config struct {
+	Name   string
+	Dest   int
+	Addr   string // "127.0.0.1:0" for a port that the system chooses
+	Life   []Phase
+	Ledger *ledger.Ledger
+	Seed   uint64
+	Report string // of X-Backend-Load; empty for a report of the present limit
+}
+
+// Server is one endpoint.
+type Server struct {
+	cfg   Config
+	addr  string
+	start time.Time
+
+	mu      sync.Mutex
+	ln      net.Listener
+	conns   map[net.Conn]bool
+	phase   Phase
+	since   time.Time // of the phase
+	bucket  float64
+	filled  time.Time
+	recent  []time.Time // arrivals in the last second, while cold
+	closed  bool
+	calls   int64
+	changed chan struct{}
+	wg      sync.WaitGroup
+}
+
+// Start opens an endpoint and begins its life.
+func Start(cfg Config) (*Server, error) {
+	if len(cfg.Life) == 0 {
+		return nil, errors.New("partner: a life needs a phase")
+	}
+	s := &Server{cfg: cfg, start: time.Now(), conns: map[net.Conn]bool{}, changed: make(chan struct{})}
+	ln, err := net.Listen("tcp", cfg.Addr)
+	if err != nil {
+		return nil, fmt.Errorf("partner %s: %w", cfg.Name, err)
+	}
+	s.addr, s.ln = ln.Addr().String(), ln
+	s.enter(cfg.Life[0])
+	s.wg.Go(func() { s.accept(ln) })
+	s.wg.Go(s.live)
+	return s, nil
+}
+
+// Addr is where the endpoint listens, or will again.
+func (s *Server) Addr() string { return s.addr }
+
+// Calls is how many calls were read.
+func (s *Server) Calls() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Close ends the endpoint and waits for its connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	if !s.closed {
+		s.closed = true
+		close(s.changed)
+	}
+	s.hush()
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+// hush closes listener and connections. It needs the lock.
+func (s *Server) hush() {
+	if s.ln != nil {
+		s.ln.Close()
+		s.ln = nil
+	}
+	for c := range s.conns {
+		if tc, ok := c.(*net.TCPConn); ok {
+			_ = tc.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// live goes through the phases.
+func (s *Server) live() {
+	for _, p := range s.cfg.Life[1:] {
+		select {
+		case <-s.changed:
+			return
+		case <-time.After(time.Until(s.start.Add(p.From))):
+		}
+		s.enter(p)
+	}
+}
+
+// Enter begins a phase at once; the script goes on as before.
+func (s *Server) Enter(p Phase) { s.enter(p) }
+
+func (s *Server) enter(p Phase) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.phase, s.since, s.bucket, s.filled, s.recent = p, time.Now(), p.Rate, time.Now(), nil
+	if p.Mode == Refusing {
+		s.hush()
+		return
+	}
+	if s.ln == nil {
+		ln, err := net.Listen("tcp", s.addr)
+		for i := 0; err != nil && i < 50; i++ { // another may hold the port for a moment
+			time.Sleep(10 * time.Millisecond)
+			ln, err = net.Listen("tcp", s.addr)
+		}
+		if err != nil {
+			return
+		}
+		s.ln = ln
+		s.wg.Go(func() { s.accept(ln) })
+	}
+}
+
+func (s *Server) accept(ln net.Listener) {
+	for n := uint64(0); ; n++ {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		if s.ln != ln {
+			s.mu.Unlock()
+			c.Close()
+			continue
+		}
+		s.conns[c] = true
+		s.wg.Go(func() { s.serve(c, n) })
+		s.mu.Unlock()
+	}
+}
+
+// verdict is what becomes of one call.
+type verdict struct {
+	mode   Mode
+	status int
+	wait   time.Duration
+	after  time.Duration
+	cold   bool
+	report string
+}
+
+// rule decides on a call that has arrived.
+func (s *Server) rule(rng *rand.Rand) verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	p, now := s.phase, time.Now()
+	v := verdict{mode: p.Mode, status: 200, after: p.Latency.draw(rng), report: s.cfg.Report}
+	rate := p.Rate
+	if age := now.Sub(s.since); p.Cold > 0 && age < p.Cold {
+		rate *= p.ColdFrom + (1-p.ColdFrom)*float64(age)/float64(p.Cold)
+		s.recent = append(s.recent, now)
+		for len(s.recent) > 0 && now.Sub(s.recent[0]) > time.Second {
+			s.recent = s.recent[1:]
+		}
+		v.cold = float64(len(s.recent)) > 2*rate+4
+	}
+	s.bucket = min(s.bucket+rate*now.Sub(s.filled).Seconds(), max(rate, 1))
+	s.filled = now
+	switch {
+	case p.Mode == Shut:
+		v.status, v.after = 503, 0
+	case p.Rate > 0 && s.bucket < 1:
+		v.status, v.after, v.wait = 429, 0, p.Wait
+	case p.Rate > 0:
+		s.bucket--
+	}
+	if v.status == 200 && rng.Float64() < p.ErrorRate {
+		v.status = 500
+	}
+	if v.report == "" {
+		left := 1.0
+		if p.Rate > 0 {
+			left = max(s.bucket, 0) / max(rate, 1)
+		}
+		v.report = fmt.Sprintf("x0=%.3f,x1=%.3f", left, rate)
+	}
+	return v
+}
+
+var errCall = errors.New("not a call")
+
+// request is what a call's head says.
+type request struct {
+	id   uint64
+	body int
+	gone bool // Connection: close
+}
+
+// readHead reads a call's head. first is when its first byte was there.
+func readHead(r *bufio.Reader) (req request, first time.Time, err error) {
+	if _, err = r.Peek(1); err != nil {
+		return req, first, err
+	}
+	first = time.Now()
+	for n := 0; ; n++ {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return req, first, err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if n == 0 {
+			if !bytes.HasPrefix(line, []byte("POST /hook HTTP/1.1")) {
+				return req, first, errCall
+			}
+			continue
+		}
+		if len(line) == 0 {
+			return req, first, nil
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimSpace(value)
+		switch {
+		case bytes.EqualFold(name, []byte("X-Correlation-Id")):
+			if req.id, err = strconv.ParseUint(string(value), 16, 64); err != nil {
+				return req, first, errCall
+			}
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			if req.body, err = strconv.Atoi(string(value)); err != nil || req.body < 0 || req.body > 1<<20 {
+				return req, first, errCall
+			}
+		case bytes.EqualFold(name, []byte("Connection")):
+			req.gone = bytes.EqualFold(value, []byte("close"))
+		}
+	}
+}
+
+func (s *Server) serve(c net.Conn, n uint64) {
+	book := s.cfg.Ledger.Book()
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, n))
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	r := bufio.NewReaderSize(c, 4096)
+	for {
+		req, first, err := readHead(r)
+		if err != nil {
+			if errors.Is(err, errCall) {
+				_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+			}
+			return
+		}
+		if _, err := r.Discard(req.body); err != nil {
+			return
+		}
+		call := ledger.Call{ID: req.id, Dest: s.cfg.Dest, Member: s.cfg.Name, First: first, Arrived: time.Now()}
+		v := s.rule(rng)
+		call.Cold = v.cold
+		if v.after > 0 {
+			time.Sleep(v.after)
+		}
+		switch v.mode {
+		case Silent:
+			book.Calls = append(book.Calls, call)
+			_, _ = io.Copy(io.Discard, r) // until the relay gives up
+			return
+		case Resetting:
+			book.Calls = append(book.Calls, call)
+			if tc, ok := c.(*net.TCPConn); ok {
+				_ = tc.SetLinger(0)
+			}
+			return
+		}
+		call.Status, call.Wait = v.status, v.wait
+		text := fmt.Appendf(nil, "HTTP/1.1 %d .\r\nContent-Length: 0\r\nX-Backend-Load: %s\r\n", v.status, v.report)
+		if v.wait > 0 {
+			text = fmt.Appendf(text, "X-Retry-In-Ms: %d\r\n", v.wait.Milliseconds())
+		}
+		_, err = c.Write(append(text, "\r\n"...))
+		if call.Answered = time.Now(); err != nil {
+			call.Status, call.Answered = 0, time.Time{}
+		}
+		book.Calls = append(book.Calls, call)
+		if err != nil || req.gone {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/platform/platform.go
@@ -0,0 +1,196 @@
+// Package platform is a stand-in for discovery and for the platform that takes notices: one HTTP server on
+// loopback, with a list that a test changes and that may fall silent.
+package platform
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"wrenford/internal/lab/ledger"
+)
+
+// Host is an entry of the list, with the names that discovery uses.
+type Host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMS int64   `json:"born_ms"`
+}
+
+// list is what a watch is answered.
+type list struct {
+	Seq   int64  `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []Host `json:"hosts"`
+}
+
+// Server is discovery and the platform.
+type Server struct {
+	ln     net.Listener
+	http   *http.Server
+	ledger *ledger.Ledger
+	book   *ledger.Book // under the lock
+
+	mu      sync.Mutex
+	seq     int64
+	hosts   []Host
+	changes []change
+	changed chan struct{} // closed at each change
+	silent  bool
+	onHook  func(ledger.Notice)
+	stop    chan struct{}
+	once    sync.Once
+}
+
+type change struct {
+	seq  int64
+	host Host
+}
+
+// Start opens a server. addr may leave the port to the system.
+func Start(addr string, l *ledger.Ledger, hosts []Host) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("platform: %w", err)
+	}
+	s := &Server{ln: ln, ledger: l, book: l.Book(), seq: 1, hosts: hosts, changed: make(chan struct{}), stop: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /discovery/hosts", s.watch)
+	mux.HandleFunc("POST /v1/notices", s.notices)
+	s.http = &http.Server{Handler: mux}
+	go func() { _ = s.http.Serve(ln) }()
+	return s, nil
+}
+
+// Addr is where it listens.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Close ends it.
+func (s *Server) Close() {
+	s.once.Do(func() { close(s.stop) })
+	_ = s.http.Close()
+}
+
+// OnNotice has f called with each notice, one at a time.
+func (s *Server) OnNotice(f func(ledger.Notice)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onHook = f
+}
+
+// Known is the list as it stands, in the form that a relay's configuration holds.
+func (s *Server) Known() json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	raw, _ := json.Marshal(list{s.seq, true, s.hosts}) // it never fails
+	return raw
+}
+
+// Change replaces an entry of the list, adds it, or with health "left" takes it out.
+func (s *Server) Change(h Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seq++
+	s.hosts = slices.DeleteFunc(s.hosts, func(o Host) bool { return o.Host == h.Host })
+	if h.Health != "left" {
+		s.hosts = append(s.hosts, h)
+	}
+	s.changes = append(s.changes, change{s.seq, h})
+	if h.Health == "leaving" {
+		s.ledger.Leave(ledger.Leave{Member: h.Host, At: time.Now()})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Silence lets discovery say nothing, or speak again. Notices are answered all the same.
+func (s *Server) Silence(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = on
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Server) watch(w http.ResponseWriter, req *http.Request) {
+	from, _ := strconv.ParseInt(req.FormValue("from"), 10, 64)
+	hold, _ := strconv.Atoi(req.FormValue("hold_ms"))
+	until := time.After(time.Duration(min(hold, 60_000)) * time.Millisecond)
+	for over := hold == 0 || from == 0; ; {
+		s.mu.Lock()
+		changed, silent := s.changed, s.silent
+		answer := list{Seq: s.seq, Whole: from == 0 || from > s.seq, Hosts: []Host{}}
+		if answer.Whole {
+			answer.Hosts = s.hosts
+		} else {
+			for _, c := range s.changes {
+				if c.seq > from {
+					answer.Hosts = append(answer.Hosts, c.host)
+				}
+			}
+		}
+		raw, _ := json.Marshal(answer)
+		s.mu.Unlock()
+		if !silent && (over || answer.Whole || len(answer.Hosts) > 0) {
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = w.Write(raw)
+			return
+		}
+		select {
+		case <-changed:
+		case <-until:
+			over = true
+		case <-req.Context().Done():
+			return
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+func (s *Server) notices(w http.ResponseWriter, req *http.Request) {
+	var got []ledger.Notice
+	now := time.Now()
+	lines := bufio.NewScanner(req.Body)
+	for lines.Scan() {
+		var n struct {
+			Message string  `json:"message"`
+			Outcome string  `json:"outcome"`
+			RetryIn float64 `json:"retry_in_ms"`
+		}
+		if strings.TrimSpace(lines.Text()) == "" {
+			continue
+		}
+		id, err := uint64(0), json.Unmarshal(lines.Bytes(), &n)
+		if err == nil {
+			id, err = strconv.ParseUint(n.Message, 16, 64)
+		}
+		if err != nil || n.Outcome != "given_up" && n.Outcome != "handed_back" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		got = append(got, ledger.Notice{ID: id, At: now, Outcome: n.Outcome, RetryIn: time.Duration(n.RetryIn) * time.Millisecond})
+	}
+	s.mu.Lock()
+	s.book.Notices = append(s.book.Notices, got...)
+	hook := s.onHook
+	if hook != nil {
+		for _, n := range got {
+			hook(n)
+		}
+	}
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -61,7 +61,7 @@
 // the caller's to add.
 func Defaults() Config {
 	return Config{TargetBusy: 0.92, TargetDelay: 25 * time.Millisecond, Confirm: 3, LeastRate: 50, Floor: 0.02,
-		BodyWork: 16 << 10, RefusalShare: 0.2, MostPace: 100 * time.Millisecond,
+		BodyWork: 16 << 10, RefusalShare: 0.15, MostPace: 100 * time.Millisecond,
 		RetryLeast: 250 * time.Millisecond, RetryMost: 3 * time.Second, MemoryHigh: 0.80, MemoryFull: 0.95,
 		LargeMost: 64 << 10, LargeLeast: 1 << 10}
 }
@@ -101,6 +101,9 @@
 	Memory  float64       // share of the memory limit in use
 	Bytes   float64       // share of the bytes that open messages may take
 	Held    int           // open messages
+	Waiting int           // of them, those that no attempt is out for
+	Ended   int           // open messages that ended in the window
+	Holding float64       // share of the processor given that deciding on what is held took
 	Clients int           // connections on which something was handed in of late
 }
 
@@ -156,15 +159,19 @@
 	// fade is what a tick leaves of the counts before it: their horizon is about three ticks.
 	fade = 0.7
 	// A tick lowers the limit by down of the excess, at most by downMost, and raises it by up of the room.
-	down, downMost, up, upLeast = 0.5, 0.3, 0.3, 0.01
+	down, downMost, up, upLeast = 0.5, 0.3, 0.6, 0.01
 	// calmTicks with nothing refused for want of capacity end the shedding.
 	calmTicks = 6
 	// refusalWork is the work of a refusal, as measured (docs/overload.md), against a hand-in without body.
-	refusalWork = 0.1
+	refusalWork = 0.25
 	// overShare is how far beyond its share a tenant is taken to be over it.
 	overShare = 1.25
 	// held work goes back by squeeze a tick while pressing, and comes back by stretch.
 	squeeze, stretch, pressTicks = 0.9, 1.1, 4
+	// Deciding on what is held may take holdingMost of the processor before held work goes back.
+	holdingMost = 0.3
+	// waitMost is how much of what ends may wait for its call, and waitFew how many messages besides.
+	waitMost, waitFew = 100 * time.Millisecond, 50
 )
 
 // Controller decides for one relay. It is not safe for use by several goroutines at once.
@@ -181,24 +188,29 @@
 	span     float64 // seconds that offered stands for, faded alike
 	admitted float64 // work of all tenants, faded
 	thru     float64 // smoothed work a second admitted
+	ended    float64 // smoothed work a second that ended
+	refused  float64 // smoothed work a second that refusing took
+	each     float64 // smoothed work of one admitted hand-in
 	window   counts
 
-	act          Act
-	over, calm   int // ticks in a row
-	pressing     int
-	frac, error  float64 // share admitted at the cut level, and what the rounding owes
-	tokens       float64
-	floorAt      time.Duration
-	bucketAt     time.Duration
-	excess       float64 // offered over limit, less 1
-	load         float64 // smoothed, for the brownout
-	least        Brownout
-	total        Counters
-	refusedShare float64
+	act         Act
+	over, calm  int // ticks in a row
+	pressing    int
+	frac, error float64 // share admitted at the cut level, and what the rounding owes
+	tokens      float64
+	floorAt     time.Duration
+	bucketAt    time.Duration
+	excess      float64 // offered over limit, less 1
+	load        float64 // smoothed, for the brownout
+	least       Brownout
+	total       Counters
 }
 
 // counts are of one window, in work.
-type counts struct{ admitted, refused float64 }
+type counts struct {
+	admitted, refused float64
+	n                 int // admitted
+}
 
 type class struct {
 	Class
@@ -273,6 +285,7 @@
 	}
 	c.total.Admitted++
 	c.window.admitted += work
+	c.window.n++
 	c.admitted += work
 	t.admitted += work
 	return Ruling{}
@@ -382,6 +395,10 @@
 	}
 	c.last = now
 	c.thru += 0.4 * (c.window.admitted/dt - c.thru)
+	if c.window.n > 0 {
+		c.each += 0.4 * (c.window.admitted/float64(c.window.n) - c.each)
+	}
+	c.ended += 0.4 * (float64(s.Ended)*max(c.each, 1)/dt - c.ended)
 	c.span = c.span*fade + dt
 	offered := 0.0
 	for _, n := range c.offered {
@@ -390,7 +407,7 @@
 	offered /= c.span
 	c.steer(now, s, offered)
 	c.cut(offered)
-	c.pace(s, dt)
+	c.pace(dt)
 	c.memory(s)
 	c.hold(s)
 	c.rests()
@@ -412,30 +429,43 @@
 	if d := float64(s.Delay) / float64(c.cfg.TargetDelay); d > max(load, 1) {
 		cause, reading, load = Delay, float64(s.Delay)/float64(time.Millisecond), d
 	}
+	// What waits for its call beyond a moment's work is a queue too, though one that a partner may cause: it
+	// counts where the processor is short, and then no more comes in than goes out.
+	rate, grow := c.thru, up
+	waiting, queue := float64(s.Waiting)*max(c.each, 1), waitMost.Seconds()*c.ended+waitFew
+	if waiting > queue && load > 0.75 {
+		grow = up / 4
+	}
+	if waiting > queue && load > 0.95 {
+		rate = min(c.thru, c.ended) * max(1-(waiting/queue-1)/20, 0.85)
+	}
 	c.load += 0.3 * (load - c.load)
-	c.over++
+	if c.over++; waiting > queue && load > 1.05 {
+		c.over++ // a jump: every tick takes in more than can be done
+	}
 	if load <= 1 || offered < c.cfg.LeastRate {
 		c.over = 0
 	}
-	cut := 1 - min(down*(load-1), downMost)
+	cut := 1 - max(min(down*(load-1), downMost), 0)
 	switch {
 	case !c.act.Shedding:
 		if c.over < c.cfg.Confirm {
 			return
 		}
 		c.act.Shedding, c.act.Cause, c.act.Reading, c.calm = true, cause, reading, 0
-		c.act.Limit = max(c.thru*cut, c.cfg.LeastRate)
+		c.act.Limit = max(rate*cut, c.cfg.LeastRate)
 		c.tokens, c.bucketAt, c.error = c.burst(), now, 0
 		c.total.Sheds++
 		return
 	case load > 1:
 		c.act.Cause, c.act.Reading = cause, reading
-		c.act.Limit = max(min(c.act.Limit, 1.1*c.thru)*cut, c.cfg.LeastRate)
+		c.act.Limit = max(min(c.act.Limit, 1.1*rate)*cut, c.cfg.LeastRate)
 	default:
-		c.act.Limit = min(c.act.Limit*(1+upLeast+up*(1-load)), max(c.act.Limit, 1.5*c.thru))
+		c.act.Limit = min(c.act.Limit*(1+upLeast+grow*(1-load)), max(c.act.Limit, 1.5*c.thru))
 	}
 	c.calm++
-	if load > 1 || offered > 0.95*c.act.Limit && c.window.refused > 0 {
+	// While connections rest, what is offered is not all that would come.
+	if load > 1 || c.act.Pace > 0 || offered > 0.95*c.act.Limit && c.window.refused > 0 {
 		c.calm = 0
 	}
 	if c.calm >= calmTicks {
@@ -462,18 +492,18 @@
 }
 
 // pace lets connections rest after a refusal where refusals take more work than their share.
-func (c *Controller) pace(s Sample, dt float64) {
-	refused, admitted := c.window.refused/dt*refusalWork, c.window.admitted/dt
-	part := refused / max(refused+admitted, 1)
-	switch {
+func (c *Controller) pace(dt float64) {
+	c.refused += 0.2 * (c.window.refused/dt*refusalWork - c.refused)
+	part := c.refused / max(c.refused+c.thru, 1)
+	switch over := part / c.cfg.RefusalShare; {
 	case !c.act.Shedding:
 		c.act.Pace = 0
-	case part > c.cfg.RefusalShare && c.load > 0.9:
-		c.act.Pace = min(c.act.Pace*5/4+time.Millisecond, c.cfg.MostPace)
-	case part < 0.7*c.cfg.RefusalShare:
-		c.act.Pace = c.act.Pace * 9 / 10
+	case over > 1 && c.load > 0.8:
+		c.act.Pace = min(time.Duration(float64(c.act.Pace)*min(over, 1.2))+time.Millisecond/4, c.cfg.MostPace)
+	default:
+		c.act.Pace = time.Duration(float64(c.act.Pace) * min(max(over, 0.8), 0.95))
 	}
-	if c.act.Pace < time.Millisecond/2 {
+	if c.act.Pace < time.Millisecond/4 {
 		c.act.Pace = 0
 	}
 }
@@ -496,7 +526,7 @@
 
 // hold lowers what may be open while the relay is far behind, or its memory nearly full, and restores it after.
 func (c *Controller) hold(s Sample) {
-	behind := s.Delay > 3*c.cfg.TargetDelay && c.act.Shedding
+	behind := c.act.Shedding && (s.Delay > 3*c.cfg.TargetDelay || s.Holding > holdingMost)
 	full := s.Memory > (c.cfg.MemoryHigh+c.cfg.MemoryFull)/2
 	if c.pressing++; !behind && !full {
 		c.pressing = 0
@@ -507,7 +537,7 @@
 			c.total.Squeezes++
 		}
 		c.act.OpenMost = max(int(float64(min(s.Held, c.act.OpenMost))*squeeze), 1)
-	case c.pressing == 0 && c.act.OpenMost < c.cfg.OpenMost:
+	case c.pressing == 0 && c.act.OpenMost < c.cfg.OpenMost && s.Holding < holdingMost/2:
 		c.act.OpenMost = min(int(float64(c.act.OpenMost)*stretch)+1, c.cfg.OpenMost)
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -110,6 +110,8 @@
 	unsaved []traffic.Change // ends that the store has not taken yet
 	wakes   []time.Time
 	squeeze squeeze
+	out     int   // flows
+	ended   int64 // transactions that had been taken on
 
 	stretch atomic.Int64 // least time between two steps, where it is more than the module's
 
@@ -117,7 +119,7 @@
 	inbox     []any
 	stopped   bool
 	published Counters
-	full      float64   // share of the bytes that open transactions may take
+	load      Load
 	dueAt     time.Time // when the next step could run; zero while nothing asks for one
 	earliest  time.Time // the module's least time after the last step
 	signal    chan struct{}
@@ -206,11 +208,19 @@
 // Stretch sets the least time between two steps; the module's own is the least of all.
 func (r *Relay) Stretch(least time.Duration) { r.stretch.Store(int64(least)) }
 
-// Load tells how many transactions are open, and which share of their bytes is taken.
-func (r *Relay) Load() (open int, bytes float64) {
+// Load is what the relay holds.
+type Load struct {
+	Open    int     // transactions
+	Waiting int     // of them, those without a flow
+	Bytes   float64 // share of the bytes that they may take
+	Ended   int64   // transactions that were taken on and are over, since the start
+}
+
+// Load returns it, as of the newest step.
+func (r *Relay) Load() Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.published.Open, r.full
+	return r.load
 }
 
 // FlowEnded takes in the end of a flow.
@@ -433,6 +443,7 @@
 		h.FirstSent = h.begun
 	}
 	h.begun = time.Time{}
+	r.out--
 	if e.settled {
 		r.forget(h)
 		changes = append(changes, traffic.Ended{ID: f.ID})
@@ -445,6 +456,9 @@
 func (r *Relay) forget(h *held) {
 	delete(r.open, h.ID)
 	r.bytes -= int64(h.Size())
+	if h.fresh == nil {
+		r.ended++
+	}
 }
 
 // deed is what may be done once the journal has the step; a flow is not started where that failed.
@@ -484,6 +498,7 @@
 			f := r.flow(&h.Open, a, now)
 			h.Attempts++
 			h.begun = now
+			r.out++
 			changes = append(changes, traffic.FlowBegun{ID: f.ID, Attempt: f.Attempt, At: now})
 			after = append(after, deed{flow: &f})
 		case wrenford.Cancel:
@@ -514,7 +529,8 @@
 	r.count.Open, r.count.Bytes = len(r.open), r.bytes
 	r.mu.Lock()
 	r.published = r.count
-	r.full = float64(r.bytes) / float64(max(r.cfg.MostBytes, 1))
+	r.load = Load{Open: len(r.open), Waiting: len(r.open) - r.out, Bytes: float64(r.bytes) / float64(max(r.cfg.MostBytes, 1)),
+		Ended: r.ended}
 	r.mu.Unlock()
 }
 
@@ -585,6 +601,7 @@
 		}
 		end := traffic.FlowEnd{ID: d.flow.ID, Attempt: d.flow.Attempt, Member: d.flow.Member, Status: traffic.Unsent}
 		if dropped[end.ID] {
+			r.out--
 			follow = append(follow, outcome(end))
 		} else {
 			r.post(end)
--- a/internal/vitals/vitals.go
+++ b/internal/vitals/vitals.go
@@ -25,6 +25,8 @@
 	longest = time.Minute
 	// stretchFade is what a reading leaves of the sums behind Stretch: their horizon is about ten readings.
 	stretchFade = 0.9
+	// waitWeight is the share of the newest probe in the usual wait.
+	waitWeight = 0.2
 	// leastSection is how much processor time must lie behind Stretch before it is believed.
 	leastSection = 500 * time.Microsecond
 	// mostAges bounds the hand-in ages that one reading takes the middle of.
@@ -38,6 +40,7 @@
 	proc  *process
 
 	probe atomic.Int64 // the longest wait of a probe since the reading, in ns
+	usual atomic.Int64 // wait of a probe, smoothed over the last ones, in ns
 
 	mu                 sync.Mutex
 	loop, age, probes  *hdrhistogram.Histogram // since the start, in microseconds
@@ -108,6 +111,7 @@
 	CPU     float64       // cores used
 	Cores   float64       // cores given
 	Stretch float64       // wall over processor time of computing; 1 where nobody else takes the processor
+	Section float64       // cores used in sections
 	Busy    float64       // share of the cores given that was used or, as Stretch has it, waited for
 	RSS     int64         // bytes; 0 where it cannot be read
 	Heap    int64         // bytes of live and dead objects
@@ -139,6 +143,7 @@
 	}
 	if r.Window > 0 {
 		r.CPU = float64(cpu-m.lastCPU) / float64(r.Window)
+		r.Section = float64(m.cpu) / float64(r.Window)
 		r.Busy = min(r.CPU*r.Stretch/r.Cores, 1)
 	}
 	m.lastAt, m.lastCPU = now, cpu
@@ -188,11 +193,16 @@
 			break
 		}
 	}
+	usual := m.usual.Load() // of this goroutine alone
+	m.usual.Store(usual + int64(waitWeight*float64(int64(d)-usual)))
 	m.mu.Lock()
 	record(m.probes, d)
 	m.mu.Unlock()
 }
 
+// Wait is how long what has come waits until the program looks at it, by the newest probes.
+func (m *Meters) Wait() time.Duration { return time.Duration(m.usual.Load()) }
+
 // Quantiles are of one distribution since the start.
 type Quantiles struct{ P50, P99, P999, Most time.Duration }
 
--- a/sender.go
+++ b/sender.go
@@ -278,14 +278,6 @@
 	return d
 }
 
-// at returns the value under a key, a new one where there is none.
-func at[K comparable, V any](m map[K]*V, k K) *V {
-	if m[k] == nil {
-		m[k] = new(V)
-	}
-	return m[k]
-}
-
 // request takes a message in.
 func (s *Sender) request(ev Request) {
 	if s.messages[ev.ID] != nil {
@@ -320,10 +312,13 @@
 	s.enqueue(m)
 }
 
+// order is that of the queue.
+func (m *message) order(o *message) int {
+	return cmp.Or(cmp.Compare(m.deadline, o.deadline), cmp.Compare(m.seq, o.seq))
+}
+
 func (s *Sender) enqueue(m *message) {
-	at, _ := slices.BinarySearchFunc(s.queue, m, func(a, b *message) int {
-		return cmp.Or(cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.seq, b.seq))
-	})
+	at, _ := slices.BinarySearchFunc(s.queue, m, (*message).order)
 	s.queue = slices.Insert(s.queue, at, m)
 	m.dest.held++
 }
@@ -1007,22 +1002,30 @@
 // shed refuses held messages when the hold cap is near, so that there is room for those that can go: from
 // the destination with the longest backlog for its rate, the least worth first.
 func (s *Sender) shed() {
-	score := func(m *message) float64 {
-		if !s.harmless(m) {
-			return -1
-		}
-		return s.backlog(m.dest) / (m.worth + 0.1) * (1 + s.heavy*float64(m.size)/heavySize)
+	over := len(s.messages) - int(crowded*float64(s.most))
+	if over <= 0 {
+		return
 	}
-	for len(s.messages) > int(crowded*float64(s.most)) && len(s.queue) > 0 {
-		worst := slices.MaxFunc(s.queue, func(a, b *message) int { return cmp.Compare(score(a), score(b)) })
-		if score(worst) < 0 {
-			return
+	weight := func(m *message) float64 { return (1 + s.heavy*float64(m.size)/heavySize) / (m.worth + 0.1) }
+	lists := groups(s.queue, func(m *message) (*destination, bool) { return m.dest, s.harmless(m) })
+	for _, list := range lists { // the least worth goes first
+		slices.SortStableFunc(list, func(a, b *message) int { return cmp.Compare(weight(b), weight(a)) })
+	}
+	for ; over > 0 && len(lists) > 0; over-- {
+		var worst *message
+		most := 0.0
+		for d, list := range lists {
+			score := s.backlog(d) * weight(list[0])
+			if worst == nil || score > most || score == most && list[0].order(worst) < 0 {
+				worst, most = list[0], score
+			}
 		}
 		s.log("hold cap near: shedding")
+		pop(lists, worst.dest)
 		worst.dest.held--
-		s.queue = slices.DeleteFunc(s.queue, func(o *message) bool { return o == worst })
 		s.end(worst, time.Duration(s.backlog(worst.dest)*float64(time.Second)))
 	}
+	s.queue = slices.DeleteFunc(s.queue, func(m *message) bool { return m.closed })
 }
 
 // backlog is about how many seconds a destination needs for what is held for it.
--- /dev/null
+++ b/shed_test.go
@@ -0,0 +1,114 @@
+package wrenford
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wrenford/internal/cuts"
+)
+
+// victims is shedding as its comment has it, one victim after another over all that is held.
+func victims(s *Sender, over int) (ids []string) {
+	queue := slices.Clone(s.queue)
+	held := map[*destination]int{}
+	for _, m := range queue {
+		held[m.dest] = m.dest.held
+	}
+	score := func(m *message) float64 {
+		if !s.harmless(m) {
+			return -1
+		}
+		was := m.dest.held
+		m.dest.held = held[m.dest]
+		defer func() { m.dest.held = was }()
+		return s.backlog(m.dest) / (m.worth + 0.1)
+	}
+	for ; over > 0 && len(queue) > 0; over-- {
+		worst := slices.MaxFunc(queue, func(a, b *message) int { return cmp.Compare(score(a), score(b)) })
+		if score(worst) < 0 {
+			break
+		}
+		ids = append(ids, worst.id)
+		held[worst.dest]--
+		queue = slices.DeleteFunc(queue, func(m *message) bool { return m == worst })
+	}
+	return ids
+}
+
+// Shedding many at once picks those that picking one by one would, in that order.
+func TestShedPicksAsOneByOne(t *testing.T) {
+	cuts.Check(t, func(t *rapid.T) {
+		set := testSettings()
+		set.MaxOpen = 80
+		s, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var eps []Endpoint
+		for i := range 4 {
+			eps = append(eps, Endpoint{ID: fmt.Sprint("e", i), Kind: "partner", Destination: i % 3, State: Draining,
+				Weight: rapid.Float64Range(1, 50).Draw(t, "weight")})
+		}
+		s.Step(0, []Event{Members{Whole: true, Endpoints: eps}}) // nobody may be called: all is held
+		for i := range 60 {
+			class := rapid.SampledFrom([]string{"safe", "keyed", "unsafe"}).Draw(t, "class")
+			s.Step(time.Duration(i)*time.Millisecond, []Event{Request{ID: fmt.Sprint(i), Class: class,
+				Destination: rapid.IntRange(0, 2).Draw(t, "destination"), TimeLeft: time.Duration(rapid.IntRange(5, 20).Draw(t, "left")) * time.Second,
+				MayHaveRun: class == "unsafe" && rapid.Bool().Draw(t, "ran")}})
+		}
+		most := rapid.IntRange(1, 80).Draw(t, "most")
+		want := victims(s, len(s.messages)-int(crowded*float64(most)))
+		var got []string
+		for _, a := range s.Step(70*time.Millisecond, []Event{HoldCap{Messages: most}}) {
+			if r, ok := a.(Refuse); ok {
+				got = append(got, r.ID)
+			}
+		}
+		if !slices.Equal(got, want) {
+			t.Fatalf("shed %v, want %v", got, want)
+		}
+	})
+}
+
+// A lower hold cap sends held work back, never what may have run or is out; with Heavy the large goes first. A cap
+// beyond the settings' is theirs.
+func TestHoldCap(t *testing.T) {
+	set := testSettings()
+	set.MaxOpen = 40
+	s := newSender(t, set, ep("e", 1))
+	var acts []Action
+	for i := range 20 {
+		acts = append(acts, s.Step(time.Duration(i)*ms, []Event{Request{ID: fmt.Sprint(i), Class: "safe", Destination: 1,
+			TimeLeft: 10 * time.Second, Size: 100 + 4000*(i%2)}})...)
+	}
+	out := map[string]bool{}
+	for _, a := range acts {
+		if send, ok := a.(Send); ok {
+			out[send.ID] = true
+		}
+	}
+	if len(out) == 0 || len(ends(acts)) > 0 {
+		t.Fatalf("%d out, %d ended before any cap", len(out), len(ends(acts)))
+	}
+	refused := ends(s.Step(30*ms, []Event{HoldCap{Messages: 13, Heavy: 1}}))
+	if got := len(s.messages); got != 11 { // crowded of 13
+		t.Errorf("%d messages held under a cap of 13", got)
+	}
+	for id := range refused {
+		if n := id[len(id)-1]; out[id] || (n-'0')%2 == 0 {
+			t.Errorf("%s went back: out %v, or small while large ones stayed", id, out[id])
+		}
+	}
+	if rest := ends(s.Step(40*ms, []Event{HoldCap{Messages: 0}})); len(s.messages) != len(out) || len(rest) == 0 {
+		t.Errorf("under no cap %d messages are left, and %d calls are out", len(s.messages), len(out))
+	}
+	s.Step(50*ms, []Event{HoldCap{Messages: 1000}})
+	if s.most != 40 {
+		t.Errorf("the cap is %d", s.most)
+	}
+}
