--- a/cmd/slatemux/cli.go
+++ b/cmd/slatemux/cli.go
@@ -163,7 +163,7 @@
 	case f == gateway.JSON:
 		h = slog.NewJSONHandler(w, opts)
 	case f == gateway.Colour || f == gateway.Auto && term.IsTerminal(int(w.Fd())):
-		h = tint.NewHandler(w, &tint.Options{Level: &logLevel, TimeFormat: "15:04:05.000"})
+		h = tint.NewTextHandler(w, &tint.Options{Level: &logLevel, TimeFormat: "15:04:05.000"})
 	default:
 		h = slog.NewTextHandler(w, opts)
 	}
--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -105,7 +105,7 @@
 		return err
 	}
 	if gov != nil {
-		parts.Go(func() { meters.Probe(ctx) })
+		meters.Probe(ctx)
 		parts.Go(func() { gov.Run(ctx, r, server, flows) })
 	}
 	served := make(chan error, 1)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -277,17 +277,18 @@
 
 // warm takes the warm connection that idled least. It needs the lock.
 func (g *Manager) warm(m *member) *conn {
-	for n := len(m.idle); n > 0; n = len(m.idle) {
-		c := m.idle[n-1]
-		if g.stale(c, time.Now()) {
-			g.dropIdle(m)
-			return nil
-		}
-		m.idle = m.idle[:n-1]
-		g.reused++
-		return c
+	n := len(m.idle)
+	if n == 0 {
+		return nil
+	}
+	c := m.idle[n-1]
+	if g.stale(c, time.Now()) {
+		g.dropIdle(m)
+		return nil
 	}
-	return nil
+	m.idle = m.idle[:n-1]
+	g.reused++
+	return c
 }
 
 // connect opens a connection; over the cap, the connection that idled longest makes room.
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -16,9 +16,10 @@
 	"wrenford/internal/vitals"
 )
 
-// Meters are what a Governor reads.
+// Meters are what a Governor reads. Ping has one of them measure a wait until the next reading.
 type Meters interface {
 	Read(now time.Time) vitals.Reading
+	Ping()
 }
 
 // Relay holds open messages and steps.
@@ -55,6 +56,10 @@
 // the processor is short and memory is not.
 const gcUsual, gcEasy = 100, 400
 
+// A relay that was handed no more than restMost messages in a tick, and used less than restBusy of its processor, ticks
+// restTicks times less often, until it is handed more: waking up costs an idle program most of what it uses.
+const restMost, restBusy, restTicks = 10, 0.1, 5
+
 // Governor drives one overload.Controller.
 type Governor struct {
 	cfg    Config
@@ -62,10 +67,14 @@
 	pace   atomic.Int64
 	memory atomic.Int64
 
-	mu   sync.Mutex
-	ctrl *overload.Controller
-	act  overload.Act
-	read vitals.Reading
+	kick chan struct{} // ends a rest
+
+	mu      sync.Mutex
+	handIns int // since the newest tick
+	resting bool
+	ctrl    *overload.Controller
+	act     overload.Act
+	read    vitals.Reading
 
 	// Of the goroutine in Run alone.
 	relay   Relay
@@ -92,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Governor{cfg: cfg, origin: time.Now(), ctrl: ctrl, percent: gcUsual}
+	g := &Governor{cfg: cfg, origin: time.Now(), ctrl: ctrl, percent: gcUsual, kick: make(chan struct{}, 1)}
 	g.memory.Store(cfg.Memory)
 	g.given = given{open: cfg.Control.OpenMost, byteScale: 1, step: cfg.Step}
 	return g, nil
@@ -106,6 +115,13 @@
 	now := time.Since(g.origin)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.handIns++; g.resting && g.handIns > restMost {
+		g.resting = false
+		select {
+		case g.kick <- struct{}{}:
+		default:
+		}
+	}
 	return g.ctrl.Admit(now, h)
 }
 
@@ -115,7 +131,7 @@
 // Run ticks until ctx ends, and then lets everything be as without it.
 func (g *Governor) Run(ctx context.Context, relay Relay, front Front, flows Idler) {
 	g.relay, g.front, g.flows = relay, front, flows
-	tick := time.NewTicker(g.cfg.Tick)
+	tick := time.NewTimer(g.cfg.Tick)
 	defer tick.Stop()
 	for {
 		select {
@@ -126,14 +142,17 @@
 			}
 			return
 		case <-tick.C:
-			g.step(time.Now())
+			tick.Reset(g.step(time.Now()))
+		case <-g.kick:
+			tick.Reset(g.cfg.Tick)
 		}
 	}
 }
 
-// step is one tick.
-func (g *Governor) step(now time.Time) {
+// step is one tick. It returns how long after it the next is due.
+func (g *Governor) step(now time.Time) time.Duration {
 	r := g.cfg.Meters.Read(now)
+	g.cfg.Meters.Ping()
 	l := g.relay.Load()
 	s := overload.Sample{Busy: r.Busy, Bytes: l.Bytes, Held: l.Open, Waiting: l.Waiting, Clients: g.front.Handing(),
 		Ended: int(l.Ended - g.ended), Holding: r.Section / r.Cores, Delay: max(r.Age-g.given.step, 0)}
@@ -146,6 +165,12 @@
 	g.mu.Lock()
 	act := g.ctrl.Tick(now.Sub(g.origin), s)
 	g.act, g.read = act, r
+	g.resting = g.handIns <= restMost && r.Busy < restBusy && act.Cause == overload.None && s.Memory < g.cfg.Control.MemoryHigh
+	g.handIns = 0
+	next := g.cfg.Tick
+	if g.resting {
+		next *= restTicks
+	}
 	g.mu.Unlock()
 	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
 		slog.Debug("overload tick", "shedding", act.Shedding, "limit", int(act.Limit), "cut", act.Cut, "pace", act.Pace,
@@ -153,6 +178,7 @@
 			"loop", r.Loop, "open", s.Held, "waiting", s.Waiting, "ended", s.Ended, "holding", s.Holding, "hand_ins", r.HandIns)
 	}
 	g.apply(act, s, r)
+	return next
 }
 
 // apply tells the parts what has changed.
--- a/internal/governor/governor_test.go
+++ b/internal/governor/governor_test.go
@@ -20,9 +20,11 @@
 	told    []string
 	now     time.Time
 	quiet   bool
+	pings   int
 }
 
 func (w *world) Read(time.Time) vitals.Reading { return w.reading }
+func (w *world) Ping()                         { w.pings++ }
 func (w *world) Load() relay.Load              { return w.load }
 func (w *world) Handing() int                  { return 3 }
 func (w *world) Stretch(d time.Duration)       { w.told = append(w.told, fmt.Sprint("step ", d)) }
@@ -124,3 +126,26 @@
 		t.Errorf("told %q", got)
 	}
 }
+
+// With nothing to do it ticks less often; a burst of hand-ins ends that at once.
+func TestRest(t *testing.T) {
+	g, w := start(t)
+	w.reading.Busy = 0.01
+	if next := g.step(g.origin.Add(50 * ms)); next != 250*ms || w.pings != 1 {
+		t.Errorf("the next tick in %v, %d pings", next, w.pings)
+	}
+	for range restMost + 1 {
+		g.Admit(overload.HandIn{Class: "pay", Left: time.Second})
+	}
+	select {
+	case <-g.kick:
+	default:
+		t.Error("a burst does not wake it")
+	}
+	if next := g.step(g.origin.Add(100 * ms)); next != 50*ms {
+		t.Errorf("after a burst the next tick is in %v", next)
+	}
+	if w.reading.Busy = 0.5; g.step(g.origin.Add(150*ms)) != 50*ms {
+		t.Error("a busy relay rests")
+	}
+}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -163,13 +163,20 @@
 	RSS int64
 }
 
-// Usage reads it; nought once the program is gone. Processor time is counted in clock ticks of 10 ms.
+// Usage reads it; nought once the program is gone. The processor time is that of the process's own clock, in
+// nanoseconds, for the figures under /proc count ticks of 10 ms.
 func (p *Process) Usage() Usage {
 	s, err := p.proc.Stat()
 	if err != nil {
 		return Usage{}
 	}
-	return Usage{CPU: time.Duration(s.CPUTime() * float64(time.Second)), RSS: int64(s.ResidentMemory())}
+	u := Usage{CPU: time.Duration(s.CPUTime() * float64(time.Second)), RSS: int64(s.ResidentMemory())}
+	const sched = 2 // as clock_getcpuclockid(3) builds the clock of another process
+	var ts unix.Timespec
+	if unix.ClockGettime(int32(^p.cmd.Process.Pid<<3|sched), &ts) == nil {
+		u.CPU = time.Duration(ts.Nano())
+	}
+	return u
 }
 
 // Line finds the newest log line in JSON with a message, and decodes it.
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -202,7 +202,6 @@
 	pressing    int
 	frac, error float64 // share admitted at the cut level, and what the rounding owes
 	tokens      float64
-	floorAt     time.Duration
 	bucketAt    time.Duration
 	excess      float64       // offered over limit, less 1
 	load        float64       // smoothed, for the brownout
@@ -489,7 +488,7 @@
 		c.act.Cause, c.act.Reading = cause, reading
 		c.act.Limit = max(min(c.act.Limit, 1.1*rate)*cut, limitLeast*c.ended, c.cfg.LeastRate)
 	default:
-		c.act.Limit = min(c.act.Limit*(1+upLeast+grow*(1-load)), max(c.act.Limit, 1.5*c.thru))
+		c.act.Limit = min(c.act.Limit*(1+upLeast+grow*max(1-max(load, c.load), 0)), max(c.act.Limit, 1.5*c.thru))
 	}
 	c.calm++
 	// While connections rest, what is offered is not all that would come.
--- a/internal/vitals/vitals.go
+++ b/internal/vitals/vitals.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"os"
 	"runtime"
@@ -19,8 +18,6 @@
 )
 
 const (
-	// probeEvery is how often a byte goes through a pipe to see how long a reader waits for what is there.
-	probeEvery = 20 * time.Millisecond
 	// longest is the most that a histogram holds; what took longer counts as that.
 	longest = time.Minute
 	// stretchFade is what a reading leaves of the sums behind Stretch: their horizon is about ten readings.
@@ -39,6 +36,11 @@
 	quota func() float64 // cores that the control group grants; 0 if none is known
 	proc  *process
 
+	origin time.Time
+	pipe   atomic.Pointer[os.File]
+	sent   atomic.Int64 // since origin, in ns
+	out    atomic.Bool  // a byte is on its way
+
 	probe atomic.Int64 // the longest wait of a probe since the reading, in ns
 	usual atomic.Int64 // wait of a probe, smoothed over the last ones, in ns
 
@@ -59,7 +61,7 @@
 	if cores <= 0 || cores > most {
 		cores = most
 	}
-	return &Meters{cores: cores, quota: cgroupQuota(), proc: newProcess(), loop: histogram(), age: histogram(), probes: histogram(),
+	return &Meters{origin: time.Now(), cores: cores, quota: cgroupQuota(), proc: newProcess(), loop: histogram(), age: histogram(), probes: histogram(),
 		lastAt: time.Now(), lastCPU: cpuTime()}
 }
 
@@ -126,8 +128,12 @@
 	slow := m.proc.read(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	probe := time.Duration(m.probe.Swap(0))
+	if m.out.Load() { // one that has not come through yet has waited as long as this
+		probe = max(probe, time.Since(m.origin)-time.Duration(m.sent.Load()))
+	}
 	r := Reading{Window: now.Sub(m.lastAt), Loop: m.worst, HandIns: m.agesSeen, Cores: m.cores,
-		Probe: time.Duration(m.probe.Swap(0)), RSS: slow.rss, Heap: slow.heap, GCShare: slow.gc, Sched: slow.sched}
+		Probe: probe, RSS: slow.rss, Heap: slow.heap, GCShare: slow.gc, Sched: slow.sched}
 	if q := m.quota(); q > 0 {
 		r.Cores = min(r.Cores, q)
 	}
@@ -151,38 +157,36 @@
 	return r
 }
 
-// Probe sends a byte through a pipe now and then until ctx ends. The reader is woken like one of a client's
-// connection, so what it waits is what a client's bytes wait before the program looks at them.
+// Probe opens a pipe for Ping, until ctx ends. Its reader is woken like one of a client's connection, so what it waits
+// is what a client's bytes wait before the program looks at them.
 func (m *Meters) Probe(ctx context.Context) {
 	r, w, err := os.Pipe()
 	if err != nil { // out of descriptors, say: the other meters go on
 		slog.Warn("no probe", "err", err)
 		return
 	}
-	defer w.Close()
-	var sent atomic.Int64 // since origin, in ns
-	origin := time.Now()
+	m.pipe.Store(w)
+	context.AfterFunc(ctx, func() {
+		m.pipe.Store(nil)
+		w.Close()
+	})
 	go func() {
 		defer r.Close()
 		for b := make([]byte, 1); ; {
 			if _, err := r.Read(b); err != nil {
 				return
 			}
-			m.waited(time.Since(origin) - time.Duration(sent.Load()))
+			m.waited(time.Since(m.origin) - time.Duration(m.sent.Load()))
+			m.out.Store(false)
 		}
 	}()
-	tick := time.NewTicker(probeEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			sent.Store(int64(time.Since(origin)))
-			if _, err := io.WriteString(w, "x"); err != nil {
-				return
-			}
-		}
+}
+
+// Ping sends a byte through the pipe, unless one is still on its way.
+func (m *Meters) Ping() {
+	if w := m.pipe.Load(); w != nil && m.out.CompareAndSwap(false, true) {
+		m.sent.Store(int64(time.Since(m.origin)))
+		_, _ = w.Write([]byte{0}) // it fails once the pipe is closed
 	}
 }
 
