Log counters that are asked for in a brownout too

Cause: a brownout raised the log's level over that of the counters, so SIGUSR1 was answered with nothing while the relay shed; a test of the laboratory waited for them in vain. They are logged at the level that passes.

--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -140,12 +140,13 @@
 		cfg.written = newer.written
 	}
 	report := func(why string) {
+		level := max(slog.LevelInfo, min(logLevel.Level(), slog.LevelWarn)) // asked for, they are told in a brownout too
 		size, live, compacted := store.Stats()
 		opened, reused := flows.Counts()
 		if gov != nil {
-			slog.Info("overload counters", "why", why, "overload", gov.State())
+			slog.Log(ctx, level, "overload counters", "why", why, "overload", gov.State())
 		}
-		slog.Info("counters", "why", why, "relay", r.Counters(), "front", server.Counters(), "connections", opened,
+		slog.Log(ctx, level, "counters", "why", why, "relay", r.Counters(), "front", server.Counters(), "connections", opened,
 			"reused", reused, "journal", size, "owed", live, "compacted", compacted, "reloads", reloads, "bad_reloads", badReloads,
 			"vitals", meters.Totals())
 	}
--- a/internal/lab/hard_test.go
+++ b/internal/lab/hard_test.go
@@ -84,7 +84,7 @@
 func (d *Deployment) judge(t *testing.T, p *Process) ledger.Verdict {
 	t.Helper()
 	if err := p.Settled(time.Now().Add(60 * time.Second)); err != nil {
-		t.Fatal(err)
+		t.Fatalf("%v\n%s", err, p.Log())
 	}
 	p.Kill()
 	d.Close()
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -52,20 +52,20 @@
 
 // message is one hand-in to be.
 type message struct {
-	stream  int
-	dest    int
-	key     uint64
-	due     time.Time
-	end     time.Time // its deadline, from its first due time
-	tries   int
+	stream int
+	dest   int
+	key    uint64
+	due    time.Time
+	end    time.Time // its deadline, from its first due time
+	tries  int
 }
 
 // Load is a load under way.
 type Load struct {
-	cfg  Config
-	due  chan message
-	seq  atomic.Uint64
-	wg   sync.WaitGroup // of messages that fell due and are not over, those that come again included
+	cfg Config
+	due chan message
+	seq atomic.Uint64
+	wg  sync.WaitGroup // of messages that fell due and are not over, those that come again included
 }
 
 // Run hands in by the schedule and returns once the last message has its answer or is out of patience, or when
