--- a/internal/lab/ledger/ledger_test.go
+++ b/internal/lab/ledger/ledger_test.go
@@ -58,6 +58,7 @@
 		"keyed in its memory":   {"", []HandIn{taken(1, 1)}, []Call{call(1, 1, 1.1, 500), call(1, 2.9, 3, 200)}, nil, nil, nil},
 		"keyed too late":        {"repeats", []HandIn{taken(1, 1)}, []Call{call(1, 1, 1.1, 500), call(1, 3.1, 3.2, 200)}, nil, nil, nil},
 		"two copies":            {"one copy", []HandIn{taken(1, 0)}, []Call{call(1, 1, 2, 500), call(1, 1.5, 2.5, 200)}, nil, nil, nil},
+		"a copy after a kill":   {"", []HandIn{taken(1, 0)}, []Call{call(1, 1, 2, 500), call(1, 1.5, 2.5, 200)}, nil, nil, []Kill{{at(1.2), at(1.4)}}},
 		"another's endpoint":    {"destination", []HandIn{taken(1, 0)}, []Call{other}, nil, nil, nil},
 		"into a wait":           {"waits", []HandIn{taken(1, 0)}, []Call{wait, call(1, 0.5, 0.6, 200)}, nil, nil, nil},
 		"as the wait begins":    {"", []HandIn{taken(1, 0)}, []Call{wait, call(1, 0.3, 0.4, 200)}, nil, nil, nil},
