--- /dev/null
+++ b/cmd/slatelab/tls.go
@@ -0,0 +1,375 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sys/unix"
+
+	"wrenford/internal/lab"
+	"wrenford/internal/lab/ca"
+	"wrenford/internal/lab/ledger"
+	"wrenford/internal/lab/load"
+	"wrenford/internal/lab/partner"
+)
+
+// caCommand makes an authority and certificates to try things with.
+func caCommand() *cobra.Command {
+	var dir, kind string
+	var names []string
+	var span time.Duration
+	c := &cobra.Command{
+		Use:   "ca",
+		Short: "Make a test authority, a server's and a client's certificate in a folder",
+		Long: `Write root.pem, server.pem, server.key, client.pem and client.key. Called again in the same folder it renews server's
+and client's under a new root, as a renewal would: each file by a rename. For tests alone.`,
+		Example: "  slatelab ca --dir bin/ca --name pay.example.org --for 1h",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := os.MkdirAll(dir, 0o700); err != nil {
+				return err
+			}
+			root, err := ca.Root("test authority", ca.Kind(kind))
+			if err != nil {
+				return err
+			}
+			if err := ca.Write(filepath.Join(dir, "root.pem"), root.PEM(), 0o644); err != nil {
+				return err
+			}
+			for _, l := range []struct {
+				name string
+				leaf ca.Leaf
+			}{{"server", ca.Leaf{Names: names}}, {"client", ca.Leaf{Names: []string{"relay"}, Client: true}}} {
+				l.leaf.Kind, l.leaf.NotAfter = ca.Kind(kind), time.Now().Add(span)
+				pair, err := root.Issue(l.leaf)
+				if err != nil {
+					return err
+				}
+				if err := pair.Files(filepath.Join(dir, l.name+".pem"), filepath.Join(dir, l.name+".key")); err != nil {
+					return err
+				}
+			}
+			cmd.Printf("%s: root.pem, server.pem, server.key for %v, client.pem, client.key; valid for %v\n", dir, names, span)
+			return nil
+		},
+	}
+	c.Flags().StringVar(&dir, "dir", "bin/ca", "folder")
+	c.Flags().StringVar(&kind, "kind", string(ca.P256), "rsa2048, p256 or ed25519")
+	c.Flags().StringSliceVar(&names, "name", []string{"127.0.0.1"}, "names of the server")
+	c.Flags().DurationVar(&span, "for", 24*time.Hour, "how long they are valid")
+	return c
+}
+
+type tlsFlags struct {
+	binary, gateway string
+	n               int
+	span            time.Duration
+	rate            float64
+	cpu, conns      int
+}
+
+func tlsCommand() *cobra.Command {
+	var f tlsFlags
+	c := &cobra.Command{
+		Use:   "tls",
+		Short: "Measure handshakes, the cost of TLS per message, and a storm of handshakes after an outage",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			w := cmd.OutOrStdout()
+			if err := f.handshakes(w); err != nil {
+				return err
+			}
+			if err := f.steady(cmd.Context(), w); err != nil {
+				return err
+			}
+			return f.storms(cmd.Context(), w)
+		},
+	}
+	fs := c.Flags()
+	fs.StringVar(&f.binary, "binary", "bin/slatemux", "the relay")
+	fs.StringVar(&f.gateway, "config", "deploy/gateway.textproto", "the gateway's settings, to which policies are added")
+	fs.IntVar(&f.n, "handshakes", 400, "handshakes of each kind")
+	fs.DurationVar(&f.span, "for", 5*time.Second, "length of a run")
+	fs.Float64Var(&f.rate, "rate", 3000, "messages a second in the runs")
+	fs.IntVar(&f.cpu, "cpu", 0, "the relay's processor")
+	fs.IntVar(&f.conns, "connections", 500, "connections that the storm is to lose")
+	return c
+}
+
+// handshakes measures connecting from one thread, by that thread's processor time.
+func (f *tlsFlags) handshakes(w io.Writer) error {
+	fmt.Fprintf(w, "Connecting to a server on loopback, %d times each, one after another:\n\n", f.n)
+	fmt.Fprintln(w, "| key | version | handshake | delay p50 ms | p99 ms | processor p50 ms | resumed |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
+	if err := f.connects(w, "none", 0, false, nil, nil); err != nil {
+		return err
+	}
+	for _, kind := range ca.Kinds {
+		root, err := ca.Root("root", kind)
+		if err != nil {
+			return err
+		}
+		leaf, err := root.Issue(ca.Leaf{Names: []string{"127.0.0.1"}, Kind: kind})
+		if err != nil {
+			return err
+		}
+		for _, version := range []uint16{tls.VersionTLS12, tls.VersionTLS13} {
+			for _, resume := range []bool{false, true} {
+				if err := f.connects(w, string(kind), version, resume, root, leaf); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	fmt.Fprintln(w)
+	return nil
+}
+
+func (f *tlsFlags) connects(w io.Writer, kind string, version uint16, resume bool, root, leaf *ca.Pair) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	defer ln.Close()
+	var server *tls.Config
+	client := &tls.Config{ServerName: "127.0.0.1", MaxVersion: version}
+	if leaf != nil {
+		server = &tls.Config{Certificates: []tls.Certificate{leaf.TLS()}}
+		client.RootCAs = x509.NewCertPool()
+		client.RootCAs.AddCert(root.Cert)
+	}
+	if resume {
+		client.ClientSessionCache = tls.NewLRUClientSessionCache(1)
+	}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				if server != nil {
+					nc = tls.Server(nc, server)
+				}
+				_, _ = io.WriteString(nc, "x")
+				_, _ = io.Copy(io.Discard, nc)
+			}()
+		}
+	}()
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	var delays, used []time.Duration
+	resumed := 0
+	for i := range f.n + 1 {
+		from, cpu := time.Now(), threadTime()
+		nc, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			return err
+		}
+		if leaf != nil {
+			c := tls.Client(nc, client)
+			if err := c.Handshake(); err != nil {
+				return err
+			}
+			if c.ConnectionState().DidResume {
+				resumed++
+			}
+			nc = c
+		}
+		took, spent := time.Since(from), threadTime()-cpu
+		if _, err := io.ReadFull(nc, make([]byte, 1)); err != nil { // and the tickets before it
+			return err
+		}
+		nc.Close()
+		if i > 0 { // the first has nothing to resume
+			delays, used = append(delays, took), append(used, spent)
+		}
+	}
+	slices.Sort(delays)
+	slices.Sort(used)
+	name, how := "TCP alone", "-"
+	if leaf != nil {
+		name, how = tls.VersionName(version), map[bool]string{false: "full", true: "resumed"}[resume]
+	}
+	fmt.Fprintf(w, "| %s | %s | %s | %.2f | %.2f | %.2f | %.1f%% |\n", kind, name, how, millis(ledger.At(delays, 0.5)), millis(ledger.At(delays, 0.99)),
+		millis(ledger.At(used, 0.5)), 100*float64(resumed)/float64(f.n))
+	return nil
+}
+
+func millis(d time.Duration) float64 { return float64(d) / 1e6 }
+
+func threadTime() time.Duration {
+	var ts unix.Timespec
+	_ = unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &ts)
+	return time.Duration(ts.Nano())
+}
+
+// bank is a place whose partners speak TLS, or not, with what the relay's settings need for it.
+func (f *tlsFlags) bank(dir string, secure bool, life []partner.Phase, latency time.Duration) (lab.Place, string, error) {
+	p := place(4, 512, latency)
+	text, err := readGateway(f.gateway)
+	if err != nil || !secure {
+		return p, text, err
+	}
+	root, err := ca.Root("root", ca.P256)
+	if err != nil {
+		return p, "", err
+	}
+	leaf, err := root.Issue(ca.Leaf{Names: []string{"127.0.0.1"}})
+	if err != nil {
+		return p, "", err
+	}
+	if err := ca.Write(filepath.Join(dir, "root.pem"), root.PEM(), 0o644); err != nil {
+		return p, "", err
+	}
+	for i := range p.Partners {
+		p.Partners[i].TLS = &tls.Config{Certificates: []tls.Certificate{leaf.TLS()}}
+		if life != nil {
+			p.Partners[i].Life = life
+		}
+	}
+	return p, text, nil
+}
+
+// run puts a deployment up and runs a load on it. during is called when the load begins.
+func (f *tlsFlags) run(ctx context.Context, secure bool, life []partner.Phase, latency time.Duration, handshakes string, steps []load.Step,
+	during func(*lab.Deployment)) (d *lab.Deployment, relay *lab.Process, cpu time.Duration, err error) {
+	dir, err := scratch()
+	if err != nil {
+		return nil, nil, 0, err
+	}
+	defer os.RemoveAll(dir)
+	p, text, err := f.bank(dir, secure, life, latency)
+	if err != nil {
+		return nil, nil, 0, err
+	}
+	if secure {
+		text += fmt.Sprintf("\ntls { policy { name: \"bank\" root_file: %q sessions: 64 } %s }\n", filepath.Join(dir, "root.pem"), handshakes)
+	}
+	if d, err = lab.Put(dir, p); err != nil {
+		return nil, nil, 0, err
+	}
+	defer d.Close()
+	if relay, err = d.Relay(f.binary, []int{f.cpu}, text); err != nil {
+		return nil, nil, 0, err
+	}
+	defer relay.Kill()
+	if during != nil {
+		go during(d)
+	}
+	from := relay.Usage()
+	err = d.Load(ctx, load.Config{Clients: 300, Patience: 400 * time.Millisecond, Streams: streams(p, 200), Steps: steps, Dests: dests(p), Seed: 11,
+		Poisson: true})
+	cpu = relay.Usage().CPU - from.CPU
+	if err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		return nil, nil, 0, err
+	}
+	if err := relay.Settled(time.Now().Add(40 * time.Second)); err != nil {
+		return nil, nil, 0, err
+	}
+	return d, relay, cpu, nil
+}
+
+// steady compares the relay's processor time per message over TLS and plain, in turn.
+func (f *tlsFlags) steady(ctx context.Context, w io.Writer) error {
+	fmt.Fprintf(w, "The relay on one core at %.0f messages a second on warm connections:\n\n", f.rate)
+	fmt.Fprintln(w, "| connections | delivered | processor per message µs | breaches |")
+	fmt.Fprintln(w, "|---|---|---|---|")
+	for _, secure := range []bool{false, true, false, true} {
+		d, _, cpu, err := f.run(ctx, secure, nil, 20*time.Millisecond, "", []load.Step{{For: f.span, Rate: f.rate}}, nil)
+		if err != nil {
+			return err
+		}
+		v := d.Judge(time.Now().Add(time.Hour))
+		n := 0
+		for _, c := range v.Classes {
+			n += c.Delivered
+		}
+		fmt.Fprintf(w, "| %s | %d | %.1f | %d |\n", map[bool]string{false: "plain", true: "TLS 1.3"}[secure], n, float64(cpu.Microseconds())/float64(max(n, 1)), len(v.Breaches))
+	}
+	fmt.Fprintln(w)
+	return nil
+}
+
+// storms loses all connections at once, under load, with and without admission of handshakes.
+func (f *tlsFlags) storms(ctx context.Context, w io.Writer) error {
+	latency := time.Duration(float64(f.conns) / f.rate * float64(time.Second))
+	fmt.Fprintf(w, "About %d connections over TLS (calls of %v) lost at once; members are back after 300 ms:\n\n", f.conns, latency.Round(time.Millisecond))
+	fmt.Fprintln(w, "| admission | handshakes full / resumed after the loss | goodput back to 90% after | loop p99 / most ms | not delivered in aim | breaches |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|")
+	const warm = 6 * time.Second
+	for _, admission := range []bool{false, true, false, true} {
+		text := "handshakes { core_share: 1 least_per_second: 10000 per_member: 1000 }"
+		if admission {
+			text = ""
+		}
+		var lost time.Time
+		var full, resumed int64
+		sums := func(d *lab.Deployment) (full, resumed int64) {
+			for _, p := range d.Partners {
+				a, b := p.Handshakes()
+				full, resumed = full+a, resumed+b
+			}
+			return full, resumed
+		}
+		done := make(chan struct{})
+		d, relay, _, err := f.run(ctx, true, nil, latency, text, []load.Step{{For: 2 * time.Second, Rate: f.rate / 2}, {For: warm + f.span, Rate: f.rate}},
+			func(d *lab.Deployment) {
+				defer close(done)
+				time.Sleep(2*time.Second + warm)
+				full, resumed = sums(d)
+				lost = time.Now()
+				for _, p := range d.Partners {
+					p.Enter(partner.Phase{Mode: partner.Refusing})
+				}
+				time.Sleep(300 * time.Millisecond)
+				for _, p := range d.Partners {
+					p.Enter(partner.Phase{Latency: partner.Latency{Mean: latency}})
+				}
+			})
+		if err != nil {
+			return err
+		}
+		<-done
+		allFull, allResumed := sums(d)
+		line, _ := relay.Line("counters")
+		v := d.Judge(time.Now().Add(time.Hour))
+		offered, inAim := 0, 0
+		for _, c := range v.Classes {
+			offered, inAim = offered+c.Offered, inAim+c.InAim
+		}
+		fmt.Fprintf(w, "| %s | %d / %d | %s | %.0f / %.0f | %.1f%% | %d |\n", map[bool]string{false: "off", true: "on"}[admission], allFull-full, allResumed-resumed,
+			back(d.Ledger.Delivered(lost, 100*time.Millisecond), f.rate), lab.Field(line, "vitals", "loop_delay", "p99")/1e6,
+			lab.Field(line, "vitals", "loop_delay", "most")/1e6, 100*float64(offered-inAim)/float64(max(offered, 1)), len(v.Breaches))
+		for i, b := range v.Breaches {
+			if i < 3 {
+				fmt.Fprintf(w, "breach: %s: %s\n", b.Rule, b.Text)
+			}
+		}
+	}
+	return nil
+}
+
+// back is when deliveries, counted by tenths of a second, first reach nine tenths of the rate.
+func back(byTenth []int, rate float64) string {
+	for i, n := range byTenth {
+		if i > 2 && float64(n) >= 0.9*rate/10 { // the first tenths are the outage itself
+			return (time.Duration(i) * 100 * time.Millisecond).String()
+		}
+	}
+	return "not in the run"
+}
--- a/cmd/slatemux/cli.go
+++ b/cmd/slatemux/cli.go
@@ -19,6 +19,7 @@
 
 	"wrenford/internal/gateway"
 	"wrenford/internal/governor"
+	"wrenford/internal/secure"
 )
 
 func main() {
@@ -94,6 +95,9 @@
 					return fmt.Errorf("%s: %w", cfg.gatewayPath, err)
 				}
 			}
+			if _, err := secure.New(cfg.gateway.TLS.Policies); err != nil {
+				return fmt.Errorf("%s: %w", cfg.gatewayPath, err)
+			}
 			return summary(cmd.OutOrStdout(), cfg)
 		},
 	}
@@ -122,7 +126,7 @@
 			return nil
 		},
 	}
-	root.AddCommand(serve, check, version, counters)
+	root.AddCommand(serve, check, version, counters, tlsCommand(getenv, &path))
 	return root
 }
 
@@ -193,6 +197,10 @@
 	} else {
 		fmt.Fprintf(t, "overload\toff\n")
 	}
+	for _, p := range cfg.gateway.TLS.Policies {
+		fmt.Fprintf(t, "tls policy %s\tdestinations %v, host %q, plain %v, client certificate %v, %d pins\n", p.Name, p.Destinations, p.Hosts, p.Plain,
+			p.Certificate != "", len(p.Pins))
+	}
 	return t.Flush()
 }
 
--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -19,6 +19,7 @@
 	"wrenford/internal/place"
 	"wrenford/internal/pool"
 	"wrenford/internal/relay"
+	"wrenford/internal/secure"
 	"wrenford/internal/traffic"
 	"wrenford/internal/vitals"
 )
@@ -74,8 +75,23 @@
 		admission = gov
 	}
 
+	var secured *secure.Manager
+	var overTLS flow.Secure // a nil interface where all is plain
+	if len(cfg.gateway.TLS.Policies) > 0 {
+		if secured, err = secure.New(cfg.gateway.TLS.Policies); err != nil {
+			return err
+		}
+		overTLS = secured
+	}
+	busy := func() float64 {
+		if gov == nil {
+			return 0
+		}
+		return gov.State().Reading.Busy
+	}
+
 	var r *relay.Relay
-	flows := flow.New(flow.Config{ConnectWithin: cfg.settings.ConnectTimeout, IdleMost: cfg.settings.KeepAlive,
+	flows := flow.New(flow.Config{Secure: overTLS, Gate: cfg.gateway.TLS.Gate, Busy: busy, ConnectWithin: cfg.settings.ConnectTimeout, IdleMost: cfg.settings.KeepAlive,
 		MostFlows: most.flows, MostConns: most.members,
 		Settle: settle, OwnDelay: meters.Wait},
 		func(end traffic.FlowEnd) { r.FlowEnded(end) })
@@ -108,6 +124,13 @@
 		meters.Probe(ctx)
 		parts.Go(func() { gov.Run(ctx, r, server, flows) })
 	}
+	if secured != nil && cfg.gateway.TLS.Watch {
+		parts.Go(func() {
+			if err := secured.Watch(ctx); err != nil {
+				slog.Error("tls files not watched: they are read again at SIGHUP alone", "err", err)
+			}
+		})
+	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	slog.Info("ready", "listen", server.Addr())
@@ -116,6 +139,9 @@
 	// apply takes over what a configuration that was read again may change; a bad one changes nothing.
 	var reloads, badReloads int64
 	apply := func() {
+		if secured != nil {
+			secured.Reload()
+		}
 		newer, err := reread()
 		if err != nil {
 			badReloads++
@@ -146,6 +172,11 @@
 		if gov != nil {
 			slog.Log(ctx, level, "overload counters", "why", why, "overload", gov.State())
 		}
+		if secured != nil {
+			gate, waiting := flows.Handshakes()
+			slog.Log(ctx, level, "tls counters", "why", why, "tls", secured.Counters(), "asked", gate.Asked, "begun", gate.Begun, "carried", gate.Carried,
+				"out_of_time", gate.Expired, "waiting", waiting)
+		}
 		slog.Log(ctx, level, "counters", "why", why, "relay", r.Counters(), "front", server.Counters(), "connections", opened,
 			"reused", reused, "journal", size, "owed", live, "compacted", compacted, "reloads", reloads, "bad_reloads", badReloads,
 			"vitals", meters.Totals())
--- /dev/null
+++ b/cmd/slatemux/tls.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"wrenford/internal/secure"
+	"wrenford/internal/traffic"
+	"wrenford/internal/trust"
+)
+
+// tlsCommand is for looking at servers' certificates as the relay sees them.
+func tlsCommand(getenv func(string) string, path *string) *cobra.Command {
+	parent := &cobra.Command{Use: "tls", Short: "Look at connections over TLS"}
+	var addr string
+	check := &cobra.Command{
+		Use:   "check DESTINATION",
+		Short: "Connect to a destination's members as the relay would, and say what they show",
+		Long: `Connect twice to each member of a destination that the platform's configuration knows, by the policies of the
+gateway's settings, and print chain, dates, version, cipher and whether the second connection resumed the first's session.
+With --address connect there instead. Exit code 1 if any member is not accepted.`,
+		Example: "  NODE_CONFIG=config.json slatemux tls check 7 --config deploy/gateway.textproto",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			dest, err := strconv.Atoi(args[0])
+			if err != nil {
+				return fmt.Errorf("tls check: %q is not the number of a destination", args[0])
+			}
+			cfg, err := load(func(name string) string {
+				if name == "NODE_STATE" && getenv(name) == "" {
+					return "/"
+				}
+				return getenv(name)
+			}, *path)
+			if err != nil {
+				return err
+			}
+			m, err := secure.New(cfg.gateway.TLS.Policies)
+			if err != nil {
+				return err
+			}
+			var members []traffic.Member
+			for _, member := range cfg.known.News().Members {
+				if member.Destination == dest {
+					members = append(members, member)
+				}
+			}
+			if addr != "" {
+				members = []traffic.Member{{Host: addr, Dial: addr, Destination: dest}}
+			}
+			if len(members) == 0 {
+				return fmt.Errorf("tls check: the configuration knows no member of destination %d; name one with --address", dest)
+			}
+			var bad error
+			for i := range members {
+				if err := checkMember(cmd.Context(), cmd.OutOrStdout(), m, &members[i]); err != nil {
+					bad = errors.Join(bad, fmt.Errorf("%s at %s: %w", members[i].Host, members[i].Dial, err))
+				}
+			}
+			return bad
+		},
+	}
+	check.Flags().StringVar(&addr, "address", "", "host and port to connect to, in place of the known members'")
+	parent.AddCommand(check)
+	return parent
+}
+
+func checkMember(ctx context.Context, w io.Writer, m *secure.Manager, member *traffic.Member) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(10*time.Second))
+	defer cancel()
+	first, second, took, err := m.Check(ctx, member)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "%s at %s: %s, %s, accepted in %v\n", member.Host, member.Dial, tls.VersionName(first.Version), tls.CipherSuiteName(first.CipherSuite), took[0].Round(10*time.Microsecond))
+	for i, c := range first.PeerCertificates {
+		fmt.Fprintf(w, "  %d  %s\n     issued by %s\n     valid %s to %s (%s left), pin %v\n", i, c.Subject, c.Issuer, c.NotBefore.UTC().Format(time.DateTime),
+			c.NotAfter.UTC().Format(time.DateTime), time.Until(c.NotAfter).Round(time.Hour), trust.PinOf(c))
+		if i == 0 {
+			fmt.Fprintf(w, "     names %v %v\n", c.DNSNames, c.IPAddresses)
+		}
+	}
+	fmt.Fprintf(w, "  second connection: resumed %v, in %v\n", second.DidResume, took[1].Round(10*time.Microsecond))
+	return nil
+}
--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -13,6 +13,7 @@
 // by the peer is seen while it idles.
 type conn struct {
 	nc        net.Conn
+	raw       net.Conn // below TLS; nil for plain
 	m         *member
 	g         *Manager
 	idleSince time.Time // under the Manager's lock
@@ -53,11 +54,20 @@
 	return c.dead
 }
 
-// kill closes the connection; its reader ends the call that is out.
+// kill closes the connection; its reader ends the call that is out. It does not block: TLS says goodbye first, for which
+// a server that reads nothing gets farewell.
 func (c *conn) kill() {
-	c.nc.Close()
+	if c.raw == nil {
+		c.nc.Close()
+		return
+	}
+	go c.nc.Close()
+	time.AfterFunc(farewell, func() { c.raw.Close() })
 }
 
+// farewell is how long a closing connection may take to send its close_notify.
+const farewell = 50 * time.Millisecond
+
 // read feeds what comes to the call that is out, until the connection ends.
 func (c *conn) read() {
 	buf := make([]byte, 4096)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"wrenford/internal/traffic"
+	"wrenford/internal/trust"
 )
 
 // Config says what the flows must keep to.
@@ -20,10 +23,25 @@
 	MostConns     int           // connections, idle ones included
 	Settle        time.Duration // a connection carries nothing for so long after an answer
 
+	// Secure makes connections over TLS, to those members that want it; nil for none.
+	Secure Secure
+	Gate   trust.GateConfig
+	Busy   func() float64 // the program's own load, 0 to 1, which slows handshakes; nil for none
+
 	// OwnDelay is how long what has come waits at present until this program looks at it; nil for not known.
 	OwnDelay func() time.Duration
 }
 
+// Secure knows which members' connections go over TLS, and makes them.
+type Secure interface {
+	Wants(member *traffic.Member) bool
+	// Client makes the handshake on a new connection until ctx ends, and closes it where that fails. It tells the
+	// processor time of it, or 0.
+	Client(ctx context.Context, nc net.Conn, member *traffic.Member) (net.Conn, time.Duration, error)
+	// Fresh says whether an idle connection may carry another call.
+	Fresh(nc net.Conn) bool
+}
+
 // sweepEvery is how often idle connections are looked at; writeSlack is kept free before Flow.WriteBy, for
 // what the last byte still takes to arrive. An answer must be whole answerMost after its first byte.
 const (
@@ -41,6 +59,7 @@
 	members map[string]*member
 	waits   map[string]time.Time // by Flow.Group: nothing is written before
 	flows   map[flowID]*running
+	opener  *opener
 	frugal  bool // idle connections are given up at once
 	conns   int  // open or being opened
 	opened  int64
@@ -54,7 +73,7 @@
 
 // member is a pool member with its warm connections, oldest first.
 type member struct {
-	dial string
+	traffic.Member
 	open bool // it may get something new
 	idle []*conn
 }
@@ -70,7 +89,7 @@
 // New returns a Manager that hands the end of each flow to done, which must not block.
 func New(cfg Config, done func(traffic.FlowEnd)) *Manager {
 	return &Manager{cfg: cfg, done: done, members: map[string]*member{}, waits: map[string]time.Time{},
-		flows: map[flowID]*running{}}
+		flows: map[flowID]*running{}, opener: newOpener(cfg.Gate, cfg.Busy)}
 }
 
 // Sweep drops connections before they have idled for too long, until ctx ends.
@@ -84,8 +103,10 @@
 		case now := <-tick.C:
 			g.mu.Lock()
 			for _, m := range g.members {
-				for len(m.idle) > 0 && g.stale(m.idle[0], now.Add(sweepEvery)) {
-					g.drop(m.idle[0])
+				for _, c := range slices.Clone(m.idle) {
+					if g.stale(c, now.Add(sweepEvery)) || !g.fresh(c) {
+						g.drop(c)
+					}
 				}
 			}
 			for group, until := range g.waits {
@@ -119,10 +140,10 @@
 			m = &member{}
 			g.members[row.Host] = m
 		}
-		if m.dial != row.Dial {
+		if m.Dial != row.Dial {
 			g.dropIdle(m)
 		}
-		m.dial, m.open = row.Dial, row.Health == traffic.Active
+		m.Member, m.open = row, row.Health == traffic.Active
 	}
 	for host, m := range g.members {
 		if !m.open {
@@ -231,7 +252,9 @@
 func (g *Manager) attempt(ctx context.Context, r *running, c *conn) traffic.FlowEnd {
 	for c == nil || !c.idleSince.IsZero() && !c.settled(c.idleSince.Add(g.cfg.Settle)) || !c.begin() { // a warm one that the peer has closed by now is not written to
 		var err error
-		if c, err = g.connect(ctx, r); err != nil {
+		if c, err = g.connect(ctx, r); err == errHeld {
+			return r.end(traffic.Unsent) // by this program itself: the member has nothing to do with it
+		} else if err != nil {
 			slog.Debug("no connection", "member", r.Member, "id", r.ID, "err", err)
 			return r.end(traffic.NotConnected)
 		}
@@ -250,13 +273,14 @@
 		slog.Debug("call not written", "member", r.Member, "id", r.ID, "err", err)
 		return r.end(traffic.NotConnected)
 	}
-	<-c.got // the reader always closes it: kill ends the reader
+	<-c.got            // the reader always closes it: kill ends the reader
+	result := c.result // before the connection is given back: its next call begins by clearing it
 	if stop() && c.rest() {
 		g.giveBack(c)
 	}
 	end := r.end(traffic.Broken)
-	if c.result.status != 0 {
-		end = c.result.end(end)
+	if result.status != 0 {
+		end = result.end(end)
 	} else if ctx.Err() == context.DeadlineExceeded {
 		end.Status = traffic.OutOfTime
 	} else if ctx.Err() != nil {
@@ -282,7 +306,7 @@
 		return nil
 	}
 	c := m.idle[n-1]
-	if g.stale(c, time.Now()) {
+	if g.stale(c, time.Now()) || !g.fresh(c) {
 		g.dropIdle(m)
 		return nil
 	}
@@ -291,8 +315,49 @@
 	return c
 }
 
-// connect opens a connection; over the cap, the connection that idled longest makes room.
+// errHeld says that a handshake was not admitted in time.
+var errHeld = errors.New("no handshake admitted in time")
+
+// connect opens a connection, or for TLS waits for leave to, and may get one that another flow has done with; over the
+// cap, the connection that idled longest makes room.
 func (g *Manager) connect(ctx context.Context, r *running) (*conn, error) {
+	g.mu.Lock()
+	to := r.m.Member
+	g.mu.Unlock()
+	if g.cfg.Secure == nil || !g.cfg.Secure.Wants(&to) {
+		nc, err := g.dial(ctx, to.Dial, r.Begun.Add(g.cfg.ConnectWithin))
+		if err != nil {
+			return nil, err
+		}
+		return g.adopt(r.m, nc, nil), nil
+	}
+	from := time.Now()
+	got := g.opener.wait(ctx, to.Host, r.Worth, r.Deadline)
+	r.queued += time.Since(from)
+	if got.c != nil {
+		return got.c, nil
+	} else if !got.leave {
+		return nil, errHeld
+	}
+	var took time.Duration
+	defer func() { g.opener.done(to.Host, took) }()
+	by := time.Now().Add(g.cfg.ConnectWithin)
+	raw, err := g.dial(ctx, to.Dial, by)
+	if err != nil {
+		return nil, err
+	}
+	shaking, cancel := context.WithDeadline(ctx, by)
+	defer cancel()
+	var nc net.Conn
+	if nc, took, err = g.cfg.Secure.Client(shaking, raw, &to); err != nil {
+		g.closed()
+		return nil, err
+	}
+	return g.adopt(r.m, nc, raw), nil
+}
+
+// dial opens a connection and counts it.
+func (g *Manager) dial(ctx context.Context, addr string, by time.Time) (net.Conn, error) {
 	g.mu.Lock()
 	if g.conns >= g.cfg.MostConns {
 		var oldest *conn
@@ -307,31 +372,43 @@
 	}
 	g.conns++
 	g.opened++
-	dial := r.m.dial
 	g.mu.Unlock()
-	dialer := net.Dialer{Deadline: r.Begun.Add(g.cfg.ConnectWithin), KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", dial)
+	dialer := net.Dialer{Deadline: by, KeepAlive: -1}
+	nc, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		g.closed()
 		return nil, err
 	}
-	c := &conn{nc: nc, m: r.m, g: g, over: make(chan struct{})}
+	return nc, nil
+}
+
+// adopt has a new connection read from. raw is what lies below TLS.
+func (g *Manager) adopt(m *member, nc, raw net.Conn) *conn {
+	c := &conn{nc: nc, raw: raw, m: m, g: g, over: make(chan struct{})}
 	go c.read()
-	return c, nil
+	return c
 }
 
+func (g *Manager) fresh(c *conn) bool { return c.raw == nil || g.cfg.Secure.Fresh(c.nc) }
+
 // giveBack keeps a connection warm, if its member still gets calls.
 func (g *Manager) giveBack(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !c.m.open || g.frugal || c.isDead() {
+	if !c.m.open || g.frugal || c.isDead() || !g.fresh(c) {
 		c.kill()
 		return
 	}
 	c.idleSince = time.Now()
+	if c.raw != nil && g.opener.freed(c.m.Host, c) {
+		return
+	}
 	c.m.idle = append(c.m.idle, c)
 }
 
+// Handshakes returns what the gate of handshakes counted, and how many flows wait there.
+func (g *Manager) Handshakes() (trust.GateCounters, int) { return g.opener.counters() }
+
 func (g *Manager) closed() {
 	g.mu.Lock()
 	g.conns--
--- /dev/null
+++ b/internal/flow/tls_test.go
@@ -0,0 +1,256 @@
+package flow
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wrenford/internal/lab/ca"
+	"wrenford/internal/secure"
+	"wrenford/internal/traffic"
+	"wrenford/internal/trust"
+)
+
+// secured is a Manager whose one member speaks TLS, and answers calls after a while.
+type secured struct {
+	g          *Manager
+	m          *secure.Manager
+	ends       chan traffic.FlowEnd
+	ln         net.Listener
+	root       *ca.Pair
+	rootFile   string
+	handshakes atomic.Int64
+	calls      atomic.Int64
+	conns      chan net.Conn
+}
+
+func newSecured(t *testing.T, cfg Config, answer time.Duration) *secured {
+	t.Helper()
+	s := &secured{ends: make(chan traffic.FlowEnd, 2000), conns: make(chan net.Conn, 2000), rootFile: filepath.Join(t.TempDir(), "root.pem")}
+	var err error
+	if s.root, err = ca.Root("root", ca.P256); err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := s.root.Issue(ca.Leaf{Names: []string{"127.0.0.1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ca.Write(s.rootFile, s.root.PEM(), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if s.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.ln.Close() })
+	server := &tls.Config{Certificates: []tls.Certificate{leaf.TLS()}}
+	go func() {
+		for {
+			nc, err := s.ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				c := tls.Server(nc, server)
+				if c.Handshake() != nil {
+					return
+				}
+				s.handshakes.Add(1)
+				s.conns <- nc
+				r := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					s.calls.Add(1)
+					time.Sleep(answer)
+					if _, err := io.WriteString(c, ok); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	s.m, err = secure.New(trust.Table{{Name: "bank", RootFiles: []string{s.rootFile}, MinVersion: tls.VersionTLS13, Sessions: 4}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.ConnectWithin, cfg.IdleMost, cfg.Secure = 30*time.Second, time.Minute, s.m
+	s.g = New(cfg, func(e traffic.FlowEnd) { s.ends <- e })
+	s.g.Pool(traffic.PoolNews{Members: []traffic.Member{{Host: "m", Dial: s.ln.Addr().String(), Destination: 7}}})
+	return s
+}
+
+func (s *secured) start(id string, worth float64) {
+	s.g.Start(traffic.Flow{ID: id, Member: "m", Group: "g", Worth: worth, Body: []byte("body"), Begun: time.Now(), Deadline: time.Now().Add(time.Minute)})
+}
+
+func (s *secured) want(t *testing.T, status traffic.FlowStatus) traffic.FlowEnd {
+	t.Helper()
+	end := <-s.ends
+	if end.Status != status {
+		t.Errorf("%+v, want %v", end, status)
+	}
+	return end
+}
+
+var gate = trust.GateConfig{Share: 1, Least: 1000, PerEndpoint: 2, Cost: time.Millisecond, Burst: time.Second}
+
+// Calls go over TLS on warm connections; changed roots end these once idle, and the next call makes a new one.
+func TestCallsOverTLS(t *testing.T) {
+	s := newSecured(t, Config{MostFlows: 10, MostConns: 10, Gate: gate}, 0)
+	for i := range 3 {
+		s.start(fmt.Sprint(i), 1)
+		s.want(t, traffic.Delivered)
+	}
+	if n := s.handshakes.Load(); n != 1 {
+		t.Errorf("%d handshakes for three calls one after another", n)
+	}
+	other, err := ca.Root("other", ca.P256)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ca.Write(s.rootFile, append(s.root.PEM(), other.PEM()...), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	s.m.Reload()
+	s.start("after", 1)
+	s.want(t, traffic.Delivered)
+	if n := s.handshakes.Load(); n != 2 {
+		t.Errorf("%d handshakes after the roots have changed", n)
+	}
+	if err := ca.Write(s.rootFile, other.PEM(), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	s.m.Reload()
+	s.start("refused", 1)
+	s.want(t, traffic.NotConnected) // and never "may have run"
+	if n := s.calls.Load(); n != 4 {
+		t.Errorf("%d calls", n)
+	}
+}
+
+// A thousand changes of certificates under load: every call ends well.
+func TestChangesUnderLoad(t *testing.T) {
+	s := newSecured(t, Config{MostFlows: 100, MostConns: 100, Gate: trust.GateConfig{Share: 1, Least: 1e5, PerEndpoint: 100, Cost: time.Millisecond,
+		Burst: time.Second}}, 0)
+	other, err := ca.Root("other", ca.P256)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		texts := [][]byte{s.root.PEM(), append(s.root.PEM(), other.PEM()...)}
+		for i := range 1000 {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if err := ca.Write(s.rootFile, texts[i%2], 0o644); err != nil {
+				t.Error(err)
+			}
+			s.m.Reload()
+		}
+	}()
+	const calls = 1000
+	for i := range calls {
+		s.start(fmt.Sprint(i), 1)
+		if i >= 20 {
+			s.want(t, traffic.Delivered)
+		}
+	}
+	for range 20 {
+		s.want(t, traffic.Delivered)
+	}
+	close(stop)
+	<-stopped
+	if n := s.calls.Load(); n != calls {
+		t.Errorf("%d calls of %d arrived", n, calls)
+	}
+}
+
+// All connections are lost at once with much to send: a few handshakes carry the queue, and all is delivered, what is
+// worth most first.
+func TestStorm(t *testing.T) {
+	s := newSecured(t, Config{MostFlows: 600, MostConns: 600, Gate: gate}, 0)
+	for i := range 500 {
+		s.start(fmt.Sprint("low", i), 1)
+	}
+	for i := range 20 {
+		s.start(fmt.Sprint("high", i), 3)
+	}
+	late := 0
+	for i := range 520 {
+		if end := s.want(t, traffic.Delivered); end.ID[0] == 'h' && i > 200 {
+			late++
+		}
+	}
+	if late > 5 {
+		t.Errorf("%d of 20 that are worth more came after 200 others", late)
+	}
+	if n := s.handshakes.Load(); n > 100 {
+		t.Errorf("%d handshakes for 520 calls", n)
+	}
+	if c, waiting := s.g.Handshakes(); waiting != 0 || c.Carried == 0 || c.Begun != s.handshakes.Load() {
+		t.Errorf("%+v, %d wait", c, waiting)
+	}
+}
+
+// A flow whose handshake is not admitted in time was never sent, and is not the member's failure; one given up while it
+// waits ends as such.
+func TestHeldBack(t *testing.T) {
+	s := newSecured(t, Config{MostFlows: 10, MostConns: 10, Gate: trust.GateConfig{Share: 1e-9, Least: 1e-9, PerEndpoint: 1, Cost: time.Second, Burst: time.Second}}, 0)
+	s.start("first", 1) // takes what there is at the start
+	s.want(t, traffic.Delivered)
+	(<-s.conns).Close()
+	s.g.Release("m")
+	s.g.Start(traffic.Flow{ID: "held", Member: "m", Group: "g", Begun: time.Now(), Deadline: time.Now().Add(50 * time.Millisecond)})
+	s.want(t, traffic.Unsent)
+	s.start("off", 1)
+	for _, n := s.g.Handshakes(); n == 0; _, n = s.g.Handshakes() {
+		time.Sleep(time.Millisecond)
+	}
+	s.g.Cancel("off", 0)
+	s.want(t, traffic.Unsent)
+	if _, n := s.g.Handshakes(); n != 0 {
+		t.Errorf("%d still wait", n)
+	}
+}
+
+// failing is a Secure whose handshakes fail.
+type failing struct{}
+
+func (failing) Wants(*traffic.Member) bool { return true }
+func (failing) Fresh(net.Conn) bool        { return true }
+func (failing) Client(_ context.Context, nc net.Conn, _ *traffic.Member) (net.Conn, time.Duration, error) {
+	nc.Close()
+	return nil, 0, errors.New("no")
+}
+
+// A handshake that fails is no connection, and what it held is given back.
+func TestFailedHandshake(t *testing.T) {
+	r := newRig(t)
+	r.g.cfg.Secure, r.g.opener = failing{}, newOpener(gate, nil)
+	for i := range 5 {
+		r.start(fmt.Sprint(i))
+		r.want(fmt.Sprint(i), traffic.NotConnected)
+	}
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	if r.g.conns != 0 || len(r.g.flows) != 0 {
+		t.Errorf("%d connections, %d flows are left", r.g.conns, len(r.g.flows))
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -15,6 +16,7 @@
 
 	"wrenford/internal/gateway/gatewayv1"
 	"wrenford/internal/overload"
+	"wrenford/internal/trust"
 )
 
 //go:generate protoc -I ../../proto --go_out=../.. --go_opt=module=wrenford ../../proto/slatemux/gateway/v1/gateway.proto
@@ -23,6 +25,14 @@
 type Config struct {
 	Overload Overload
 	Log      Log
+	TLS      TLS
+}
+
+// TLS holds the settings of connections over TLS.
+type TLS struct {
+	Policies trust.Table
+	Watch    bool
+	Gate     trust.GateConfig
 }
 
 // Overload holds the settings of the program's own overload.
@@ -53,7 +63,7 @@
 // Default is the configuration without a file.
 func Default() Config {
 	return Config{Overload: Overload{Brownout: true, Tick: 50 * time.Millisecond, Control: overload.Defaults()},
-		Log: Log{LinesPerSecond: 5}}
+		Log: Log{LinesPerSecond: 5}, TLS: TLS{Watch: true, Gate: trust.GateDefaults()}}
 }
 
 // Load reads a file. An empty path is no file.
@@ -75,7 +85,7 @@
 		return Config{}, fmt.Errorf("%s: %s", path, syntax(err))
 	}
 	c := Default()
-	if err := errors.Join(c.Overload.take(g.GetOverload()), c.Log.take(g.GetLog())); err != nil {
+	if err := errors.Join(c.Overload.take(g.GetOverload()), c.Log.take(g.GetLog()), c.TLS.take(g.GetTls())); err != nil {
 		return Config{}, fmt.Errorf("%s: %s", path, strings.ReplaceAll(err.Error(), "\n", "; "))
 	}
 	return c, nil
@@ -149,6 +159,74 @@
 		func(x float64) { l.LinesPerSecond = int(x) }}})...)...)
 }
 
+func (t *TLS) take(p *gatewayv1.Tls) error {
+	if p == nil {
+		return nil
+	}
+	if p.WatchFiles != nil {
+		t.Watch = *p.WatchFiles
+	}
+	var errs []error
+	for i, row := range p.GetPolicy() {
+		policy, err := takePolicy(row)
+		if err == nil {
+			err = policy.Check()
+		}
+		if err != nil {
+			errs = append(errs, fmt.Errorf("tls.policy[%d]: %w", i, err))
+			continue
+		}
+		t.Policies = append(t.Policies, policy)
+	}
+	if len(errs) == 0 {
+		if err := t.Policies.Check(); err != nil {
+			errs = append(errs, fmt.Errorf("tls.policy: %w", err))
+		}
+	}
+	h := p.GetHandshakes()
+	if h == nil {
+		h = &gatewayv1.Handshakes{}
+	}
+	return errors.Join(append(errs, numbers("tls.handshakes", []number{
+		{"core_share", h.CoreShare, 0.01, 1, func(x float64) { t.Gate.Share = x }},
+		{"least_per_second", h.LeastPerSecond, 0.1, 10_000, func(x float64) { t.Gate.Least = x }},
+		{"per_member", float(h.PerMember), 1, 1000, func(x float64) { t.Gate.PerEndpoint = int(x) }},
+	})...)...)
+}
+
+func takePolicy(p *gatewayv1.TlsPolicy) (trust.Policy, error) {
+	out := trust.Policy{Name: p.GetName(), Hosts: p.GetHost(), Plain: p.GetPlain(), ServerName: p.GetServerName(), RootFiles: p.GetRootFile(),
+		RootDirs: p.GetRootDir(), SystemRoots: p.GetSystemRoots(), MinVersion: tls.VersionTLS12, Certificate: p.GetClientCertificate(),
+		Key: p.GetClientKey(), Sessions: 16}
+	if out.Name == "" {
+		return out, errors.New("name is missing")
+	}
+	for _, d := range p.GetDestination() {
+		if d < 0 {
+			return out, fmt.Errorf("destination: %d is negative", d)
+		}
+		out.Destinations = append(out.Destinations, int(d))
+	}
+	switch p.GetMinVersion() {
+	case gatewayv1.Version_VERSION_UNSPECIFIED, gatewayv1.Version_TLS_1_2:
+	case gatewayv1.Version_TLS_1_3:
+		out.MinVersion = tls.VersionTLS13
+	default:
+		return out, fmt.Errorf("min_version: %d is not a version", p.GetMinVersion())
+	}
+	for _, text := range p.GetPin() {
+		pin, err := trust.ParsePin(text)
+		if err != nil {
+			return out, fmt.Errorf("pin: %w", err)
+		}
+		out.Pins = append(out.Pins, pin)
+	}
+	if p.Sessions != nil {
+		out.Sessions = int(*p.Sessions)
+	}
+	return out, nil
+}
+
 // numbers takes over fields that are present and within their ranges.
 func numbers(message string, list []number) (errs []error) {
 	for _, n := range list {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"crypto/tls"
 	"log/slog"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"wrenford/internal/cuts"
+	"wrenford/internal/trust"
 )
 
 const whole = `
@@ -50,6 +53,33 @@
 	}
 }
 
+const secured = `
+tls {
+  policy { name: "in" host: "10.*" plain: true }
+  policy {
+    name: "bank" destination: 7 destination: 9 host: "*.bank.example.org" server_name: "pay.bank.example.org"
+    root_file: "a.pem" root_dir: "roots" system_roots: true min_version: TLS_1_3
+    pin: "sha256/AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=" pin: "AQAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
+    client_certificate: "c.pem" client_key: "c.key" sessions: 3
+  }
+  watch_files: false
+  handshakes { core_share: 0.5 least_per_second: 9 per_member: 4 }
+}
+`
+
+func TestPolicies(t *testing.T) {
+	c, err := Parse("f", []byte(secured))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := trust.Table{{Name: "in", Hosts: "10.*", Plain: true, MinVersion: tls.VersionTLS12, Sessions: 16}, {Name: "bank", Destinations: []int{7, 9},
+		Hosts: "*.bank.example.org", ServerName: "pay.bank.example.org", RootFiles: []string{"a.pem"}, RootDirs: []string{"roots"}, SystemRoots: true,
+		MinVersion: tls.VersionTLS13, Pins: []trust.Pin{{}, {1}}, Certificate: "c.pem", Key: "c.key", Sessions: 3}}
+	if !reflect.DeepEqual(c.TLS.Policies, want) || c.TLS.Watch || c.TLS.Gate.Share != 0.5 || c.TLS.Gate.Least != 9 || c.TLS.Gate.PerEndpoint != 4 {
+		t.Errorf("%+v", c.TLS)
+	}
+}
+
 // Without a file, and with an empty one, everything is as it was before there was one.
 func TestDefaults(t *testing.T) {
 	c, err := Load("")
@@ -76,18 +106,26 @@
 // A bad file is one line that names the file and the place or the field.
 func TestBadFiles(t *testing.T) {
 	for text, wants := range map[string][]string{
-		"overload {\n  enable: true\n}":            {"gw:", "(line 2:3)", "unknown field", "enable"},
-		"overload { enabled: 3.5 }":                {"gw:", "line 1"},
-		"overload {":                               {"gw:", "EOF"},
-		"overload { target_busy: 7 }":              {"overload.target_busy", "7", "0.1 to 1"},
-		"overload { target_busy: nan }":            {"overload.target_busy"},
-		"overload { tick_ms: 5 confirm_ticks: 0 }": {"overload.tick_ms", "overload.confirm_ticks"},
-		"overload { memory_high: 0.96 }":           {"overload.memory_high", "memory_full"},
-		"log { format: XML }":                      {"line 1", "XML"},
-		"log { format: 77 }":                       {"log.format", "77"},
-		"log { level: 77 }":                        {"log.level", "77"},
-		"log { lines_per_second: 0 }":              {"log.lines_per_second"},
-		"log { level: INFO level: WARN }":          {"line 1"},
+		"overload {\n  enable: true\n}":                                   {"gw:", "(line 2:3)", "unknown field", "enable"},
+		"overload { enabled: 3.5 }":                                       {"gw:", "line 1"},
+		"overload {":                                                      {"gw:", "EOF"},
+		"overload { target_busy: 7 }":                                     {"overload.target_busy", "7", "0.1 to 1"},
+		"overload { target_busy: nan }":                                   {"overload.target_busy"},
+		"overload { tick_ms: 5 confirm_ticks: 0 }":                        {"overload.tick_ms", "overload.confirm_ticks"},
+		"overload { memory_high: 0.96 }":                                  {"overload.memory_high", "memory_full"},
+		"log { format: XML }":                                             {"line 1", "XML"},
+		"log { format: 77 }":                                              {"log.format", "77"},
+		"log { level: 77 }":                                               {"log.level", "77"},
+		"log { lines_per_second: 0 }":                                     {"log.lines_per_second"},
+		"log { level: INFO level: WARN }":                                 {"line 1"},
+		"tls { policy { plain: true } }":                                  {"tls.policy[0]", "name is missing"},
+		`tls { policy { name: "a" } }`:                                    {"tls.policy[0]", "no trust roots"},
+		`tls { policy { name: "a" system_roots: true pin: "x" } }`:        {"pin", "SHA-256"},
+		`tls { policy { name: "a" system_roots: true destination: -1 } }`: {"destination", "-1"},
+		`tls { policy { name: "a" system_roots: true min_version: 9 } }`:  {"min_version", "9"},
+		`tls { policy { name: "a" system_roots: true } policy { name: "a" plain: true } }`: {"tls.policy", "two policies"},
+		`tls { policy { name: "a" system_roots: true insecure_skip_verify: true } }`:       {"unknown field"},
+		`tls { handshakes { core_share: 0 least_per_second: 0 per_member: 0 } }`:           {"core_share", "least_per_second", "per_member"},
 	} {
 		_, err := Parse("gw", []byte(text))
 		if err == nil {
@@ -115,6 +153,7 @@
 
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(whole))
+	f.Add([]byte(secured))
 	if raw, err := os.ReadFile("../../deploy/gateway.textproto"); err == nil {
 		f.Add(raw)
 	}
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -427,3 +427,23 @@
 	}
 	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
 }
+
+// Delivered counts the calls that were answered 200 since a time, by slots of a length. Nothing may be recorded any more.
+func (l *Ledger) Delivered(since time.Time, slot time.Duration) (counts []int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.books {
+		for i := range b.Calls {
+			c := &b.Calls[i]
+			if c.Status != 200 || c.Answered.Before(since) {
+				continue
+			}
+			n := int(c.Answered.Sub(since) / slot)
+			for len(counts) <= n {
+				counts = append(counts, 0)
+			}
+			counts[n]++
+		}
+	}
+	return counts
+}
--- a/internal/lab/partner/partner.go
+++ b/internal/lab/partner/partner.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -66,6 +67,8 @@
 	Seed   uint64
 	Report string // of X-Backend-Load; empty for a report of the present limit
 
+	TLS *tls.Config // of a server; nil for plain
+
 	Refuse string            // a body that is turned away with 429 and the phase's Wait; empty for none
 	OnCall func(ledger.Call) // is told of each call that was answered; nil for nobody
 }
@@ -86,6 +89,7 @@
 	recent  []time.Time // arrivals in the last second, while cold
 	closed  bool
 	calls   int64
+	shook   [2]int64 // handshakes in full, and resumed
 	changed chan struct{}
 	wg      sync.WaitGroup
 }
@@ -117,6 +121,13 @@
 	return s.calls
 }
 
+// Handshakes is how many were made in full, and how many resumed a session.
+func (s *Server) Handshakes() (full, resumed int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shook[0], s.shook[1]
+}
+
 // Close ends the endpoint and waits for its connections.
 func (s *Server) Close() {
 	s.mu.Lock()
@@ -308,15 +319,30 @@
 	return string(text) == s.cfg.Refuse, err
 }
 
-func (s *Server) serve(c net.Conn, n uint64) {
+func (s *Server) serve(raw net.Conn, n uint64) {
 	book := s.cfg.Ledger.Book()
 	rng := rand.New(rand.NewPCG(s.cfg.Seed, n))
 	defer func() {
-		c.Close()
+		raw.Close()
 		s.mu.Lock()
-		delete(s.conns, c)
+		delete(s.conns, raw)
 		s.mu.Unlock()
 	}()
+	c := raw
+	if s.cfg.TLS != nil {
+		over := tls.Server(raw, s.cfg.TLS)
+		if over.Handshake() != nil {
+			return
+		}
+		s.mu.Lock()
+		if over.ConnectionState().DidResume {
+			s.shook[1]++
+		} else {
+			s.shook[0]++
+		}
+		s.mu.Unlock()
+		c = over
+	}
 	r := bufio.NewReaderSize(c, 4096)
 	for {
 		req, first, err := readHead(r)
@@ -346,7 +372,7 @@
 			return
 		case Resetting:
 			book.Calls = append(book.Calls, call)
-			if tc, ok := c.(*net.TCPConn); ok {
+			if tc, ok := raw.(*net.TCPConn); ok {
 				_ = tc.SetLinger(0)
 			}
 			return
--- /dev/null
+++ b/internal/relay/bench_test.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"wrenford"
+	"wrenford/internal/journal"
+	"wrenford/internal/traffic"
+)
+
+// sink takes flows and notices and does nothing with them.
+type sink struct{ flows []traffic.Flow }
+
+func (s *sink) Start(f traffic.Flow)  { s.flows = append(s.flows, f) }
+func (s *sink) Cancel(string, int)    {}
+func (s *sink) Release(string)        {}
+func (s *sink) Pool(traffic.PoolNews) {}
+func (s *sink) Send(traffic.Notice)   {}
+
+// What the relay itself does for a transaction, from hand-in to the end of its flow, in steps of a batch: module, journal,
+// answers. The network on both sides is not in it.
+func BenchmarkTransaction(b *testing.B) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for _, batch := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint("batch", batch), func(b *testing.B) {
+			store, err := journal.Open(b.TempDir(), 64e6)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer store.Close()
+			w := &sink{}
+			r, err := New(Config{Settings: wrenford.Settings{
+				Classes: []wrenford.Class{{Name: "slot", Aim: time.Second, Deadline: 5 * time.Second, Worth: 3}},
+				Kinds:   []wrenford.Kind{{Name: "partner"}}, Peers: 1, Resolution: 5 * time.Millisecond, MaxCalls: 1000, MaxOpen: 1000,
+				MaxAttempts: 3, ConnectTimeout: time.Second, KeepAlive: 5 * time.Second,
+				Safety: wrenford.Safety{StartCapacity: 0.2, Cold: 10 * time.Second, FallMultiple: 2, TipAfter: 2 * time.Second}},
+				MostBytes: 1 << 30, Store: store, Flows: w, Notices: w})
+			if err != nil {
+				b.Fatal(err)
+			}
+			var members []traffic.Member
+			for i := range 60 {
+				members = append(members, traffic.Member{Host: fmt.Sprint("m", i), Class: "partner", Destination: i})
+			}
+			r.Start(traffic.PoolNews{Whole: true, Members: members}, nil, nil)
+			now, n := r.origin, 0
+			body := make([]byte, 200)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(5 * time.Millisecond)
+				for range batch {
+					n++
+					r.Put(traffic.Transaction{ID: fmt.Sprintf("%016x", n), Class: "slot", Destination: n % 60, Deadline: now.Add(5 * time.Second),
+						Body: body}, now)
+				}
+				r.step(now, taken(r))
+				now = now.Add(5 * time.Millisecond)
+				for _, f := range w.flows {
+					r.FlowEnded(traffic.FlowEnd{ID: f.ID, Attempt: f.Attempt, Member: f.Member, Status: traffic.Delivered, Took: 5 * time.Millisecond})
+				}
+				w.flows = w.flows[:0]
+				r.step(now, taken(r))
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(n), "ns/transaction")
+		})
+	}
+}
--- a/internal/relay/translate.go
+++ b/internal/relay/translate.go
@@ -70,6 +70,9 @@
 	if a.TimeOut != 0 && now.Add(a.TimeOut).Before(f.Deadline) {
 		f.Deadline = now.Add(a.TimeOut)
 	}
+	if c := r.classes[o.Class]; c != nil {
+		f.Worth = c.Worth
+	}
 	if c := r.classes[o.Class]; c != nil && c.Effect == wrenford.Keyed && !o.FirstSent.IsZero() {
 		f.WriteBy = o.FirstSent.Add(c.Memory)
 	}
--- /dev/null
+++ b/internal/secure/material.go
@@ -0,0 +1,138 @@
+// Package secure connects to pool members over TLS as package trust decides: it reads the files that policies name,
+// reads them again when they change, keeps sessions for resumption, and makes the handshakes.
+package secure
+
+import (
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"wrenford/internal/trust"
+)
+
+// material is what a policy's files held when they were last read and made sense.
+type material struct {
+	roots    *x509.CertPool
+	pair     *tls.Certificate // of the client; nil for none
+	rootsSum [sha256.Size]byte
+	pairSum  [sha256.Size]byte
+}
+
+// maxFile is more than any file of certificates has reason to hold.
+const maxFile = 4 << 20
+
+// read reads a policy's files. It takes all or nothing, and names the file that is at fault.
+func read(p *trust.Policy) (*material, error) {
+	m := &material{}
+	files := slices.Clone(p.RootFiles)
+	for _, dir := range p.RootDirs {
+		list, err := os.ReadDir(dir)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range list {
+			if ext := filepath.Ext(e.Name()); !e.IsDir() && (ext == ".pem" || ext == ".crt") && !strings.HasPrefix(e.Name(), ".") {
+				files = append(files, filepath.Join(dir, e.Name()))
+			}
+		}
+	}
+	if m.roots = x509.NewCertPool(); p.SystemRoots {
+		system, err := x509.SystemCertPool()
+		if err != nil {
+			return nil, fmt.Errorf("system roots: %w", err)
+		}
+		m.roots = system
+	} else if len(files) == 0 {
+		return nil, fmt.Errorf("%s: no file of roots (.pem, .crt)", strings.Join(p.RootDirs, ", "))
+	}
+	sum := sha256.New()
+	for _, file := range files {
+		raw, err := readFile(file)
+		if err != nil {
+			return nil, err
+		}
+		certs, err := parseCertificates(raw)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", file, err)
+		}
+		for _, c := range certs {
+			m.roots.AddCert(c)
+			sum.Write(c.Raw)
+		}
+	}
+	sum.Sum(m.rootsSum[:0])
+	if p.Certificate == "" {
+		return m, nil
+	}
+	if err := private(p.Key); err != nil {
+		return nil, err
+	}
+	cert, err := readFile(p.Certificate)
+	if err != nil {
+		return nil, err
+	}
+	key, err := readFile(p.Key)
+	if err != nil {
+		return nil, err
+	}
+	pair, err := tls.X509KeyPair(cert, key)
+	if err != nil { // half-written, or one of the two is the new one already
+		return nil, fmt.Errorf("%s with %s: %w", p.Certificate, p.Key, err)
+	}
+	m.pair = &pair
+	m.pairSum = sha256.Sum256(append(cert, key...))
+	return m, nil
+}
+
+func readFile(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > maxFile {
+		return nil, fmt.Errorf("%s: %d bytes are too many for certificates", path, info.Size())
+	}
+	return os.ReadFile(path)
+}
+
+// private refuses a key file that others than its owner may read or write.
+func private(path string) error {
+	info, err := os.Stat(path)
+	if err != nil {
+		return err
+	}
+	if mode := info.Mode().Perm(); mode&0o077 != 0 {
+		return fmt.Errorf("%s: others may use this key (mode %04o): make it 0600", path, mode)
+	}
+	return nil
+}
+
+// parseCertificates reads all certificates of a PEM text; blocks of other kinds are an error, for a key among the
+// roots is a mistake that should not go unseen.
+func parseCertificates(raw []byte) (list []*x509.Certificate, err error) {
+	for len(raw) > 0 {
+		var block *pem.Block
+		if block, raw = pem.Decode(raw); block == nil {
+			break
+		}
+		if block.Type != "CERTIFICATE" {
+			return nil, fmt.Errorf("holds a %q, not only certificates", block.Type)
+		}
+		c, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, c)
+	}
+	if len(list) == 0 {
+		return nil, errors.New("holds no certificate")
+	}
+	return list, nil
+}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -112,6 +112,7 @@
 	Member   string
 	Group    string // what a told wait holds back: the destination, or the member where routes are apart
 	Key      string
+	Worth    float64 // of the transaction's class; what is worth more gets a new connection first
 	Body     []byte
 	Begun    time.Time
 	Deadline time.Time // the answer is waited for until then
--- a/internal/trust/policy.go
+++ b/internal/trust/policy.go
@@ -276,11 +276,14 @@
 		strings.Contains(text, "unexpected message"), strings.Contains(text, "oversized record"):
 		return failure(NotTLS, nil, err)
 	case errors.As(err, &alert):
-		switch uint8(alert) {
-		case 40, 70, 71: // handshake_failure, protocol_version, insufficient_security
-			return failure(Versions, nil, err)
-		case 42, 43, 44, 45, 46, 48, 49, 116: // bad, unsupported, revoked, expired, unknown, unknown_ca, denied, required
-			return failure(ClientRefused, nil, err)
+		if cause, ok := alerts[uint8(alert)]; ok {
+			return failure(cause, nil, err)
+		}
+	case strings.Contains(text, "remote error: tls: "): // crypto/tls tells an alert of the server by a type of its own
+		for number, cause := range alerts {
+			if strings.HasSuffix(text, tls.AlertError(number).Error()) {
+				return failure(cause, nil, err)
+			}
 		}
 	case strings.Contains(text, "unsupported version"), strings.Contains(text, "unsupported protocol version"),
 		strings.Contains(text, "no cipher suite"):
@@ -295,6 +298,11 @@
 	return failure(Other, nil, err)
 }
 
+// alerts are what servers say of why they end a handshake (RFC 8446, section 6.2). handshake_failure is told where nothing
+// is in common, and by some where a certificate of ours is missing.
+var alerts = map[uint8]Cause{40: Versions, 70: Versions, 71: Versions, 42: ClientRefused, 43: ClientRefused, 44: ClientRefused, 45: ClientRefused,
+	46: ClientRefused, 48: ClientRefused, 49: ClientRefused, 116: ClientRefused, 112: WrongName}
+
 // classify finds the cause behind an error of x509.
 func classify(err error, leaf *x509.Certificate) *Failure {
 	var invalid x509.CertificateInvalidError
