--- a/internal/lab/partner/partner_test.go
+++ b/internal/lab/partner/partner_test.go
@@ -112,6 +112,41 @@
 	}
 }
 
+// Recycling ends idle connections at once and others behind their answer; new ones stay.
+func TestRecycle(t *testing.T) {
+	s, _ := start(t, Phase{Latency: Latency{Mean: 50 * time.Millisecond}})
+	idle, busy := dial(t, s), dial(t, s)
+	ri, rb := bufio.NewReader(idle), bufio.NewReader(busy)
+	if status, _ := call(t, idle, ri); status != 200 {
+		t.Fatal(status)
+	}
+	answered := make(chan int)
+	go func() {
+		status, _ := call(t, busy, rb)
+		answered <- status
+	}()
+	for s.Calls() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	s.Recycle()
+	if _, err := ri.ReadByte(); err == nil {
+		t.Error("the idle connection is still open")
+	}
+	if status := <-answered; status != 200 {
+		t.Errorf("the call under way ended with %d", status)
+	}
+	if _, err := rb.ReadByte(); err == nil {
+		t.Error("the busy connection is open behind its answer")
+	}
+	c := dial(t, s)
+	r := bufio.NewReader(c)
+	for range 2 {
+		if status, _ := call(t, c, r); status != 200 {
+			t.Errorf("on a new connection: %d", status)
+		}
+	}
+}
+
 // Every mode of a life, entered one after another, and the return to service at the same address.
 func TestModes(t *testing.T) {
 	s, _ := start(t, Phase{})
--- a/internal/secure/secure_test.go
+++ b/internal/secure/secure_test.go
@@ -484,3 +484,16 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// Whatever stands in a file of certificates: all of it counts, or none.
+func FuzzCertificates(f *testing.F) {
+	root := must(ca.Root("root", ca.P256))
+	f.Add(root.PEM())
+	f.Add(append(root.PEM(), must(root.KeyPEM())...))
+	f.Add([]byte("-----BEGIN CERTIFICATE-----\nAAAA\n-----END CERTIFICATE-----\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if list, err := parseCertificates(raw); (err == nil) != (len(list) > 0) {
+			t.Errorf("%d certificates and %v", len(list), err)
+		}
+	})
+}
--- a/internal/trust/gate.go
+++ b/internal/trust/gate.go
@@ -18,7 +18,7 @@
 
 // GateDefaults returns the figures that a relay uses where its file names none.
 func GateDefaults() GateConfig {
-	return GateConfig{Share: 0.3, Least: 5, PerEndpoint: 2, Cost: 2 * time.Millisecond, Burst: 30 * time.Millisecond}
+	return GateConfig{Share: 0.5, Least: 5, PerEndpoint: 2, Cost: 2 * time.Millisecond, Burst: 30 * time.Millisecond}
 }
 
 // Ask is a flow that wants a new connection.
