--- /dev/null
+++ b/internal/conns/conns.go
@@ -0,0 +1,854 @@
+// Package conns decides about connections to servers: how many to hold to each endpoint, which idle one to use next, when
+// to open one ahead of need, and when to give one up. It does no I/O and reads no clock. Package flow tells it what
+// happens to connections, and does what it answers; the decision module says which endpoint gets a call and when, and
+// this one says on which connection.
+package conns
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Config says what a Pool keeps to.
+type Config struct {
+	Most     int           // connections in all, those being opened included
+	IdleMost time.Duration // servers are known to close a connection that idled for so long
+	MaxAge   time.Duration // a connection is given up after about so long; 0 for never
+	Keep     time.Duration // half-life of what a peak of calls makes it hold
+	Ahead    bool          // connections are opened before they are needed
+	// LossPrice and OpenPrice weigh a call that a dead connection fails against a new connection: a connection is used
+	// again where the first, times the share expected, is less than the second.
+	LossPrice, OpenPrice float64
+	StaleMost            float64 // share of calls that dead connections may fail; the nearer, the less is risked
+	BackoffLeast         time.Duration
+	BackoffMost          time.Duration // between openings ahead at an endpoint where they fail
+	Seed                 uint64
+}
+
+// Defaults returns the figures that a relay uses.
+func Defaults() Config {
+	return Config{MaxAge: 10 * time.Minute, Keep: 15 * time.Second, LossPrice: 1, OpenPrice: 0.02, StaleMost: 0.001,
+		BackoffLeast: 200 * time.Millisecond, BackoffMost: 30 * time.Second}
+}
+
+// Check names the first field that makes no sense.
+func (c *Config) Check() error {
+	switch {
+	case c.Most < 1:
+		return fmt.Errorf("conns: Most is %d", c.Most)
+	case c.IdleMost <= 0:
+		return fmt.Errorf("conns: IdleMost is %v", c.IdleMost)
+	case c.MaxAge < 0 || c.Keep <= 0:
+		return fmt.Errorf("conns: MaxAge %v or Keep %v makes no sense", c.MaxAge, c.Keep)
+	case !(c.LossPrice > 0) || !(c.OpenPrice > 0) || !(c.StaleMost > 0 && c.StaleMost < 1):
+		return fmt.Errorf("conns: LossPrice, OpenPrice or StaleMost is out of range")
+	case c.BackoffLeast <= 0 || c.BackoffMost < c.BackoffLeast:
+		return fmt.Errorf("conns: BackoffLeast %v and BackoffMost %v make no span", c.BackoffLeast, c.BackoffMost)
+	}
+	return nil
+}
+
+const (
+	// raceMargin is left before the time at which a server closes: its close and our call would cross on the way.
+	raceMargin = 0.1
+	// closeShare of connections is to outlive the limit that seen closings set.
+	closeShare = 0.98
+	// quarantine is how long the idle time of a loss is not tried again at first; it doubles with each loss.
+	quarantine, quarantineMost = 10 * time.Second, time.Hour
+	// tryEvery parts the tries of idle times beyond the limit.
+	tryEvery = 10 * time.Second
+	// recentGood is how long a good reuse speaks against a loss being for idling.
+	recentGood = 20 * time.Second
+	// quantile is the deviations above the mean that calls out at once are provided for.
+	quantile = 2.3
+	// demandFade smooths rates and service times; a tick is about tickUsual long.
+	demandFade = 0.3
+	// sameUses closings in a row behind the same number of calls make a limit of uses; usesTry of the connections go on.
+	sameUses, usesTry = 3, 50
+	// capFor is how long a cap that a server seems to have is held to before one more is tried.
+	capFor = 30 * time.Second
+	// thinAfter is how long a connection that is too many idles before it is given up.
+	thinAfter = time.Second
+	// staleWindow is the number of calls over which the share of losses is kept.
+	staleWindow = 20_000
+)
+
+// ID names a connection.
+type ID uint64
+
+// Why says why a connection is given up.
+type Why int
+
+// The reasons.
+const (
+	Idle     Why = iota // it may be dead by now, or will be before it is used
+	Age                 // it is old
+	Uses                // the server closes behind so many calls
+	Thin                // there are more than needed
+	Room                // another endpoint needs the descriptor
+	Leaving             // its endpoint gets nothing new
+	Moved               // its endpoint has another address
+	Server              // the server said that it closes
+	Pressure            // memory is short
+	whys
+)
+
+var whyNames = [whys]string{"idle", "age", "uses", "thin", "room", "leaving", "moved", "server", "pressure"}
+
+func (w Why) String() string { return whyNames[w] }
+
+// Whys is how many reasons there are.
+const Whys = int(whys)
+
+// Give is a connection to be closed, and why.
+type Give struct {
+	ID  ID
+	Why Why
+}
+
+type state int
+
+const (
+	opening state = iota
+	busy
+	resting
+)
+
+type conn struct {
+	id      ID
+	ep      *endpoint
+	state   state
+	born    time.Duration
+	old     time.Duration // when it is given up for its age; 0 for never
+	since   time.Duration // of resting
+	carried int           // calls
+	idled   time.Duration // before the call that is out; 0 for the first
+	tries   bool          // it tries what a quarantine or a limit of uses forbids
+	ahead   bool          // it was opened before it was needed
+}
+
+type endpoint struct {
+	name, addr string
+	dest       int
+	open       bool // it may get something new
+	cold       bool // it is not to be pushed: one opening ahead at a time
+	conns      map[ID]*conn
+	out        int // busy
+
+	reuses reuses
+	spells spells
+
+	banned, bannedUntil time.Duration // idle times from banned on are not tried before
+	ban                 time.Duration // of the newest loss
+	exploring           bool
+	tryAt               time.Duration    // no idle time beyond the limit is tried before
+	goodIdle            [2]time.Duration // the longest good reuse of this stretch of time, and of the one before
+	goodFrom            time.Duration    // when this one began
+
+	uses, usesSeen, usesN int // limit of calls a connection, 0 for none; the newest closing's, and how often in a row
+	cap                   int // connections that the server seems to take; 0 for no limit
+	capAt                 time.Duration
+	fails                 int
+	retryAt               time.Duration
+	goodOpen              time.Duration // the newest opening that went well
+
+	arrivals        int
+	rate, mean, dev float64 // calls a second; seconds a call takes, and its spread
+	peak            float64 // calls out at once, fading
+	expected        int     // calls that are known to come
+}
+
+// Pool decides for all endpoints. It is not safe for use by several goroutines at once.
+type Pool struct {
+	cfg    Config
+	eps    map[string]*endpoint
+	conns  map[ID]*conn
+	next   ID
+	rng    *rand.Rand
+	last   time.Duration
+	ticked time.Duration // the newest tick
+	calls  float64       // of late
+	stale  float64
+	total  Counters
+}
+
+// Counters count since the start.
+type Counters struct {
+	Opened, Ahead, Unused int64 // connections; of them opened ahead, and never used
+	Calls, Reused, Stale  int64 // calls; on warm connections; failed by dead ones
+	Failed                int64 // openings
+	Waited                int64 // calls that had to wait for a connection of their endpoint
+	Given                 [whys]int64
+	Closed                int64 // by the server, before our eyes
+	Bans                  int64 // idle times put in quarantine
+}
+
+// New returns a Pool.
+func New(cfg Config) (*Pool, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	return &Pool{cfg: cfg, eps: map[string]*endpoint{}, conns: map[ID]*conn{}, rng: rand.New(rand.NewPCG(cfg.Seed, 9))}, nil
+}
+
+// Counters returns the counters.
+func (p *Pool) Counters() Counters { return p.total }
+
+// Len is how many connections there are, those being opened included.
+func (p *Pool) Len() int { return len(p.conns) }
+
+// Limit changes how many connections there may be in all; what there is too many is given up as it rests.
+func (p *Pool) Limit(most int) { p.cfg.Most = most }
+
+// Endpoint brings news of an endpoint: what is known of one that moves is forgotten, for another server stands there. What
+// has to be closed is returned; connections that are busy close as they come to rest.
+func (p *Pool) Endpoint(name, addr string, dest int, open bool) (give []Give) {
+	e := p.eps[name]
+	if e == nil {
+		if !open {
+			return nil
+		}
+		e = &endpoint{name: name, addr: addr, dest: dest, conns: map[ID]*conn{}}
+		p.learnFromSiblings(e)
+		p.eps[name] = e
+	}
+	why := Leaving
+	if moved := e.addr != addr; moved {
+		next := &endpoint{name: name, addr: addr, dest: dest, conns: e.conns, out: e.out, rate: e.rate, mean: e.mean, dev: e.dev, peak: e.peak}
+		p.learnFromSiblings(next)
+		*e = *next
+		why = Moved
+	} else if open {
+		e.open, e.dest = open, dest
+		return nil
+	}
+	e.open, e.dest = open, dest
+	for _, c := range e.sorted() {
+		if c.state == resting {
+			give = append(give, p.give(c, why))
+		} else if why == Moved {
+			c.old = 1 // long ago: it closes as it comes to rest
+		}
+	}
+	p.forget(e)
+	return give
+}
+
+// learnFromSiblings has a new endpoint begin with what others of its destination have taught: they are most likely alike.
+func (p *Pool) learnFromSiblings(e *endpoint) {
+	for _, name := range slices.Sorted(maps.Keys(p.eps)) {
+		if o := p.eps[name]; o.name != e.name && o.dest == e.dest && o.open {
+			if o.bannedUntil > 0 && (e.bannedUntil == 0 || o.banned < e.banned) {
+				e.banned, e.bannedUntil, e.ban = o.banned, o.bannedUntil, o.ban
+			}
+			if e.uses == 0 {
+				e.uses = o.uses
+			}
+			for b := range idleBounds { // a part of what they know: it soon yields to what is seen here
+				e.reuses.good[b] += o.reuses.good[b] / 5
+				e.reuses.lost[b] += o.reuses.lost[b] / 5
+				e.spells.closed[b] += o.spells.closed[b] / 5
+				e.spells.censored[b] += o.spells.censored[b] / 5
+			}
+		}
+	}
+}
+
+// forget ends what is kept of an endpoint that is gone, once no connection is left.
+func (p *Pool) forget(e *endpoint) {
+	if !e.open && len(e.conns) == 0 {
+		delete(p.eps, e.name)
+	}
+}
+
+// Hint tells that an endpoint is cold or not, and how many calls are known to come there soon.
+func (p *Pool) Hint(name string, cold bool, expected int) {
+	if e := p.eps[name]; e != nil {
+		e.cold, e.expected = cold, expected
+	}
+}
+
+// sorted are an endpoint's connections in the order of their ids, so that the same events always lead to the same acts.
+func (e *endpoint) sorted() []*conn {
+	return slices.SortedFunc(maps.Values(e.conns), func(a, b *conn) int { return cmp.Compare(a.id, b.id) })
+}
+
+func (p *Pool) give(c *conn, why Why) Give {
+	p.total.Given[why]++
+	if c.state == resting {
+		c.ep.spells.add(p.last-c.since, false)
+	}
+	p.drop(c)
+	return Give{c.id, why}
+}
+
+func (p *Pool) drop(c *conn) {
+	if c.state == busy {
+		c.ep.out--
+	}
+	if c.carried == 0 && c.ahead {
+		p.total.Unused++
+	}
+	if c.tries {
+		c.ep.exploring = false
+	}
+	delete(p.conns, c.id)
+	delete(c.ep.conns, c.id)
+	p.forget(c.ep)
+}
+
+// Verdict says how a call gets its connection.
+type Verdict int
+
+// The verdicts.
+const (
+	Use  Verdict = iota // the warm connection that is named
+	Open                // a new one, to be opened now under the id that is named
+	Wait                // none may be opened: one that comes to rest is to be had, or leave after a while
+)
+
+// Call decides on a call to an endpoint: which connection it goes on. What has to be closed for it, or is found to be of
+// no use any more, is returned too.
+func (p *Pool) Call(now time.Duration, name string) (v Verdict, id ID, give []Give) {
+	p.now(now)
+	e := p.eps[name]
+	if e == nil || !e.open {
+		return Wait, 0, nil
+	}
+	e.arrivals++
+	if c, bad := p.best(e); c != nil {
+		p.take(c)
+		return Use, c.id, bad
+	} else {
+		give = bad
+	}
+	if e.full(p.last) {
+		p.total.Waited++
+		return Wait, 0, give
+	}
+	room, ok := p.room(e)
+	if give = append(give, room...); !ok {
+		p.total.Waited++
+		return Wait, 0, give
+	}
+	c := p.open(e)
+	return Open, c.id, give
+}
+
+// Claim has a connection that has just come to rest carry a call that waited for one; false if it does not rest.
+func (p *Pool) Claim(now time.Duration, id ID) bool {
+	p.now(now)
+	c := p.conns[id]
+	if c == nil || c.state != resting {
+		return false
+	}
+	p.take(c)
+	return true
+}
+
+func (p *Pool) now(now time.Duration) { p.last = max(p.last, now) }
+
+// take has a resting connection carry a call.
+func (p *Pool) take(c *conn) {
+	c.idled = max(p.last-c.since, 1)
+	c.state = busy
+	c.ep.out++
+	c.ep.peak = max(c.ep.peak, float64(c.ep.out))
+	p.total.Calls++
+	p.total.Reused++
+	p.calls++
+}
+
+// open begins a connection.
+func (p *Pool) open(e *endpoint) *conn {
+	p.next++
+	c := &conn{id: p.next, ep: e, born: p.last}
+	if p.cfg.MaxAge > 0 { // a quarter to both sides: those that were opened together do not close together
+		c.old = p.last + time.Duration(float64(p.cfg.MaxAge)*(0.75+p.rng.Float64()/2))
+	}
+	p.conns[c.id], e.conns[c.id] = c, c
+	p.total.Opened++
+	return c
+}
+
+// full says that the server seems to take no more connections. From time to time one more is tried.
+func (e *endpoint) full(now time.Duration) bool {
+	if e.cap > 0 && now-e.capAt > capFor {
+		e.cap, e.capAt = e.cap+1, now
+	}
+	return e.cap > 0 && len(e.conns) >= e.cap
+}
+
+// room makes room for one more connection in all. It comes from whoever rests with the most beyond its fair share; an
+// endpoint within its share gives nothing to one beyond its own.
+func (p *Pool) room(e *endpoint) (give []Give, ok bool) {
+	if len(p.conns) < p.cfg.Most {
+		return nil, true
+	}
+	fair := float64(p.cfg.Most) / float64(max(len(p.eps), 1))
+	var worst *conn
+	most := math.Inf(-1)
+	for _, id := range slices.Sorted(maps.Keys(p.conns)) {
+		c := p.conns[id]
+		if c.state != resting || c.ep == e {
+			continue
+		}
+		over := float64(len(c.ep.conns)) - max(min(c.ep.target(), fair), 0)
+		if over > most || over == most && c.since < worst.since {
+			worst, most = c, over
+		}
+	}
+	if worst == nil || most <= 0 && float64(len(e.conns)) >= fair {
+		return nil, false
+	}
+	return []Give{p.give(worst, Room)}, true
+}
+
+// best is the resting connection that is least likely dead, if that is worth the risk; others that are not are returned
+// to be closed. Where none is, one that idled beyond the limit may be tried from time to time: a server's time changes.
+func (p *Pool) best(e *endpoint) (best *conn, bad []Give) {
+	dead := e.reuses.dead()
+	soft, hard := p.limits(e)
+	risk := math.Inf(1)
+	var try *conn
+	for _, c := range e.sorted() {
+		if c.state != resting {
+			continue
+		}
+		why, over := p.over(c, soft)
+		if over && why == Idle && p.last-c.since < hard && p.mayTry(e) && (try == nil || c.since > try.since) {
+			c, try = try, c // the one that idled less is the better try
+			if c == nil {
+				continue
+			}
+		}
+		if over {
+			bad = append(bad, p.give(c, why))
+			continue
+		}
+		if r := dead[bucket(p.last-c.since)]; best == nil || r < risk || r == risk && c.since >= best.since {
+			best, risk = c, r
+		}
+	}
+	if best == nil && try != nil {
+		e.exploring, e.tryAt, try.tries = true, p.last+tryEvery, true
+		return try, bad
+	}
+	return best, bad
+}
+
+// mayTry says whether an idle time beyond the limit may be tried now: one at a time, now and then, and not in quarantine.
+func (p *Pool) mayTry(e *endpoint) bool {
+	return !e.exploring && p.last >= e.tryAt && p.last >= e.bannedUntil
+}
+
+// over says that a resting connection is not to be used again, and why.
+func (p *Pool) over(c *conn, limit time.Duration) (Why, bool) {
+	switch e := c.ep; {
+	case !e.open:
+		return Leaving, true
+	case p.last-c.since >= limit:
+		return Idle, true
+	case c.old > 0 && p.last >= c.old:
+		return Age, true
+	case e.uses > 0 && c.carried >= e.uses && c.id%usesTry != 0:
+		return Uses, true
+	}
+	return 0, false
+}
+
+// limits are how long a connection to an endpoint may idle: as a rule less than what its losses allow and than what is in
+// quarantine; and at most, less than servers are known to let it and than this one was seen to.
+func (p *Pool) limits(e *endpoint) (soft, hard time.Duration) {
+	hard = time.Duration(float64(p.cfg.IdleMost) * (1 - raceMargin))
+	if seen, ok := e.spells.until(closeShare); ok {
+		hard = min(hard, time.Duration(float64(seen)*(1-raceMargin)))
+	}
+	soft = min(hard, e.reuses.limit(p.risk(), p.cfg.OpenPrice/p.cfg.LossPrice))
+	if e.banned > 0 {
+		soft = min(soft, time.Duration(float64(e.banned)*0.8))
+	}
+	return soft, hard
+}
+
+// risk is the share of dead connections that a reuse may expect: what the prices allow, and less the nearer losses of late
+// are to what they may be.
+func (p *Pool) risk() float64 {
+	left := 1 - p.stale/max(p.calls*p.cfg.StaleMost, 1)
+	return p.cfg.OpenPrice / p.cfg.LossPrice * min(max(left, 0.05), 1)
+}
+
+// Opened tells that a connection is up. With a call waiting for it that call is out on it now; else it rests.
+func (p *Pool) Opened(now time.Duration, id ID, call bool) {
+	p.now(now)
+	c := p.conns[id]
+	if c == nil || c.state != opening {
+		return
+	}
+	e := c.ep
+	e.goodOpen, e.fails = p.last, e.fails/2
+	if !call {
+		c.state, c.since = resting, p.last
+		return
+	}
+	c.state = busy
+	e.out++
+	e.peak = max(e.peak, float64(e.out))
+	p.total.Calls++
+	p.calls++
+}
+
+// Failed tells that a connection did not come up. Where others to the endpoint did of late, or are open, the server may take
+// no more.
+func (p *Pool) Failed(now time.Duration, id ID, refused bool) {
+	p.now(now)
+	c := p.conns[id]
+	if c == nil {
+		return
+	}
+	e := c.ep
+	p.total.Failed++
+	p.drop(c)
+	up := 0
+	for _, o := range e.conns {
+		if o.state != opening {
+			up++
+		}
+	}
+	if refused && up > 0 && p.last-e.goodOpen < capFor {
+		e.cap, e.capAt = up, p.last
+	} else {
+		e.fails++
+	}
+	wait := min(float64(p.cfg.BackoffLeast)*math.Exp2(float64(min(max(e.fails-1, 0), 30))), float64(p.cfg.BackoffMost))
+	e.retryAt = p.last + time.Duration(wait*(0.5+p.rng.Float64()/2))
+}
+
+// End says how a call on a connection ended.
+type End int
+
+// The ends.
+const (
+	Answered End = iota // and the connection may carry another call
+	Last                // answered, and the server closes
+	Cut                 // given up by us, or the answer was spoilt
+	Dead                // the connection broke before the first byte of an answer
+	Broken              // it broke later
+)
+
+// Done tells the end of a call. It returns whether the connection rests from now on, and if not, why it is to be closed.
+func (p *Pool) Done(now time.Duration, id ID, end End, took time.Duration) (rests bool, why Why) {
+	p.now(now)
+	c := p.conns[id]
+	if c == nil || c.state != busy {
+		return false, Server
+	}
+	e := c.ep
+	c.carried++
+	p.learn(c, end)
+	if end == Answered || end == Last {
+		e.served(took.Seconds())
+	}
+	if c.tries {
+		c.tries, e.exploring = false, false
+	}
+	why = Server
+	switch {
+	case end != Answered:
+	case !e.open:
+		why = Leaving
+	case c.old > 0 && p.last >= c.old:
+		why = Age
+	case e.uses > 0 && c.carried >= e.uses && c.id%usesTry != 0:
+		why = Uses
+	case len(p.conns) > p.cfg.Most:
+		why = Room
+	default:
+		e.out--
+		c.state, c.since = resting, p.last
+		return true, 0
+	}
+	if end == Last {
+		p.sawUses(e, c.carried)
+	}
+	p.total.Given[why]++
+	p.drop(c)
+	return false, why
+}
+
+// learn takes in what a call tells of idling.
+func (p *Pool) learn(c *conn, end End) {
+	e := c.ep
+	if c.idled == 0 {
+		return
+	}
+	if end != Dead {
+		if end != Cut { // what was cut tells nothing
+			e.reuses.add(c.idled, false)
+			e.spells.add(c.idled, false)
+			e.goodOf(p.last)
+			e.goodIdle[0] = max(e.goodIdle[0], c.idled)
+			if e.banned > 0 && c.idled >= e.banned { // it lives on that long now
+				e.banned, e.bannedUntil, e.ban = 0, 0, 0
+			}
+		}
+		return
+	}
+	p.total.Stale++
+	p.stale++
+	e.reuses.add(c.idled, true)
+	if e.goodOf(p.last) > c.idled {
+		return // one that idled longer went well of late: it is not for idling
+	}
+	e.ban = min(max(e.ban*2, quarantine), quarantineMost)
+	if e.banned == 0 || c.idled < e.banned {
+		e.banned = c.idled
+	}
+	e.bannedUntil = p.last + e.ban
+	p.total.Bans++
+}
+
+// goodOf is the longest idle time that went well of late: in this stretch of recentGood and the one before.
+func (e *endpoint) goodOf(now time.Duration) time.Duration {
+	if n := now - e.goodFrom; n >= 2*recentGood {
+		e.goodIdle, e.goodFrom = [2]time.Duration{}, now
+	} else if n >= recentGood {
+		e.goodIdle, e.goodFrom = [2]time.Duration{0, e.goodIdle[0]}, now
+	}
+	return max(e.goodIdle[0], e.goodIdle[1])
+}
+
+// served takes a service time into the usual one.
+func (e *endpoint) served(took float64) {
+	if e.mean == 0 {
+		e.mean, e.dev = took, took/2
+	}
+	e.dev += demandFade * (math.Abs(took-e.mean) - e.dev)
+	e.mean += demandFade * (took - e.mean)
+}
+
+// Closed tells that the server closed a resting connection, or one that was opening and never carried a call.
+func (p *Pool) Closed(now time.Duration, id ID) {
+	p.now(now)
+	c := p.conns[id]
+	if c == nil {
+		return
+	}
+	p.total.Closed++
+	if c.state == resting {
+		idle := p.last - c.since
+		if c.carried > 0 && idle < 50*time.Millisecond {
+			p.sawUses(c.ep, c.carried) // behind an answer: not for idling
+		} else {
+			c.ep.spells.add(idle, true)
+		}
+	}
+	p.drop(c)
+}
+
+// sawUses notes that the server closed behind so many calls.
+func (p *Pool) sawUses(e *endpoint, n int) {
+	if e.usesSeen != n {
+		e.usesSeen, e.usesN = n, 0
+	}
+	if e.usesN++; e.usesN >= sameUses {
+		e.uses = n
+	}
+}
+
+// target is how many connections an endpoint is to have: for the calls that Little's law has out at once, and the spread
+// about them, and for the peak of late.
+func (e *endpoint) target() float64 {
+	if !e.open {
+		return 0
+	}
+	out := e.rate * (e.mean + e.dev)
+	need := out + quantile*math.Sqrt(out)
+	if e.rate > 0.5 {
+		need = max(need, 1)
+	}
+	return math.Ceil(max(need, e.peak))
+}
+
+// Tick looks at everything: it is to come every quarter of a second or so. It returns what is to be closed, and for which
+// endpoints connections are to be opened ahead, under which ids.
+func (p *Pool) Tick(now time.Duration) (give []Give, ahead []ID) {
+	p.now(now)
+	dt := (p.last - p.ticked).Seconds()
+	p.ticked = p.last
+	if p.calls > staleWindow {
+		p.calls, p.stale = p.calls/2, p.stale/2
+	}
+	names := slices.Sorted(maps.Keys(p.eps))
+	for _, name := range names {
+		e := p.eps[name]
+		e.fade(dt, p.cfg.Keep)
+		soft, hard := p.limits(e)
+		spare := float64(len(e.conns)) - e.target()
+		resting := slices.DeleteFunc(e.sorted(), func(c *conn) bool { return c.state != resting })
+		slices.SortFunc(resting, func(a, b *conn) int { return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.id, b.id)) })
+		var keep *conn // the newest beyond the limit, to be tried
+		if p.mayTry(e) && spare < 1 {
+			for _, c := range resting {
+				if idle := p.last - c.since; idle >= soft && idle < hard {
+					keep = c
+				}
+			}
+		}
+		for _, c := range resting {
+			why, over := p.over(c, soft)
+			if c == keep && why == Idle {
+				over = false
+			}
+			if !over && spare >= 1 && p.last-c.since >= thinAfter {
+				why, over = Thin, true
+			}
+			if over {
+				spare--
+				give = append(give, p.give(c, why))
+			}
+		}
+	}
+	for _, name := range names {
+		if e := p.eps[name]; e != nil && p.cfg.Ahead {
+			ahead = append(ahead, p.ahead(e)...)
+		}
+	}
+	return give, ahead
+}
+
+// fade lets rate and peak follow the last tick.
+func (e *endpoint) fade(dt float64, keep time.Duration) {
+	if dt <= 0 {
+		return
+	}
+	rate := float64(e.arrivals) / dt
+	e.arrivals = 0
+	if rate > e.rate {
+		e.rate += 0.5 * (rate - e.rate)
+	} else {
+		e.rate += (1 - math.Exp2(-dt/keep.Seconds())) * (rate - e.rate)
+	}
+	if e.rate < 0.01 {
+		e.rate = 0
+	}
+	e.peak = max(e.peak*math.Exp2(-dt/keep.Seconds()), float64(e.out))
+	if e.peak < 0.5 {
+		e.peak = 0
+	}
+}
+
+// ahead opens what an endpoint will need: for calls that are known to come, and in place of what was given up while it was
+// called often. An endpoint that is cold, or where openings fail, gets one at a time.
+func (p *Pool) ahead(e *endpoint) (ids []ID) {
+	if !e.open || p.last < e.retryAt {
+		return nil
+	}
+	under, free := 0, 0
+	for _, c := range e.conns {
+		switch c.state {
+		case opening:
+			under++
+			free++
+		case resting:
+			free++
+		}
+	}
+	// A connection is worth opening if it is used before it has to be given up for idling.
+	want := 0
+	if soft, _ := p.limits(e); e.rate*soft.Seconds() > 3 {
+		want = int(e.target()) - len(e.conns)
+	}
+	want = max(want, e.expected-free)
+	if e.cold || e.fails > 0 {
+		want = min(want, 1-under)
+	}
+	for ; want > 0 && !e.full(p.last) && len(p.conns) < p.cfg.Most; want-- { // never at another's cost
+		c := p.open(e)
+		c.ahead = true
+		p.total.Ahead++
+		ids = append(ids, c.id)
+	}
+	return ids
+}
+
+// Unneeded names connections that are being opened ahead and that nobody will need any more: they may be called off.
+func (p *Pool) Unneeded() (ids []ID) {
+	for _, name := range slices.Sorted(maps.Keys(p.eps)) {
+		e := p.eps[name]
+		spare := len(e.conns) - max(int(e.target()), e.out+e.expected)
+		for _, c := range e.sorted() {
+			if c.state == opening && c.ahead && spare > 0 {
+				ids = append(ids, c.id)
+				spare--
+			}
+		}
+	}
+	return ids
+}
+
+// Shed gives up resting connections while memory or descriptors are short: those beyond their endpoint's need first.
+func (p *Pool) Shed(now time.Duration, most int) (give []Give) {
+	p.now(now)
+	rest := slices.DeleteFunc(slices.Collect(maps.Values(p.conns)), func(c *conn) bool { return c.state != resting })
+	slices.SortFunc(rest, func(a, b *conn) int {
+		spare := func(c *conn) float64 { return float64(len(c.ep.conns)) - c.ep.target() }
+		return cmp.Or(cmp.Compare(spare(b), spare(a)), cmp.Compare(a.since, b.since), cmp.Compare(a.id, b.id))
+	})
+	for _, c := range rest[:min(most, len(rest))] {
+		give = append(give, p.give(c, Pressure))
+	}
+	return give
+}
+
+// EndpointOf names the endpoint of a connection.
+func (p *Pool) EndpointOf(id ID) (string, bool) {
+	c := p.conns[id]
+	if c == nil {
+		return "", false
+	}
+	return c.ep.name, true
+}
+
+// State is what is known of one endpoint, for operators.
+type State struct {
+	Endpoint            string
+	Open, Cold          bool
+	Opening, Busy, Idle int
+	Target              int
+	Rate                float64       // calls a second
+	Service, Spread     time.Duration // of a call
+	IdleLimit           time.Duration
+	Banned              time.Duration // idle time in quarantine; 0 for none
+	Uses, Cap, Fails    int
+}
+
+// States are those of all endpoints, by name.
+func (p *Pool) States() (list []State) {
+	for _, name := range slices.Sorted(maps.Keys(p.eps)) {
+		e := p.eps[name]
+		soft, _ := p.limits(e)
+		s := State{Endpoint: name, Open: e.open, Cold: e.cold, Target: int(e.target()), Rate: e.rate, Service: time.Duration(e.mean * 1e9),
+			Spread: time.Duration(e.dev * 1e9), IdleLimit: soft, Uses: e.uses, Cap: e.cap, Fails: e.fails}
+		if p.last < e.bannedUntil {
+			s.Banned = e.banned
+		}
+		for _, c := range e.conns {
+			switch c.state {
+			case opening:
+				s.Opening++
+			case busy:
+				s.Busy++
+			case resting:
+				s.Idle++
+			}
+		}
+		list = append(list, s)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/conns/conns_test.go
@@ -0,0 +1,636 @@
+package conns
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wrenford/internal/cuts"
+)
+
+const ms = time.Millisecond
+
+func config() Config {
+	c := Defaults()
+	c.Most, c.IdleMost, c.Seed = 1000, 60*time.Second, 1
+	return c
+}
+
+func newPool(t *testing.T, cfg Config, endpoints ...string) *Pool {
+	t.Helper()
+	p, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, e := range endpoints {
+		p.Endpoint(e, "addr "+e, i, true)
+	}
+	return p
+}
+
+// server is a scripted server in virtual time, and the connections that a Pool holds to it.
+type server struct {
+	t       *testing.T
+	p       *Pool
+	name    string
+	now     time.Duration
+	silent  time.Duration // it drops a connection unseen that idled so long; 0 for never
+	closes  time.Duration // it closes one before our eyes
+	uses    int           // it closes behind so many calls
+	conns   map[ID]*sconn
+	calls   int
+	stale   int
+	opened  int
+	rng     *rand.Rand
+	chance  float64 // share of the calls that break a warm connection for no reason
+	service time.Duration
+}
+
+type sconn struct {
+	since   time.Duration
+	carried int
+	busy    bool
+}
+
+func newServer(t *testing.T, p *Pool, name string) *server {
+	return &server{t: t, p: p, name: name, conns: map[ID]*sconn{}, rng: rand.New(rand.NewPCG(5, 5)), service: 20 * ms}
+}
+
+// pass lets time pass: the server closes what it closes, and the pool ticks.
+func (s *server) pass(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		step := min(250*ms, end-s.now)
+		s.now += step
+		for _, id := range s.ids() {
+			c := s.conns[id]
+			if !c.busy && s.closes > 0 && s.now-c.since >= s.closes {
+				s.p.Closed(s.now, id)
+				delete(s.conns, id)
+			}
+		}
+		give, ahead := s.p.Tick(s.now)
+		s.gone(give)
+		for _, id := range ahead {
+			s.opened++
+			s.conns[id] = &sconn{since: s.now}
+			s.p.Opened(s.now, id, false)
+		}
+	}
+}
+
+func (s *server) ids() (ids []ID) {
+	for id := range s.conns {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (s *server) gone(give []Give) {
+	for _, g := range give {
+		if c := s.conns[g.ID]; c == nil || c.busy {
+			s.t.Fatalf("given up, but busy or not there: %v", g)
+		}
+		delete(s.conns, g.ID)
+	}
+}
+
+// call makes one call, again on a new connection where a dead one failed it, and returns how long it was until it began.
+func (s *server) call() (fresh bool) {
+	s.calls++
+	for {
+		v, id, give := s.p.Call(s.now, s.name)
+		s.gone(give)
+		switch v {
+		case Open:
+			fresh = true
+			s.opened++
+			s.conns[id] = &sconn{busy: true}
+			s.p.Opened(s.now, id, true)
+		case Use:
+			c := s.conns[id]
+			if c == nil || c.busy {
+				s.t.Fatalf("connection %d is gone or busy", id)
+			}
+			idle := s.now - c.since
+			if s.silent > 0 && idle >= s.silent || s.rng.Float64() < s.chance {
+				s.stale++
+				s.p.Done(s.now, id, Dead, 0)
+				delete(s.conns, id)
+				continue
+			}
+			c.busy = true
+		case Wait:
+			s.t.Fatal("told to wait")
+		}
+		s.finish(id)
+		return fresh
+	}
+}
+
+func (s *server) finish(id ID) {
+	s.now += s.service
+	c := s.conns[id]
+	c.carried++
+	if rests, _ := s.p.Done(s.now, id, Answered, s.service); !rests {
+		delete(s.conns, id)
+		return
+	}
+	c.busy, c.since = false, s.now
+	if s.uses > 0 && c.carried >= s.uses {
+		s.p.Closed(s.now, id)
+		delete(s.conns, id)
+	}
+}
+
+// traffic makes calls with gaps that are drawn evenly up to a longest.
+func (s *server) traffic(n int, longest time.Duration) {
+	for range n {
+		s.pass(time.Duration(s.rng.Float64() * float64(longest)))
+		s.call()
+	}
+}
+
+// A server that drops connections unseen after a time that nobody told: the share of calls that it fails stays below one
+// in a thousand, and connections are used again below that time. At noon the time changes, to a shorter and a longer one.
+func TestSilentClose(t *testing.T) {
+	p := newPool(t, config(), "e")
+	s := newServer(t, p, "e")
+	s.silent = 5 * time.Second
+	s.traffic(20_000, 8*time.Second)
+	for _, silent := range []time.Duration{1500 * ms, 20 * time.Second} {
+		s.silent = silent
+		s.traffic(20_000, 8*time.Second)
+	}
+	if share := float64(s.stale) / float64(s.calls); share > 0.001 {
+		t.Errorf("%d of %d calls failed by dead connections", s.stale, s.calls)
+	}
+	if c := p.Counters(); c.Reused < int64(s.calls)/4 {
+		t.Errorf("%d of %d calls on warm connections", c.Reused, s.calls)
+	}
+	if s.silent = 1500 * ms; true {
+		before := s.opened
+		s.traffic(5000, 1200*ms)
+		if n := s.opened - before; n > 500 {
+			t.Errorf("%d connections opened for 5000 calls that come in time", n)
+		}
+	}
+}
+
+// A server that closes before our eyes costs no call: what it closes is learned and given up before.
+func TestSeenClose(t *testing.T) {
+	p := newPool(t, config(), "e")
+	s := newServer(t, p, "e")
+	s.closes = 3 * time.Second
+	s.traffic(3000, 6*time.Second)
+	if limit := p.States()[0].IdleLimit; limit > 3*time.Second || limit < time.Second {
+		t.Errorf("idle limit %v", limit)
+	}
+	if c := p.Counters(); c.Stale > 0 || c.Given[Idle] == 0 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Connections that break for no reason say nothing of idling: they go on being used again.
+func TestChanceLosses(t *testing.T) {
+	p := newPool(t, config(), "e")
+	s := newServer(t, p, "e")
+	s.chance = 0.005
+	s.traffic(5000, 2*time.Second)
+	if float64(s.opened) > 0.25*float64(s.calls) {
+		t.Errorf("%d connections for %d calls", s.opened, s.calls)
+	}
+}
+
+// A server that closes behind a number of calls: it is learned, and now and then tried whether it still holds.
+func TestLimitOfUses(t *testing.T) {
+	p := newPool(t, config(), "e")
+	s := newServer(t, p, "e")
+	s.uses = 7
+	s.traffic(500, 100*ms)
+	if u := p.States()[0].Uses; u != 7 {
+		t.Errorf("a limit of %d uses was learned", u)
+	}
+	closed := p.Counters().Closed
+	s.traffic(700, 100*ms)
+	if n := p.Counters().Closed - closed; n > 20 {
+		t.Errorf("the server closed %d of about 100 before we did", n)
+	}
+}
+
+// hold has n calls out at once, and returns their connections.
+func hold(t *testing.T, p *Pool, now time.Duration, name string, n int) (ids []ID) {
+	t.Helper()
+	for range n {
+		v, id, _ := p.Call(now, name)
+		if v == Open {
+			p.Opened(now, id, true)
+		} else if v != Use {
+			t.Fatalf("call %d of %d waits", len(ids), n)
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func rest(t *testing.T, p *Pool, now time.Duration, ids []ID) {
+	t.Helper()
+	for _, id := range ids {
+		if rests, why := p.Done(now, id, Answered, 20*ms); !rests {
+			t.Fatalf("%d was given up: %v", id, why)
+		}
+	}
+}
+
+// What a peak needed is kept for a while, and thinned slowly; a clump that comes in the middle finds some warm, and never
+// more are closed and opened than there are calls.
+func TestThinningAndAClump(t *testing.T) {
+	p := newPool(t, config(), "e")
+	now := time.Second
+	rest(t, p, now, hold(t, p, now, "e", 60))
+	counts := []int{}
+	for range 40 { // 20 s: more than a half-life of the peak
+		now += 500 * ms
+		rest(t, p, now, hold(t, p, now, "e", 2))
+		p.Tick(now)
+		counts = append(counts, p.Len())
+	}
+	if counts[4] < 40 || counts[39] > 40 || !slices.IsSortedFunc(counts, func(a, b int) int { return b - a }) {
+		t.Errorf("%v", counts)
+	}
+	warm, opened := p.Len(), p.Counters().Opened
+	rest(t, p, now, hold(t, p, now, "e", 60))
+	if n := int(p.Counters().Opened - opened); n != 60-warm {
+		t.Errorf("%d opened for a clump of 60 with %d warm", n, warm)
+	}
+}
+
+// An endpoint that takes four connections: the fifth fails once, and calls then wait for one of the four; later one more
+// is tried.
+func TestCapOfAnEndpoint(t *testing.T) {
+	p := newPool(t, config(), "e")
+	now := time.Second
+	ids := hold(t, p, now, "e", 4)
+	_, fifth, _ := p.Call(now, "e")
+	p.Failed(now, fifth, true)
+	if v, _, _ := p.Call(now, "e"); v != Wait || p.States()[0].Cap != 4 {
+		t.Errorf("%v with a cap of %d", v, p.States()[0].Cap)
+	}
+	rest(t, p, now, ids[:1])
+	if !p.Claim(now, ids[0]) || p.Claim(now, ids[0]) {
+		t.Error("the connection that came to rest is not to be had, or twice")
+	}
+	now += capFor + time.Second
+	if v, id, _ := p.Call(now, "e"); v != Open || id == 0 {
+		t.Errorf("after a while: %v", v)
+	}
+	if v, _, _ := p.Call(now, "e"); v != Wait {
+		t.Errorf("one more is tried, not two: %v", v)
+	}
+}
+
+// A server that moves, or is replaced at its address under another name, begins anew; what a sibling has lost is heeded.
+func TestReplacement(t *testing.T) {
+	p := newPool(t, config(), "a")
+	s := newServer(t, p, "a")
+	s.silent = 2 * time.Second
+	s.traffic(300, 5*time.Second)
+	taught := p.States()[0].IdleLimit
+	if taught >= 2*time.Second {
+		t.Fatalf("idle limit %v", taught)
+	}
+	give := p.Endpoint("a", "elsewhere", 0, true)
+	s.gone(give)
+	if limit := p.States()[0].IdleLimit; limit < 30*time.Second || p.Len() != 0 {
+		t.Errorf("moved, with %v and %d connections", limit, p.Len())
+	}
+	s.traffic(300, 5*time.Second)
+	p.Endpoint("b", "addr b", 0, true)
+	if limit := p.States()[1].IdleLimit; limit > 5*time.Second {
+		t.Errorf("a new sibling begins with %v", limit)
+	}
+	p.Endpoint("c", "addr c", 1, true)
+	if limit := p.States()[2].IdleLimit; limit < 30*time.Second {
+		t.Errorf("one of another destination begins with %v", limit)
+	}
+}
+
+// Three hundred endpoints and 256 descriptors: never more, everybody is served, and nobody with little is robbed by one
+// with much.
+func TestMoreEndpointsThanDescriptors(t *testing.T) {
+	cfg := config()
+	cfg.Most = 256
+	p := newPool(t, cfg)
+	for i := range 300 {
+		p.Endpoint(fmt.Sprint(i), fmt.Sprint(i), i, true)
+	}
+	rng, now := rand.New(rand.NewPCG(1, 2)), time.Second
+	for range 20_000 {
+		now += 5 * ms
+		name := fmt.Sprint(rng.IntN(300))
+		v, id, _ := p.Call(now, name)
+		if v == Wait {
+			t.Fatal("nobody is busy, and a call waits")
+		}
+		if v == Open {
+			p.Opened(now, id, true)
+		}
+		if p.Len() > 256 {
+			t.Fatalf("%d connections", p.Len())
+		}
+		p.Done(now+ms, id, Answered, ms)
+		if rng.IntN(50) == 0 {
+			p.Tick(now)
+		}
+	}
+	// One endpoint wants everything while the others idle with one each: it stops where others are within their share.
+	busy := []ID{}
+	for {
+		v, id, _ := p.Call(now, "0")
+		if v == Wait {
+			break
+		}
+		if v == Open {
+			p.Opened(now, id, true)
+		}
+		busy = append(busy, id)
+	}
+	others := 0
+	for _, s := range p.States() {
+		if s.Endpoint != "0" {
+			others += s.Busy + s.Idle
+		}
+	}
+	if p.Len() > 256 || len(busy) < 20 {
+		t.Errorf("%d in all, %d of one, %d of the others", p.Len(), len(busy), others)
+	}
+}
+
+// A drain with fifty busy connections: idle ones go at once, busy ones as their calls end, and then nothing is kept.
+func TestDrain(t *testing.T) {
+	p := newPool(t, config(), "e")
+	now := time.Second
+	ids := hold(t, p, now, "e", 60)
+	rest(t, p, now, ids[50:])
+	if give := p.Endpoint("e", "addr e", 0, false); len(give) != 10 || give[0].Why != Leaving {
+		t.Errorf("%v", give)
+	}
+	if v, _, _ := p.Call(now, "e"); v != Wait || p.Len() != 50 {
+		t.Errorf("%v, %d left", v, p.Len())
+	}
+	for i, id := range ids[:50] {
+		if rests, why := p.Done(now+time.Second, id, Answered, time.Second); rests || why != Leaving {
+			t.Errorf("%d rests at an endpoint that leaves: %v", i, why)
+		}
+	}
+	if p.Len() != 0 || len(p.eps) != 0 {
+		t.Errorf("%d connections, %d endpoints are kept", p.Len(), len(p.eps))
+	}
+}
+
+// Opened ahead: for calls that are known to come, and in place of what was given up; one at a time where the endpoint is
+// cold or openings fail; called off when nobody needs it.
+func TestAhead(t *testing.T) {
+	cfg := config()
+	cfg.Ahead = true
+	p := newPool(t, cfg, "e", "cold")
+	now := time.Second
+	p.Hint("e", false, 12)
+	p.Hint("cold", true, 12)
+	_, ahead := p.Tick(now)
+	by := map[string]int{}
+	for _, id := range ahead {
+		name, _ := p.EndpointOf(id)
+		by[name]++
+	}
+	if by["e"] != 12 || by["cold"] != 1 {
+		t.Errorf("%v", by)
+	}
+	if _, again := p.Tick(now + 250*ms); len(again) != 0 {
+		t.Errorf("%d more while those are being opened", len(again))
+	}
+	p.Hint("e", false, 0)
+	p.Hint("cold", false, 0)
+	if ids := p.Unneeded(); len(ids) != 13 {
+		t.Errorf("%d may be called off", len(ids))
+	}
+	for _, id := range ahead {
+		if name, _ := p.EndpointOf(id); name == "e" {
+			p.Opened(now+300*ms, id, false)
+		} else {
+			p.Failed(now+300*ms, id, true)
+		}
+	}
+	p.Hint("cold", false, 5)
+	if _, ids := p.Tick(now + 310*ms); len(ids) != 0 {
+		t.Error("no pause after an opening failed")
+	}
+	if _, ids := p.Tick(now + 600*ms); len(ids) != 1 {
+		t.Errorf("%d openings ahead where they fail", len(ids))
+	}
+	if v, _, _ := p.Call(now+600*ms, "cold"); v != Open {
+		t.Errorf("a call is held back by what failed ahead: %v", v)
+	}
+	if c := p.Counters(); c.Ahead != 14 {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestAgeAndPressure(t *testing.T) {
+	p := newPool(t, config(), "e", "f")
+	now := time.Second
+	rest(t, p, now, hold(t, p, now, "e", 20))
+	rest(t, p, now, hold(t, p, now, "f", 2))
+	if give := p.Shed(now, 5); len(give) != 5 || give[0].Why != Pressure || p.Len() != 17 {
+		t.Errorf("%v, %d left", give, p.Len())
+	}
+	closed := map[time.Duration]int64{}
+	for ; now < 20*time.Minute; now += 10 * time.Second {
+		before := p.Counters().Given[Age]
+		rest(t, p, now, hold(t, p, now, "e", 10))
+		p.Tick(now)
+		if n := p.Counters().Given[Age] - before; n > 0 {
+			closed[now.Truncate(30*time.Second)] += n
+		}
+	}
+	if len(closed) < 3 {
+		t.Errorf("given up for age all together: %v", closed)
+	}
+}
+
+// Random events, against what must always hold: no connection carries two calls, no cap is passed, each opening ends once,
+// nothing leaks, and the same events lead to the same acts.
+func TestModel(t *testing.T) {
+	cuts.Check(t, func(t *rapid.T) {
+		cfg := config()
+		cfg.Most = rapid.IntRange(1, 12).Draw(t, "most")
+		cfg.Ahead = rapid.Bool().Draw(t, "ahead")
+		p, err := New(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const idle, busyState, up = 1, 2, 3
+		conns := map[ID]int{}
+		owner := map[ID]string{}
+		listed := map[string]bool{}
+		now := time.Duration(0)
+		gone := func(give []Give) {
+			for _, g := range give {
+				if conns[g.ID] != idle {
+					t.Fatalf("given up in state %d: %v", conns[g.ID], g)
+				}
+				delete(conns, g.ID)
+			}
+		}
+		pick := func(state int) (ID, bool) {
+			var ids []ID
+			for id, s := range conns {
+				if s == state {
+					ids = append(ids, id)
+				}
+			}
+			if len(ids) == 0 {
+				return 0, false
+			}
+			slices.Sort(ids)
+			return rapid.SampledFrom(ids).Draw(t, "connection"), true
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now += time.Duration(rapid.SampledFrom([]int{0, 1, 10, 300, 5000, 70_000}).Draw(t, "gap")) * ms
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "endpoint")
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				open := rapid.Bool().Draw(t, "open")
+				gone(p.Endpoint(name, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "addr"), 1, open))
+				listed[name] = open
+			case 1, 2, 3:
+				v, id, give := p.Call(now, name)
+				gone(give)
+				switch v {
+				case Use:
+					if conns[id] != idle || owner[id] != name {
+						t.Fatalf("connection %d of %s in state %d for %s", id, owner[id], conns[id], name)
+					}
+					conns[id] = busyState
+				case Open:
+					if conns[id] != 0 {
+						t.Fatalf("%d is opened twice", id)
+					}
+					owner[id], conns[id] = name, up
+				}
+			case 4:
+				if id, ok := pick(up); ok {
+					call := rapid.Bool().Draw(t, "call")
+					p.Opened(now, id, call)
+					conns[id] = map[bool]int{true: busyState, false: idle}[call]
+				}
+			case 5:
+				if id, ok := pick(up); ok {
+					p.Failed(now, id, rapid.Bool().Draw(t, "refused"))
+					delete(conns, id)
+				}
+			case 6, 7:
+				if id, ok := pick(busyState); ok {
+					end := rapid.SampledFrom([]End{Answered, Answered, Last, Cut, Dead, Broken}).Draw(t, "end")
+					if rests, _ := p.Done(now, id, end, 10*ms); rests {
+						if end != Answered {
+							t.Fatalf("rests after %v", end)
+						}
+						conns[id] = idle
+					} else {
+						delete(conns, id)
+					}
+				}
+			case 8:
+				if id, ok := pick(idle); ok {
+					p.Closed(now, id)
+					delete(conns, id)
+				}
+			case 9:
+				p.Hint(name, rapid.Bool().Draw(t, "cold"), rapid.IntRange(0, 5).Draw(t, "expected"))
+				give, ahead := p.Tick(now)
+				gone(give)
+				for _, id := range ahead {
+					owner[id], _ = p.EndpointOf(id)
+					conns[id] = up
+				}
+			}
+			if p.Len() != len(conns) || len(conns) > cfg.Most {
+				t.Fatalf("%d connections are known, %d there, %d allowed", p.Len(), len(conns), cfg.Most)
+			}
+			sum := Counters{}
+			for _, s := range p.States() {
+				if s.Opening+s.Busy+s.Idle == 0 && !listed[s.Endpoint] {
+					t.Fatalf("%s is kept for nothing", s.Endpoint)
+				}
+				sum.Opened += int64(s.Opening + s.Busy + s.Idle)
+				if s.IdleLimit < 0 || s.IdleLimit > cfg.IdleMost || s.Target < 0 {
+					t.Fatalf("%+v", s)
+				}
+			}
+			if sum.Opened != int64(len(conns)) {
+				t.Fatalf("endpoints have %d, there are %d", sum.Opened, len(conns))
+			}
+		}
+	})
+}
+
+func TestConfigurationsThatMakeNoSense(t *testing.T) {
+	for i, change := range []func(*Config){func(c *Config) { c.Most = 0 }, func(c *Config) { c.IdleMost = 0 }, func(c *Config) { c.Keep = 0 },
+		func(c *Config) { c.LossPrice = 0 }, func(c *Config) { c.StaleMost = 1 }, func(c *Config) { c.BackoffMost = 0 }} {
+		c := config()
+		change(&c)
+		if _, err := New(c); err == nil {
+			t.Errorf("%d was taken", i)
+		}
+	}
+}
+
+// Isotonic regression: what never falls, fits pooled shares, and cuts the limit where losses begin.
+func TestReuses(t *testing.T) {
+	var r reuses
+	for range 100 {
+		for d := 10 * ms; d < 20*time.Second; d *= 2 {
+			r.add(d, d > 5*time.Second)
+		}
+	}
+	if l := r.limit(0.02, 0.02); l < 2500*ms || l > 8*time.Second {
+		t.Errorf("limit %v where losses begin beyond 5 s", l)
+	}
+	cuts.Check(t, func(t *rapid.T) {
+		var r reuses
+		for range rapid.IntRange(0, 200).Draw(t, "uses") {
+			r.add(time.Duration(rapid.Int64Range(0, 1e12).Draw(t, "idle")), rapid.Bool().Draw(t, "lost"))
+		}
+		share := r.dead()
+		for b := 1; b < idleBounds; b++ {
+			if share[b] < share[b-1]-1e-12 || share[b] > 1 || share[b] < 0 {
+				t.Fatalf("%v", share)
+			}
+		}
+		if r.limit(0.01, 1) > r.limit(0.1, 1) {
+			t.Fatal("less risk allows longer idling")
+		}
+	})
+}
+
+// Kaplan and Meier: spells that were cut short count as survived until then, and not as ended.
+func TestSpells(t *testing.T) {
+	var s spells
+	if _, ok := s.until(0.98); ok {
+		t.Error("a limit out of nothing")
+	}
+	for range 100 {
+		s.add(100*ms, false)
+	}
+	for range 10 {
+		s.add(3*time.Second, true)
+	}
+	if d, ok := s.until(0.98); !ok || d > 3*time.Second || d < 2*time.Second {
+		t.Errorf("%v %v", d, ok)
+	}
+}
