--- a/cmd/slatemux/cli.go
+++ b/cmd/slatemux/cli.go
@@ -49,7 +49,7 @@
 	serve := &cobra.Command{
 		Use:   "serve",
 		Short: "Serve until a signal ends it (what slatemux alone does)",
-		Long: `Serve until SIGTERM or SIGINT. SIGHUP reads the configuration again, SIGUSR1 logs the counters.
+		Long: `Serve until SIGTERM or SIGINT. SIGHUP reads the configuration again, SIGUSR1 logs the counters, SIGUSR2 the connections.
 See ONCALL.md for the lines and counters.`,
 		Example: "  NODE_CONFIG=example/config.json NODE_STATE=bin/state slatemux serve --config deploy/gateway.textproto",
 		Args:    cobra.NoArgs,
@@ -112,24 +112,39 @@
 exit; ONCALL.md explains each of them. No port is open for it, for the platform gives a relay one listener.`,
 		Example: "  slatemux counters 4711",
 		Args:    cobra.ExactArgs(1),
+		RunE:    func(_ *cobra.Command, args []string) error { return signalRelay("counters", args[0], syscall.SIGUSR1) },
+	}
+	connections := &cobra.Command{
+		Use:   "connections PID",
+		Short: "Have a running relay log the state of its connections to each pool member",
+		Long: `Send SIGUSR2 to the relay with this process id. It writes a line for each pool member to its own log: connections that
+are busy, idle and being opened, how many are wanted and why, how long one may idle, and what was given up for which
+reason. docs/operate-connections.md explains each figure.`,
+		Example: "  slatemux connections 4711",
+		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			pid, err := strconv.Atoi(args[0])
-			if err != nil || pid <= 1 {
-				return fmt.Errorf("counters: %q is not a process id", args[0])
-			}
-			if exe, err := os.Readlink("/proc/" + args[0] + "/exe"); err == nil && !strings.Contains(exe, "slatemux") {
-				return fmt.Errorf("counters: process %d is %s, not a slatemux: the signal would end it", pid, exe)
-			}
-			if err := syscall.Kill(pid, syscall.SIGUSR1); err != nil {
-				return fmt.Errorf("counters: process %d: %w", pid, err)
-			}
-			return nil
+			return signalRelay("connections", args[0], syscall.SIGUSR2)
 		},
 	}
-	root.AddCommand(serve, check, version, counters, tlsCommand(getenv, &path))
+	root.AddCommand(serve, check, version, counters, connections, tlsCommand(getenv, &path))
 	return root
 }
 
+// signalRelay sends a signal to a running relay.
+func signalRelay(what, process string, sig syscall.Signal) error {
+	pid, err := strconv.Atoi(process)
+	if err != nil || pid <= 1 {
+		return fmt.Errorf("%s: %q is not a process id", what, process)
+	}
+	if exe, err := os.Readlink("/proc/" + process + "/exe"); err == nil && !strings.Contains(exe, "slatemux") {
+		return fmt.Errorf("%s: process %d is %s, not a slatemux: the signal would end it", what, pid, exe)
+	}
+	if err := syscall.Kill(pid, sig); err != nil {
+		return fmt.Errorf("%s: process %d: %w", what, pid, err)
+	}
+	return nil
+}
+
 // logFlags puts what the command line says over what the settings say.
 func logFlags(l *gateway.Log, format, level string) error {
 	if format != "" {
--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -37,12 +37,13 @@
 
 // signals are what may come while the relay runs. Each kind has a channel of its own, with room for one: what
 // comes again before it is looked at asks for the same, and none can push another out.
-type signals struct{ end, report, reload chan os.Signal }
+type signals struct{ end, report, conns, reload chan os.Signal }
 
 func listen() signals {
-	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
 	signal.Notify(s.end, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.report, syscall.SIGUSR1)
+	signal.Notify(s.conns, syscall.SIGUSR2)
 	signal.Notify(s.reload, syscall.SIGHUP)
 	return s
 }
@@ -91,13 +92,22 @@
 	}
 
 	var r *relay.Relay
-	flows := flow.New(flow.Config{Secure: overTLS, Gate: cfg.gateway.TLS.Gate, Busy: busy, ConnectWithin: cfg.settings.ConnectTimeout, IdleMost: cfg.settings.KeepAlive,
-		MostFlows: most.flows, MostConns: most.members,
-		Settle: settle, OwnDelay: meters.Wait},
-		func(end traffic.FlowEnd) { r.FlowEnded(end) })
+	keep := cfg.gateway.Conns.Keep
+	keep.Most, keep.IdleMost, keep.Seed = most.members, cfg.settings.KeepAlive, uint64(cfg.seed)
+	flows, err := flow.New(flow.Config{Secure: overTLS, Gate: cfg.gateway.TLS.Gate, Busy: busy, ConnectWithin: cfg.settings.ConnectTimeout,
+		MostFlows: most.flows, Settle: settle, Conns: keep, HeldMost: cfg.gateway.Conns.HeldMost, StuckAfter: cfg.gateway.Conns.StuckAfter,
+		OwnDelay: meters.Wait}, func(end traffic.FlowEnd) { r.FlowEnded(end) })
+	if err != nil {
+		return err
+	}
+	var ahead relay.Ahead
+	if keep.Ahead {
+		ahead = flows
+	}
+	cfg.settings.IdleElsewhere = !cfg.gateway.Conns.ModuleLearns
 	notices := notice.New(discovery, func(ids []string) { r.NoticesAnswered(ids) })
 	r, err = relay.New(relay.Config{Meters: meters, Settings: cfg.settings, Seed: cfg.seed, MostBytes: most.openBytes, Store: store,
-		Flows: flows, Notices: notices})
+		Flows: flows, Notices: notices, Ahead: ahead})
 	if err != nil {
 		return err
 	}
@@ -168,7 +178,6 @@
 	report := func(why string) {
 		level := max(slog.LevelInfo, min(logLevel.Level(), slog.LevelWarn)) // asked for, they are told in a brownout too
 		size, live, compacted := store.Stats()
-		opened, reused := flows.Counts()
 		if gov != nil {
 			slog.Log(ctx, level, "overload counters", "why", why, "overload", gov.State())
 		}
@@ -177,8 +186,8 @@
 			slog.Log(ctx, level, "tls counters", "why", why, "tls", secured.Counters(), "asked", gate.Asked, "begun", gate.Begun, "carried", gate.Carried,
 				"out_of_time", gate.Expired, "waiting", waiting)
 		}
-		slog.Log(ctx, level, "counters", "why", why, "relay", r.Counters(), "front", server.Counters(), "connections", opened,
-			"reused", reused, "journal", size, "owed", live, "compacted", compacted, "reloads", reloads, "bad_reloads", badReloads,
+		slog.Log(ctx, level, "counters", "why", why, "relay", r.Counters(), "front", server.Counters(), "connections", flows.Counters(),
+			"journal", size, "owed", live, "compacted", compacted, "reloads", reloads, "bad_reloads", badReloads,
 			"vitals", meters.Totals())
 	}
 	var drain, end <-chan time.Time
@@ -186,6 +195,10 @@
 		select {
 		case <-in.report:
 			report("signal")
+		case <-in.conns:
+			for _, s := range flows.Connections() {
+				slog.Log(ctx, max(slog.LevelInfo, min(logLevel.Level(), slog.LevelWarn)), "member's connections", "state", s)
+			}
 		case <-in.reload:
 			apply()
 		case sig := <-in.end:
--- a/cmd/slatemux/main_test.go
+++ b/cmd/slatemux/main_test.go
@@ -77,7 +77,7 @@
 		t.Fatal(err)
 	}
 	cfg.serveOn, cfg.exitAfter = time.Millisecond, 20*time.Millisecond
-	in := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	in := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
 	ready, ended := make(chan net.Addr, 1), make(chan error, 1)
 	reread := func() (config, error) { return load(func(name string) string { return env[name] }, "") }
 	go func() { ended <- run(cfg, in, reread, func(a net.Addr) { ready <- a }) }()
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"fmt"
+	"log/slog"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -72,8 +73,12 @@
 	sameUses, usesTry = 3, 50
 	// capFor is how long a cap that a server seems to have is held to before one more is tried.
 	capFor = 30 * time.Second
-	// thinAfter is how long a connection that is too many idles before it is given up.
-	thinAfter = time.Second
+	// capDoubt is how soon behind a refusal closings show that the server was not full but going down.
+	capDoubt = time.Second
+	// behindAnswer is how soon behind an answer a closing is for the number of calls.
+	behindAnswer = 50 * time.Millisecond
+	// thinLeast is how long a connection that is too many idles at least before it is given up.
+	thinLeast = time.Second
 	// staleWindow is the number of calls over which the share of losses is kept.
 	staleWindow = 20_000
 )
@@ -95,10 +100,12 @@
 	Moved               // its endpoint has another address
 	Server              // the server said that it closes
 	Pressure            // memory is short
+	Asked               // the decision module wants it closed
+	Trust               // what it was trusted by has changed
 	whys
 )
 
-var whyNames = [whys]string{"idle", "age", "uses", "thin", "room", "leaving", "moved", "server", "pressure"}
+var whyNames = [whys]string{"idle", "age", "uses", "thin", "room", "leaving", "moved", "server", "pressure", "asked", "trust"}
 
 func (w Why) String() string { return whyNames[w] }
 
@@ -138,7 +145,8 @@
 	open       bool // it may get something new
 	cold       bool // it is not to be pushed: one opening ahead at a time
 	conns      map[ID]*conn
-	out        int // busy
+	rest       []*conn // those that rest, longest first
+	out        int     // busy
 
 	reuses reuses
 	spells spells
@@ -157,6 +165,9 @@
 	retryAt               time.Duration
 	goodOpen              time.Duration // the newest opening that went well
 
+	given [whys]int64
+	stale int64
+
 	arrivals        int
 	rate, mean, dev float64 // calls a second; seconds a call takes, and its spread
 	peak            float64 // calls out at once, fading
@@ -168,6 +179,7 @@
 	cfg    Config
 	eps    map[string]*endpoint
 	conns  map[ID]*conn
+	frugal bool // nothing is to rest
 	next   ID
 	rng    *rand.Rand
 	last   time.Duration
@@ -181,7 +193,7 @@
 type Counters struct {
 	Opened, Ahead, Unused int64 // connections; of them opened ahead, and never used
 	Calls, Reused, Stale  int64 // calls; on warm connections; failed by dead ones
-	Failed                int64 // openings
+	Failed, CalledOff     int64 // openings; those that nobody needed any more
 	Waited                int64 // calls that had to wait for a connection of their endpoint
 	Given                 [whys]int64
 	Closed                int64 // by the server, before our eyes
@@ -219,7 +231,7 @@
 	}
 	why := Leaving
 	if moved := e.addr != addr; moved {
-		next := &endpoint{name: name, addr: addr, dest: dest, conns: e.conns, out: e.out, rate: e.rate, mean: e.mean, dev: e.dev, peak: e.peak}
+		next := &endpoint{name: name, addr: addr, dest: dest, conns: e.conns, rest: e.rest, out: e.out, rate: e.rate, mean: e.mean, dev: e.dev, peak: e.peak}
 		p.learnFromSiblings(next)
 		*e = *next
 		why = Moved
@@ -228,10 +240,9 @@
 		return nil
 	}
 	e.open, e.dest = open, dest
-	for _, c := range e.sorted() {
-		if c.state == resting {
-			give = append(give, p.give(c, why))
-		} else if why == Moved {
+	give = p.giveAll(e, why)
+	if why == Moved {
+		for _, c := range e.conns {
 			c.old = 1 // long ago: it closes as it comes to rest
 		}
 	}
@@ -278,8 +289,37 @@
 	return slices.SortedFunc(maps.Values(e.conns), func(a, b *conn) int { return cmp.Compare(a.id, b.id) })
 }
 
+// settle has a connection rest since then.
+func (e *endpoint) settle(c *conn, since time.Duration) {
+	c.state, c.since = resting, since
+	at := len(e.rest) // as a rule it is the newest
+	for at > 0 && e.rest[at-1].since > since {
+		at--
+	}
+	e.rest = slices.Insert(e.rest, at, c)
+}
+
+// rouse ends a connection's rest.
+func (e *endpoint) rouse(c *conn) {
+	for i := len(e.rest) - 1; i >= 0; i-- { // as a rule it is the newest
+		if e.rest[i] == c {
+			e.rest = slices.Delete(e.rest, i, i+1)
+			return
+		}
+	}
+}
+
+// giveAll gives up all that rests at an endpoint.
+func (p *Pool) giveAll(e *endpoint, why Why) (give []Give) {
+	for len(e.rest) > 0 {
+		give = append(give, p.give(e.rest[0], why))
+	}
+	return give
+}
+
 func (p *Pool) give(c *conn, why Why) Give {
 	p.total.Given[why]++
+	c.ep.given[why]++
 	if c.state == resting {
 		c.ep.spells.add(p.last-c.since, false)
 	}
@@ -288,8 +328,11 @@
 }
 
 func (p *Pool) drop(c *conn) {
-	if c.state == busy {
+	switch c.state {
+	case busy:
 		c.ep.out--
+	case resting:
+		c.ep.rouse(c)
 	}
 	if c.carried == 0 && c.ahead {
 		p.total.Unused++
@@ -321,11 +364,20 @@
 		return Wait, 0, nil
 	}
 	e.arrivals++
-	if c, bad := p.best(e); c != nil {
+	return p.Again(now, name)
+}
+
+// Again decides once more on a call that waited, or whose connection turned out to be closed.
+func (p *Pool) Again(now time.Duration, name string) (v Verdict, id ID, give []Give) {
+	p.now(now)
+	e := p.eps[name]
+	if e == nil || !e.open {
+		return Wait, 0, nil
+	}
+	c, give := p.best(e)
+	if c != nil {
 		p.take(c)
-		return Use, c.id, bad
-	} else {
-		give = bad
+		return Use, c.id, give
 	}
 	if e.full(p.last) {
 		p.total.Waited++
@@ -336,10 +388,97 @@
 		p.total.Waited++
 		return Wait, 0, give
 	}
-	c := p.open(e)
+	c = p.open(e)
 	return Open, c.id, give
 }
 
+// Unused puts back a connection that was to carry a call and did not: it rests on as if it had not been taken. If it may not,
+// it is to be closed, and why.
+func (p *Pool) Unused(now time.Duration, id ID) (rests bool, why Why) {
+	p.now(now)
+	c := p.conns[id]
+	if c == nil || c.state != busy {
+		return false, Server
+	}
+	p.untake(c)
+	switch {
+	case !c.ep.open:
+		why = Leaving
+	case p.frugal:
+		why = Pressure
+	default:
+		c.ep.out--
+		c.ep.settle(c, p.last-c.idled)
+		return true, 0
+	}
+	p.total.Given[why]++
+	c.ep.given[why]++
+	p.drop(c)
+	return false, why
+}
+
+// Gone tells that a connection that was to carry a call had been closed by the server before the first byte went out: it did
+// no harm, and counts as a closing that was seen.
+func (p *Pool) Gone(now time.Duration, id ID) {
+	p.now(now)
+	c := p.conns[id]
+	if c == nil || c.state != busy {
+		return
+	}
+	p.untake(c)
+	p.sawClosing(c, c.idled)
+	p.drop(c)
+}
+
+// untake has the counts forget a call that was not made after all.
+func (p *Pool) untake(c *conn) {
+	p.total.Calls--
+	p.calls = max(p.calls-1, 0)
+	if c.idled > 0 {
+		p.total.Reused--
+	}
+	if c.tries {
+		c.tries, c.ep.exploring = false, false
+	}
+}
+
+// Cancel tells that an opening was called off.
+func (p *Pool) Cancel(now time.Duration, id ID) {
+	p.now(now)
+	if c := p.conns[id]; c != nil && c.state == opening {
+		p.total.CalledOff++
+		p.drop(c)
+	}
+}
+
+// Drop gives up one resting connection; false if it does not rest.
+func (p *Pool) Drop(now time.Duration, id ID, why Why) bool {
+	p.now(now)
+	c := p.conns[id]
+	if c == nil || c.state != resting {
+		return false
+	}
+	p.give(c, why)
+	return true
+}
+
+// Release gives up what rests at an endpoint, as the decision module asks for.
+func (p *Pool) Release(now time.Duration, name string) (give []Give) {
+	p.now(now)
+	if e := p.eps[name]; e != nil {
+		give = p.giveAll(e, Asked)
+	}
+	return give
+}
+
+// Frugal has nothing rest while it is on.
+func (p *Pool) Frugal(now time.Duration, on bool) (give []Give) {
+	if p.frugal = on; on {
+		give = p.Shed(now, len(p.conns))
+	}
+	return give
+}
+
 // Claim has a connection that has just come to rest carry a call that waited for one; false if it does not rest.
 func (p *Pool) Claim(now time.Duration, id ID) bool {
 	p.now(now)
@@ -355,6 +494,7 @@
 
 // take has a resting connection carry a call.
 func (p *Pool) take(c *conn) {
+	c.ep.rouse(c)
 	c.idled = max(p.last-c.since, 1)
 	c.state = busy
 	c.ep.out++
@@ -393,13 +533,13 @@
 	fair := float64(p.cfg.Most) / float64(max(len(p.eps), 1))
 	var worst *conn
 	most := math.Inf(-1)
-	for _, id := range slices.Sorted(maps.Keys(p.conns)) {
-		c := p.conns[id]
-		if c.state != resting || c.ep == e {
+	for _, o := range p.eps {
+		if o == e || len(o.rest) == 0 {
 			continue
 		}
-		over := float64(len(c.ep.conns)) - max(min(c.ep.target(), fair), 0)
-		if over > most || over == most && c.since < worst.since {
+		c := o.rest[0]
+		over := float64(len(o.conns)) - max(min(o.target(), fair), 0)
+		if over > most || over == most && (c.since < worst.since || c.since == worst.since && c.id < worst.id) {
 			worst, most = c, over
 		}
 	}
@@ -416,10 +556,7 @@
 	soft, hard := p.limits(e)
 	risk := math.Inf(1)
 	var try *conn
-	for _, c := range e.sorted() {
-		if c.state != resting {
-			continue
-		}
+	for _, c := range slices.Clone(e.rest) {
 		why, over := p.over(c, soft)
 		if over && why == Idle && p.last-c.since < hard && p.mayTry(e) && (try == nil || c.since > try.since) {
 			c, try = try, c // the one that idled less is the better try
@@ -493,7 +630,7 @@
 	e := c.ep
 	e.goodOpen, e.fails = p.last, e.fails/2
 	if !call {
-		c.state, c.since = resting, p.last
+		e.settle(c, p.last)
 		return
 	}
 	c.state = busy
@@ -568,15 +705,18 @@
 		why = Uses
 	case len(p.conns) > p.cfg.Most:
 		why = Room
+	case p.frugal:
+		why = Pressure
 	default:
 		e.out--
-		c.state, c.since = resting, p.last
+		e.settle(c, p.last)
 		return true, 0
 	}
 	if end == Last {
 		p.sawUses(e, c.carried)
 	}
 	p.total.Given[why]++
+	c.ep.given[why]++
 	p.drop(c)
 	return false, why
 }
@@ -600,6 +740,7 @@
 		return
 	}
 	p.total.Stale++
+	e.stale++
 	p.stale++
 	e.reuses.add(c.idled, true)
 	if e.goodOf(p.last) > c.idled {
@@ -639,18 +780,28 @@
 	if c == nil {
 		return
 	}
-	p.total.Closed++
 	if c.state == resting {
-		idle := p.last - c.since
-		if c.carried > 0 && idle < 50*time.Millisecond {
-			p.sawUses(c.ep, c.carried) // behind an answer: not for idling
-		} else {
-			c.ep.spells.add(idle, true)
-		}
+		p.sawClosing(c, p.last-c.since)
+	} else {
+		p.total.Closed++
 	}
 	p.drop(c)
 }
 
+// sawClosing notes that the server closed a connection that had idled for so long.
+func (p *Pool) sawClosing(c *conn, idle time.Duration) {
+	p.total.Closed++
+	e := c.ep
+	if c.carried > 0 && idle < behindAnswer {
+		p.sawUses(e, c.carried) // for the number of calls, not for idling
+	} else {
+		e.spells.add(idle, true)
+	}
+	if e.cap > 0 && p.last-e.capAt < capDoubt {
+		e.cap = 0 // it was going down, not full
+	}
+}
+
 // sawUses notes that the server closed behind so many calls.
 func (p *Pool) sawUses(e *endpoint, n int) {
 	if e.usesSeen != n {
@@ -690,8 +841,9 @@
 		e.fade(dt, p.cfg.Keep)
 		soft, hard := p.limits(e)
 		spare := float64(len(e.conns)) - e.target()
-		resting := slices.DeleteFunc(e.sorted(), func(c *conn) bool { return c.state != resting })
-		slices.SortFunc(resting, func(a, b *conn) int { return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.id, b.id)) })
+		resting := slices.Clone(e.rest)
+		// The fewer descriptors are left, the sooner what is not needed goes; while half are free it may as well rest.
+		thinAfter := max(thinLeast, time.Duration((1-2*float64(len(p.conns))/float64(p.cfg.Most))*float64(soft)))
 		var keep *conn // the newest beyond the limit, to be tried
 		if p.mayTry(e) && spare < 1 {
 			for _, c := range resting {
@@ -795,7 +947,10 @@
 // Shed gives up resting connections while memory or descriptors are short: those beyond their endpoint's need first.
 func (p *Pool) Shed(now time.Duration, most int) (give []Give) {
 	p.now(now)
-	rest := slices.DeleteFunc(slices.Collect(maps.Values(p.conns)), func(c *conn) bool { return c.state != resting })
+	var rest []*conn
+	for _, e := range p.eps {
+		rest = append(rest, e.rest...)
+	}
 	slices.SortFunc(rest, func(a, b *conn) int {
 		spare := func(c *conn) float64 { return float64(len(c.ep.conns)) - c.ep.target() }
 		return cmp.Or(cmp.Compare(spare(b), spare(a)), cmp.Compare(a.since, b.since), cmp.Compare(a.id, b.id))
@@ -826,6 +981,37 @@
 	IdleLimit           time.Duration
 	Banned              time.Duration // idle time in quarantine; 0 for none
 	Uses, Cap, Fails    int
+	Given               [whys]int64 // up, by reason
+	Stale               int64       // calls failed by dead connections
+}
+
+// LogValue names the figures in a log line.
+func (s State) LogValue() slog.Value {
+	return slog.GroupValue(slog.String("member", s.Endpoint), slog.Bool("open", s.Open), slog.Bool("cold", s.Cold), slog.Int("opening", s.Opening),
+		slog.Int("busy", s.Busy), slog.Int("idle", s.Idle), slog.Int("target", s.Target), slog.Float64("rate", s.Rate),
+		slog.Duration("service", s.Service), slog.Duration("spread", s.Spread), slog.Duration("idle_limit", s.IdleLimit),
+		slog.Duration("banned", s.Banned), slog.Int("uses", s.Uses), slog.Int("cap", s.Cap), slog.Int("fails", s.Fails),
+		slog.Int64("stale", s.Stale), slog.Any("given", givenUp(s.Given)))
+}
+
+// LogValue names the counters in a log line.
+func (c Counters) LogValue() slog.Value {
+	return slog.GroupValue(slog.Int64("opened", c.Opened), slog.Int64("ahead", c.Ahead), slog.Int64("unused", c.Unused),
+		slog.Int64("called_off", c.CalledOff), slog.Int64("failed", c.Failed), slog.Int64("calls", c.Calls), slog.Int64("reused", c.Reused),
+		slog.Int64("stale", c.Stale), slog.Int64("bans", c.Bans), slog.Int64("waited", c.Waited), slog.Int64("closed", c.Closed),
+		slog.Any("given", givenUp(c.Given)))
+}
+
+type givenUp [whys]int64
+
+func (g givenUp) LogValue() slog.Value {
+	var attrs []slog.Attr
+	for w, n := range g {
+		if n > 0 {
+			attrs = append(attrs, slog.Int64(Why(w).String(), n))
+		}
+	}
+	return slog.GroupValue(attrs...)
 }
 
 // States are those of all endpoints, by name.
@@ -834,7 +1020,7 @@
 		e := p.eps[name]
 		soft, _ := p.limits(e)
 		s := State{Endpoint: name, Open: e.open, Cold: e.cold, Target: int(e.target()), Rate: e.rate, Service: time.Duration(e.mean * 1e9),
-			Spread: time.Duration(e.dev * 1e9), IdleLimit: soft, Uses: e.uses, Cap: e.cap, Fails: e.fails}
+			Spread: time.Duration(e.dev * 1e9), IdleLimit: soft, Uses: e.uses, Cap: e.cap, Fails: e.fails, Given: e.given, Stale: e.stale}
 		if p.last < e.bannedUntil {
 			s.Banned = e.banned
 		}
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -249,15 +249,23 @@
 // What a peak needed is kept for a while, and thinned slowly; a clump that comes in the middle finds some warm, and never
 // more are closed and opened than there are calls.
 func TestThinningAndAClump(t *testing.T) {
-	p := newPool(t, config(), "e")
+	roomy := newPool(t, config(), "e")
+	cfg := config()
+	cfg.Most = 100 // descriptors are short
+	p := newPool(t, cfg, "e")
 	now := time.Second
 	rest(t, p, now, hold(t, p, now, "e", 60))
+	rest(t, roomy, now, hold(t, roomy, now, "e", 60))
 	counts := []int{}
 	for range 40 { // 20 s: more than a half-life of the peak
 		now += 500 * ms
 		rest(t, p, now, hold(t, p, now, "e", 2))
 		p.Tick(now)
 		counts = append(counts, p.Len())
+		roomy.Tick(now)
+	}
+	if n := roomy.Len(); n != 60 { // nobody else needs them
+		t.Errorf("%d of 60 are left though descriptors abound", n)
 	}
 	if counts[4] < 40 || counts[39] > 40 || !slices.IsSortedFunc(counts, func(a, b int) int { return b - a }) {
 		t.Errorf("%v", counts)
--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"wrenford/internal/conns"
 	"wrenford/internal/flow/http1"
 )
 
@@ -14,13 +15,21 @@
 type conn struct {
 	nc        net.Conn
 	raw       net.Conn // below TLS; nil for plain
-	m         *member
 	g         *Manager
-	idleSince time.Time // under the Manager's lock
+	id        conns.ID
+	host      string    // the member's
+	idleSince time.Time // under the Manager's lock, as the next two; zero before the first call
+	lent      bool      // to a flow
+	warm      bool      // that flow is not the first on it
 
-	mu   sync.Mutex
-	dead bool            // over, or not to be used again
-	resp *http1.Response // of the call that is out; nil between calls
+	mu    sync.Mutex
+	dead  bool            // over, or not to be used again
+	resp  *http1.Response // of the call that is out; nil between calls
+	tail  conns.End       // how the newest call ended
+	heard bool            // something came for it
+	noisy bool            // something came without a call
+	stuck bool            // the peer acknowledges nothing
+	wrote time.Time       // when the call that is out was written; zero between calls
 
 	timed bool          // a read deadline is set; of the reader alone
 	over  chan struct{} // closed by the reader at its end
@@ -36,10 +45,57 @@
 	if c.dead {
 		return false
 	}
-	c.resp, c.got, c.result = &http1.Response{}, make(chan struct{}), answer{}
+	c.resp, c.got, c.result, c.heard, c.tail = &http1.Response{}, make(chan struct{}), answer{}, false, conns.Dead
 	return true
 }
 
+// writing notes that the call is about to be written.
+func (c *conn) writing(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wrote = at
+}
+
+// silentSince says that a call is out since before then, on a connection that had been used before, and nothing has come.
+func (c *conn) silentSince(then time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.warm && c.resp != nil && !c.heard && !c.wrote.IsZero() && c.wrote.Before(then)
+}
+
+// lookStuck notes whether what was written is not even acknowledged: the peer, or the way to it, is gone, which a peer that
+// is only slow is not. It is asked of the kernel, and sends nothing.
+func (c *conn) lookStuck() bool {
+	nc := c.nc
+	if c.raw != nil {
+		nc = c.raw
+	}
+	stuck := unacknowledged(nc)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stuck = stuck && c.resp != nil && !c.heard
+	return c.stuck
+}
+
+// ending is how the call on the connection ended; kept says that nobody has given it up.
+func (c *conn) ending(kept bool) conns.End {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wrote, c.resp = time.Time{}, nil
+	switch end := c.tail; {
+	case c.stuck:
+		return conns.Dead
+	case !kept:
+		return conns.Cut
+	case end == conns.Answered && c.noisy:
+		return conns.Broken
+	case end == conns.Answered && c.dead: // closed right behind the answer
+		return conns.Last
+	default:
+		return end
+	}
+}
+
 // rest ends a call that has its answer or was never written, and says whether the connection can be kept.
 func (c *conn) rest() bool {
 	c.mu.Lock()
@@ -79,10 +135,7 @@
 	}
 	c.nc.Close()
 	close(c.over)
-	c.g.mu.Lock()
-	c.g.conns--
-	c.g.forget(c)
-	c.g.mu.Unlock()
+	c.g.ended(c)
 }
 
 // take handles one read and says whether the connection is over.
@@ -93,9 +146,11 @@
 		if len(b) > 0 {
 			slog.Warn("pool member wrote without a call", "addr", c.nc.RemoteAddr(), "bytes", len(b))
 		}
+		c.noisy = c.noisy || len(b) > 0
 		c.dead = err != nil || len(b) > 0
 		return c.dead
 	}
+	c.heard = c.heard || len(b) > 0
 	n, ferr := c.resp.Feed(b)
 	if err != nil {
 		_ = c.resp.End() // what was cut off shows in Done
@@ -107,6 +162,14 @@
 	over := err != nil || ferr != nil || n < len(b)
 	c.dead = over || c.resp.Done() && !c.resp.Reusable()
 	if c.resp.Done() || c.dead {
+		switch {
+		case c.resp.Done() && !over && !c.dead:
+			c.tail = conns.Answered
+		case c.resp.Done() && !c.resp.Reusable():
+			c.tail = conns.Last
+		case c.heard:
+			c.tail = conns.Broken
+		}
 		c.result = decode(c.resp)
 		c.resp = nil
 		close(c.got)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -4,13 +4,12 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
+	"wrenford/internal/conns"
 	"wrenford/internal/traffic"
 	"wrenford/internal/trust"
 )
@@ -18,10 +17,15 @@
 // Config says what the flows must keep to.
 type Config struct {
 	ConnectWithin time.Duration // a connection not made by then is given up
-	IdleMost      time.Duration // pool members close a connection that idled for so long
 	MostFlows     int           // flows out at once
-	MostConns     int           // connections, idle ones included
 	Settle        time.Duration // a connection carries nothing for so long after an answer
+	Conns         conns.Config  // how many connections are held, and which are used
+
+	// HeldMost bounds how long a flow waits for a connection where none may be opened; 0 for 250 ms. It then ends unsent, and
+	// the decision module may send it elsewhere.
+	HeldMost time.Duration
+	// StuckAfter has a warm connection given up whose bytes the peer has not acknowledged for so long; 0 for never.
+	StuckAfter time.Duration
 
 	// Secure makes connections over TLS, to those members that want it; nil for none.
 	Secure Secure
@@ -42,28 +46,30 @@
 	Fresh(nc net.Conn) bool
 }
 
-// sweepEvery is how often idle connections are looked at; writeSlack is kept free before Flow.WriteBy, for
+// sweepEvery is how often connections are looked at; writeSlack is kept free before Flow.WriteBy, for
 // what the last byte still takes to arrive. An answer must be whole answerMost after its first byte.
 const (
 	answerMost = 400 * time.Millisecond
 	sweepEvery = 250 * time.Millisecond
 	writeSlack = 100 * time.Millisecond
+	heldMost   = 250 * time.Millisecond
 )
 
-// Manager owns all connections to pool members.
+// Manager owns all connections to pool members. Which of them are opened, used and closed is the word of conns.Pool.
 type Manager struct {
-	cfg  Config
-	done func(traffic.FlowEnd)
+	cfg    Config
+	done   func(traffic.FlowEnd)
+	origin time.Time // of the time that the pool of connections is told
 
 	mu      sync.Mutex
 	members map[string]*member
 	waits   map[string]time.Time // by Flow.Group: nothing is written before
 	flows   map[flowID]*running
 	opener  *opener
-	frugal  bool // idle connections are given up at once
-	conns   int  // open or being opened
-	opened  int64
-	reused  int64
+	conns   *conns.Pool
+	byID    map[conns.ID]*conn              // those that are open
+	ahead   map[conns.ID]context.CancelFunc // being opened without a call
+	held    map[string][]*waiter            // by member: flows for which none may be opened, in the order of their coming
 }
 
 type flowID struct {
@@ -71,11 +77,9 @@
 	attempt int
 }
 
-// member is a pool member with its warm connections, oldest first.
 type member struct {
 	traffic.Member
 	open bool // it may get something new
-	idle []*conn
 }
 
 // running is a flow that has not ended.
@@ -83,46 +87,21 @@
 	traffic.Flow
 	m      *member
 	cancel context.CancelFunc
-	queued time.Duration // from the flow's beginning until its goroutine ran
+	queued time.Duration // from the flow's beginning until its goroutine ran, and in wait for a connection
 }
 
 // New returns a Manager that hands the end of each flow to done, which must not block.
-func New(cfg Config, done func(traffic.FlowEnd)) *Manager {
-	return &Manager{cfg: cfg, done: done, members: map[string]*member{}, waits: map[string]time.Time{},
-		flows: map[flowID]*running{}, opener: newOpener(cfg.Gate, cfg.Busy)}
-}
-
-// Sweep drops connections before they have idled for too long, until ctx ends.
-func (g *Manager) Sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			g.mu.Lock()
-			for _, m := range g.members {
-				for _, c := range slices.Clone(m.idle) {
-					if g.stale(c, now.Add(sweepEvery)) || !g.fresh(c) {
-						g.drop(c)
-					}
-				}
-			}
-			for group, until := range g.waits {
-				if until.Before(now) {
-					delete(g.waits, group)
-				}
-			}
-			g.mu.Unlock()
-		}
+func New(cfg Config, done func(traffic.FlowEnd)) (*Manager, error) {
+	if cfg.HeldMost <= 0 {
+		cfg.HeldMost = heldMost
 	}
-}
-
-// stale says that a connection may be closed by its member before a call written to it now arrives: the
-// call and the answer before it were both on the way for a while, so a tenth of the limit is left unused.
-func (g *Manager) stale(c *conn, now time.Time) bool {
-	return now.Sub(c.idleSince) >= g.cfg.IdleMost-g.cfg.IdleMost/10
+	pool, err := conns.New(cfg.Conns)
+	if err != nil {
+		return nil, err
+	}
+	return &Manager{cfg: cfg, done: done, origin: time.Now(), members: map[string]*member{}, waits: map[string]time.Time{},
+		flows: map[flowID]*running{}, opener: newOpener(cfg.Gate, cfg.Busy), conns: pool, byID: map[conns.ID]*conn{},
+		ahead: map[conns.ID]context.CancelFunc{}, held: map[string][]*waiter{}}, nil
 }
 
 // Pool takes in news of the pool. Flows to a member that is leaving end unsent if no byte is out yet.
@@ -140,17 +119,15 @@
 			m = &member{}
 			g.members[row.Host] = m
 		}
-		if m.Dial != row.Dial {
-			g.dropIdle(m)
-		}
 		m.Member, m.open = row, row.Health == traffic.Active
 	}
 	for host, m := range g.members {
+		g.kill(g.conns.Endpoint(host, m.Dial, m.Destination, m.open))
 		if !m.open {
-			g.dropIdle(m)
 			delete(g.members, host) // flows that are out keep their own reference
 		}
 	}
+	g.admit()
 }
 
 // Start begins a flow. It does not block.
@@ -160,10 +137,10 @@
 	g.mu.Lock()
 	r.m = g.members[f.Member]
 	full := len(g.flows) >= g.cfg.MostFlows
-	var c *conn
+	var l lease
 	if !full && r.m != nil {
 		g.flows[flowID{f.ID, f.Attempt}] = r
-		c = g.warm(r.m) // here, so that a Release after this Start leaves it alone
+		l = g.ask(f.Member, g.conns.Call) // here, so that a Release after this Start leaves it alone
 	}
 	g.mu.Unlock()
 	switch {
@@ -174,15 +151,17 @@
 		cancel()
 		g.done(r.end(traffic.NoSlot))
 	default:
-		go g.run(ctx, r, c)
+		go g.run(ctx, r, l)
 	}
 }
 
 // Limit changes how many flows may be out and how many connections there may be; what there is stays.
-func (g *Manager) Limit(flows, conns int) {
+func (g *Manager) Limit(flows, most int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.cfg.MostFlows, g.cfg.MostConns = flows, conns
+	g.cfg.MostFlows = flows
+	g.conns.Limit(most)
+	g.admit()
 }
 
 // Cancel gives a flow up by closing its connection.
@@ -198,27 +177,43 @@
 func (g *Manager) FreeIdle(on bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.frugal = on; on {
-		for _, m := range g.members {
-			g.dropIdle(m)
-		}
-	}
+	g.kill(g.conns.Frugal(g.now(), on))
 }
 
 // Release closes the idle connections to a member.
 func (g *Manager) Release(host string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if m := g.members[host]; m != nil {
-		g.dropIdle(m)
+	g.kill(g.conns.Release(g.now(), host))
+}
+
+// Expect tells how many calls are known to come to the members of a destination soon.
+func (g *Manager) Expect(destination, calls int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var to []string
+	for host, m := range g.members {
+		if m.open && m.Destination == destination {
+			to = append(to, host)
+		}
 	}
+	for _, host := range to {
+		g.conns.Hint(host, false, (calls+len(to)-1)/len(to))
+	}
+}
+
+// Counters returns what was counted of connections.
+func (g *Manager) Counters() conns.Counters {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.conns.Counters()
 }
 
-// Counts returns connections opened and calls that reused one.
-func (g *Manager) Counts() (opened, reused int64) {
+// Connections returns what is known of each member's connections.
+func (g *Manager) Connections() []conns.State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.opened, g.reused
+	return g.conns.States()
 }
 
 // end ends a flow. What the program itself let it wait, before its goroutine ran and before its answer was looked
@@ -230,9 +225,9 @@
 }
 
 // run carries one flow from its connection to its end.
-func (g *Manager) run(ctx context.Context, r *running, c *conn) {
+func (g *Manager) run(ctx context.Context, r *running, l lease) {
 	r.queued = time.Since(r.Begun)
-	end := g.attempt(ctx, r, c)
+	end := g.attempt(ctx, r, l)
 	if g.cfg.OwnDelay != nil {
 		end.Took = max(end.Took-g.cfg.OwnDelay(), 0)
 	}
@@ -249,35 +244,33 @@
 	g.done(end)
 }
 
-func (g *Manager) attempt(ctx context.Context, r *running, c *conn) traffic.FlowEnd {
-	for c == nil || !c.idleSince.IsZero() && !c.settled(c.idleSince.Add(g.cfg.Settle)) || !c.begin() { // a warm one that the peer has closed by now is not written to
-		var err error
-		if c, err = g.connect(ctx, r); err == errHeld {
-			return r.end(traffic.Unsent) // by this program itself: the member has nothing to do with it
-		} else if err != nil {
-			slog.Debug("no connection", "member", r.Member, "id", r.ID, "err", err)
-			return r.end(traffic.NotConnected)
-		}
+func (g *Manager) attempt(ctx context.Context, r *running, l lease) traffic.FlowEnd {
+	c, err := g.get(ctx, r, l)
+	if err == errHeld {
+		return r.end(traffic.Unsent) // by this program itself: the member has nothing to do with it
+	} else if err != nil {
+		slog.Debug("no connection", "member", r.Member, "id", r.ID, "err", err)
+		return r.end(traffic.NotConnected)
 	}
 	if !g.mayWrite(ctx, r) {
-		if c.rest() {
-			g.giveBack(c)
-		}
+		g.unused(c)
 		return r.end(traffic.Unsent)
 	}
 	call := appendCall(nil, &r.Flow, time.Now())
-	stop := context.AfterFunc(ctx, c.kill) // also ends a write that hangs
-	if n, err := c.nc.Write(call); n < len(call) {
-		stop()
+	from := time.Now()
+	c.writing(from)
+	stop := context.AfterFunc(ctx, func() { // also ends a write that hangs
+		c.lookStuck()
 		c.kill()
+	})
+	if n, err := c.nc.Write(call); n < len(call) {
+		g.over(c, c.ending(stop()), time.Since(from))
 		slog.Debug("call not written", "member", r.Member, "id", r.ID, "err", err)
 		return r.end(traffic.NotConnected)
 	}
 	<-c.got            // the reader always closes it: kill ends the reader
 	result := c.result // before the connection is given back: its next call begins by clearing it
-	if stop() && c.rest() {
-		g.giveBack(c)
-	}
+	g.over(c, c.ending(stop()), time.Since(from))
 	end := r.end(traffic.Broken)
 	if result.status != 0 {
 		end = result.end(end)
@@ -298,140 +291,3 @@
 	return ctx.Err() == nil && r.m.open && !now.Before(g.waits[r.Group]) &&
 		(r.WriteBy.IsZero() || now.Before(r.WriteBy.Add(-writeSlack)))
 }
-
-// warm takes the warm connection that idled least. It needs the lock.
-func (g *Manager) warm(m *member) *conn {
-	n := len(m.idle)
-	if n == 0 {
-		return nil
-	}
-	c := m.idle[n-1]
-	if g.stale(c, time.Now()) || !g.fresh(c) {
-		g.dropIdle(m)
-		return nil
-	}
-	m.idle = m.idle[:n-1]
-	g.reused++
-	return c
-}
-
-// errHeld says that a handshake was not admitted in time.
-var errHeld = errors.New("no handshake admitted in time")
-
-// connect opens a connection, or for TLS waits for leave to, and may get one that another flow has done with; over the
-// cap, the connection that idled longest makes room.
-func (g *Manager) connect(ctx context.Context, r *running) (*conn, error) {
-	g.mu.Lock()
-	to := r.m.Member
-	g.mu.Unlock()
-	if g.cfg.Secure == nil || !g.cfg.Secure.Wants(&to) {
-		nc, err := g.dial(ctx, to.Dial, r.Begun.Add(g.cfg.ConnectWithin))
-		if err != nil {
-			return nil, err
-		}
-		return g.adopt(r.m, nc, nil), nil
-	}
-	from := time.Now()
-	got := g.opener.wait(ctx, to.Host, r.Worth, r.Deadline)
-	r.queued += time.Since(from)
-	if got.c != nil {
-		return got.c, nil
-	} else if !got.leave {
-		return nil, errHeld
-	}
-	var took time.Duration
-	defer func() { g.opener.done(to.Host, took) }()
-	by := time.Now().Add(g.cfg.ConnectWithin)
-	raw, err := g.dial(ctx, to.Dial, by)
-	if err != nil {
-		return nil, err
-	}
-	shaking, cancel := context.WithDeadline(ctx, by)
-	defer cancel()
-	var nc net.Conn
-	if nc, took, err = g.cfg.Secure.Client(shaking, raw, &to); err != nil {
-		g.closed()
-		return nil, err
-	}
-	return g.adopt(r.m, nc, raw), nil
-}
-
-// dial opens a connection and counts it.
-func (g *Manager) dial(ctx context.Context, addr string, by time.Time) (net.Conn, error) {
-	g.mu.Lock()
-	if g.conns >= g.cfg.MostConns {
-		var oldest *conn
-		for _, m := range g.members {
-			if len(m.idle) > 0 && (oldest == nil || m.idle[0].idleSince.Before(oldest.idleSince)) {
-				oldest = m.idle[0]
-			}
-		}
-		if oldest != nil {
-			g.drop(oldest)
-		}
-	}
-	g.conns++
-	g.opened++
-	g.mu.Unlock()
-	dialer := net.Dialer{Deadline: by, KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		g.closed()
-		return nil, err
-	}
-	return nc, nil
-}
-
-// adopt has a new connection read from. raw is what lies below TLS.
-func (g *Manager) adopt(m *member, nc, raw net.Conn) *conn {
-	c := &conn{nc: nc, raw: raw, m: m, g: g, over: make(chan struct{})}
-	go c.read()
-	return c
-}
-
-func (g *Manager) fresh(c *conn) bool { return c.raw == nil || g.cfg.Secure.Fresh(c.nc) }
-
-// giveBack keeps a connection warm, if its member still gets calls.
-func (g *Manager) giveBack(c *conn) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !c.m.open || g.frugal || c.isDead() || !g.fresh(c) {
-		c.kill()
-		return
-	}
-	c.idleSince = time.Now()
-	if c.raw != nil && g.opener.freed(c.m.Host, c) {
-		return
-	}
-	c.m.idle = append(c.m.idle, c)
-}
-
-// Handshakes returns what the gate of handshakes counted, and how many flows wait there.
-func (g *Manager) Handshakes() (trust.GateCounters, int) { return g.opener.counters() }
-
-func (g *Manager) closed() {
-	g.mu.Lock()
-	g.conns--
-	g.mu.Unlock()
-}
-
-// drop closes an idle connection; forget only takes it off the list. Both need the lock.
-func (g *Manager) drop(c *conn) {
-	g.forget(c)
-	c.kill()
-}
-
-func (g *Manager) forget(c *conn) {
-	for i, o := range c.m.idle {
-		if o == c {
-			c.m.idle = append(c.m.idle[:i], c.m.idle[i+1:]...)
-			return
-		}
-	}
-}
-
-func (g *Manager) dropIdle(m *member) {
-	for len(m.idle) > 0 {
-		g.drop(m.idle[0])
-	}
-}
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"wrenford/internal/conns"
 	"wrenford/internal/cuts"
 	"wrenford/internal/flow/http1"
 	"wrenford/internal/traffic"
@@ -29,8 +30,7 @@
 		t.Fatal(err)
 	}
 	r := &rig{t: t, ln: ln, conns: make(chan net.Conn, 10), ends: make(chan traffic.FlowEnd, 10)}
-	r.g = New(Config{ConnectWithin: time.Minute, IdleMost: time.Minute, MostFlows: 2, MostConns: 2},
-		func(e traffic.FlowEnd) { r.ends <- e })
+	r.g = must(New(Config{ConnectWithin: time.Minute, MostFlows: 2, Conns: keeping(2)}, func(e traffic.FlowEnd) { r.ends <- e }))
 	go func() {
 		for {
 			nc, err := ln.Accept()
@@ -46,6 +46,20 @@
 	return r
 }
 
+// keeping holds so many connections, as a relay does.
+func keeping(most int) conns.Config {
+	c := conns.Defaults()
+	c.Most, c.IdleMost = most, time.Minute
+	return c
+}
+
+func must(g *Manager, err error) *Manager {
+	if err != nil {
+		panic(err)
+	}
+	return g
+}
+
 func (r *rig) pool(health traffic.Health) {
 	r.g.Pool(traffic.PoolNews{Members: []traffic.Member{{Host: "m", Dial: r.ln.Addr().String(), Health: health}}})
 }
@@ -218,15 +232,16 @@
 	}
 	r.start("c")
 	r.read(<-r.conns)
-	if opened, reused := r.g.Counts(); opened != 2 || reused != 1 {
-		t.Errorf("%d opened, %d reused", opened, reused)
+	if n := r.g.Counters(); n.Opened != 2 || n.Reused != 1 || n.Calls != 3 || n.Closed != 1 {
+		t.Errorf("%+v", n)
 	}
 }
 
 func (r *rig) idle() int {
-	r.g.mu.Lock()
-	defer r.g.mu.Unlock()
-	return len(r.g.members["m"].idle)
+	for _, s := range r.g.Connections() {
+		return s.Idle
+	}
+	return 0
 }
 
 // A call given up closes its connection: by then it may have run.
@@ -294,10 +309,11 @@
 // A warm connection can end between being taken and being written to: the call goes out on a new one.
 func TestWarmConnectionThatJustEnded(t *testing.T) {
 	r := newRig(t)
-	m := r.g.members["m"]
 	near, far := net.Pipe()
 	far.Close()
-	m.idle = append(m.idle, &conn{nc: near, m: m, g: r.g, dead: true, idleSince: time.Now()})
+	_, id, _ := r.g.conns.Call(0, "m")
+	r.g.conns.Opened(0, id, false)
+	r.g.byID[id] = &conn{nc: near, g: r.g, id: id, host: "m", dead: true, idleSince: time.Now()}
 	r.start("a")
 	nc := <-r.conns
 	r.read(nc)
@@ -345,11 +361,7 @@
 		}
 		r.want(id, traffic.Delivered)
 	}
-	idle := func() int {
-		r.g.mu.Lock()
-		defer r.g.mu.Unlock()
-		return len(r.g.members["m"].idle)
-	}
+	idle := r.idle
 	r.start("a")
 	deliver("a", <-r.conns)
 	if idle() != 1 {
--- a/internal/flow/opener.go
+++ b/internal/flow/opener.go
@@ -114,3 +114,10 @@
 	defer o.mu.Unlock()
 	return o.gate.Counters(), o.gate.Waiting()
 }
+
+// waiting says whether a flow waits for a connection to a member.
+func (o *opener) waiting(host string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.gate.WaitingAt(host) > 0
+}
--- a/internal/flow/tls_test.go
+++ b/internal/flow/tls_test.go
@@ -86,8 +86,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg.ConnectWithin, cfg.IdleMost, cfg.Secure = 30*time.Second, time.Minute, s.m
-	s.g = New(cfg, func(e traffic.FlowEnd) { s.ends <- e })
+	cfg.ConnectWithin, cfg.Secure = 30*time.Second, s.m
+	s.g = must(New(cfg, func(e traffic.FlowEnd) { s.ends <- e }))
 	s.g.Pool(traffic.PoolNews{Members: []traffic.Member{{Host: "m", Dial: s.ln.Addr().String(), Destination: 7}}})
 	return s
 }
@@ -109,7 +109,7 @@
 
 // Calls go over TLS on warm connections; changed roots end these once idle, and the next call makes a new one.
 func TestCallsOverTLS(t *testing.T) {
-	s := newSecured(t, Config{MostFlows: 10, MostConns: 10, Gate: gate}, 0)
+	s := newSecured(t, Config{MostFlows: 10, Conns: keeping(10), Gate: gate}, 0)
 	for i := range 3 {
 		s.start(fmt.Sprint(i), 1)
 		s.want(t, traffic.Delivered)
@@ -143,7 +143,7 @@
 
 // A thousand changes of certificates under load: every call ends well.
 func TestChangesUnderLoad(t *testing.T) {
-	s := newSecured(t, Config{MostFlows: 100, MostConns: 100, Gate: trust.GateConfig{Share: 1, Least: 1e5, PerEndpoint: 100, Cost: time.Millisecond,
+	s := newSecured(t, Config{MostFlows: 100, Conns: keeping(100), Gate: trust.GateConfig{Share: 1, Least: 1e5, PerEndpoint: 100, Cost: time.Millisecond,
 		Burst: time.Second}}, 0)
 	other, err := ca.Root("other", ca.P256)
 	if err != nil {
@@ -185,7 +185,7 @@
 // All connections are lost at once with much to send: a few handshakes carry the queue, and all is delivered, what is
 // worth most first.
 func TestStorm(t *testing.T) {
-	s := newSecured(t, Config{MostFlows: 600, MostConns: 600, Gate: gate}, 0)
+	s := newSecured(t, Config{MostFlows: 600, Conns: keeping(600), Gate: gate}, 0)
 	for i := range 500 {
 		s.start(fmt.Sprint("low", i), 1)
 	}
@@ -212,7 +212,7 @@
 // A flow whose handshake is not admitted in time was never sent, and is not the member's failure; one given up while it
 // waits ends as such.
 func TestHeldBack(t *testing.T) {
-	s := newSecured(t, Config{MostFlows: 10, MostConns: 10, Gate: trust.GateConfig{Share: 1e-9, Least: 1e-9, PerEndpoint: 1, Cost: time.Second, Burst: time.Second}}, 0)
+	s := newSecured(t, Config{MostFlows: 10, Conns: keeping(10), Gate: trust.GateConfig{Share: 1e-9, Least: 1e-9, PerEndpoint: 1, Cost: time.Second, Burst: time.Second}}, 0)
 	s.start("first", 1) // takes what there is at the start
 	s.want(t, traffic.Delivered)
 	(<-s.conns).Close()
@@ -250,7 +250,7 @@
 	}
 	r.g.mu.Lock()
 	defer r.g.mu.Unlock()
-	if r.g.conns != 0 || len(r.g.flows) != 0 {
-		t.Errorf("%d connections, %d flows are left", r.g.conns, len(r.g.flows))
+	if n := r.g.conns.Len(); n != 0 || len(r.g.flows) != 0 || len(r.g.byID) != 0 {
+		t.Errorf("%d connections, %d flows are left", n, len(r.g.flows))
 	}
 }
--- /dev/null
+++ b/internal/flow/unacked_linux.go
@@ -0,0 +1,27 @@
+package flow
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// unacknowledged says that the kernel still holds bytes that the peer's has not acknowledged (tcp(7), TCP_INFO).
+func unacknowledged(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var info *unix.TCPInfo
+	if err := raw.Control(func(fd uintptr) {
+		info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	}); err != nil || info == nil {
+		return false
+	}
+	return info.Unacked > 0 || info.Notsent_bytes > 0
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"google.golang.org/protobuf/encoding/prototext"
 
+	"wrenford/internal/conns"
 	"wrenford/internal/gateway/gatewayv1"
 	"wrenford/internal/overload"
 	"wrenford/internal/trust"
@@ -26,6 +27,14 @@
 	Overload Overload
 	Log      Log
 	TLS      TLS
+	Conns    Conns
+}
+
+// Conns holds the settings of connections to pool members.
+type Conns struct {
+	Keep                 conns.Config // without how many there may be and how long they may idle, which the platform's settings give
+	HeldMost, StuckAfter time.Duration
+	ModuleLearns         bool
 }
 
 // TLS holds the settings of connections over TLS.
@@ -63,7 +72,7 @@
 // Default is the configuration without a file.
 func Default() Config {
 	return Config{Overload: Overload{Brownout: true, Tick: 50 * time.Millisecond, Control: overload.Defaults()},
-		Log: Log{LinesPerSecond: 5}, TLS: TLS{Watch: true, Gate: trust.GateDefaults()}}
+		Log: Log{LinesPerSecond: 5}, TLS: TLS{Watch: true, Gate: trust.GateDefaults()}, Conns: Conns{Keep: conns.Defaults(), HeldMost: 250 * time.Millisecond}}
 }
 
 // Load reads a file. An empty path is no file.
@@ -85,7 +94,7 @@
 		return Config{}, fmt.Errorf("%s: %s", path, syntax(err))
 	}
 	c := Default()
-	if err := errors.Join(c.Overload.take(g.GetOverload()), c.Log.take(g.GetLog()), c.TLS.take(g.GetTls())); err != nil {
+	if err := errors.Join(c.Overload.take(g.GetOverload()), c.Log.take(g.GetLog()), c.TLS.take(g.GetTls()), c.Conns.take(g.GetConnections())); err != nil {
 		return Config{}, fmt.Errorf("%s: %s", path, strings.ReplaceAll(err.Error(), "\n", "; "))
 	}
 	return c, nil
@@ -159,6 +168,30 @@
 		func(x float64) { l.LinesPerSecond = int(x) }}})...)...)
 }
 
+func (c *Conns) take(p *gatewayv1.Connections) error {
+	if p == nil {
+		return nil
+	}
+	span := func(to *time.Duration, unit time.Duration) func(float64) {
+		return func(x float64) { *to = time.Duration(x * float64(unit)) }
+	}
+	c.Keep.Ahead, c.ModuleLearns = p.GetAhead(), p.GetModuleLearns()
+	list := []number{
+		{"max_age_s", p.MaxAgeS, 1, 1e6, span(&c.Keep.MaxAge, time.Second)},
+		{"keep_s", p.KeepS, 0.1, 3600, span(&c.Keep.Keep, time.Second)},
+		{"stale_share", p.StaleShare, 1e-5, 0.5, func(x float64) { c.Keep.StaleMost = x }},
+		{"open_price", p.OpenPrice, 1e-4, 1, func(x float64) { c.Keep.OpenPrice = x * c.Keep.LossPrice }},
+		{"held_most_ms", p.HeldMostMs, 1, 10_000, span(&c.HeldMost, time.Millisecond)},
+		{"stuck_after_ms", p.StuckAfterMs, 50, 60_000, span(&c.StuckAfter, time.Millisecond)},
+	}
+	for i, n := range list { // 0 switches these off
+		if (n.field == "max_age_s" || n.field == "stuck_after_ms") && n.value != nil && *n.value == 0 {
+			list[i].least = 0
+		}
+	}
+	return errors.Join(numbers("connections", list)...)
+}
+
 func (t *TLS) take(p *gatewayv1.Tls) error {
 	if p == nil {
 		return nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,6 +40,15 @@
 	Pool(traffic.PoolNews)
 }
 
+// Ahead is told how many transactions are held for a destination, so that connections are there when they go. Nothing
+// blocks.
+type Ahead interface {
+	Expect(destination, transactions int)
+}
+
+// aheadEvery is how often it is told.
+const aheadEvery = 250 * time.Millisecond
+
 // Notices tells the platform of ends. Each Send leads to the id in a call of Relay.NoticesAnswered.
 type Notices interface{ Send(traffic.Notice) }
 
@@ -65,6 +74,7 @@
 	Store     Store
 	Flows     Flows
 	Notices   Notices
+	Ahead     Ahead // nil for nobody
 }
 
 // Counters count since the start.
@@ -110,8 +120,10 @@
 	unsaved []traffic.Change // ends that the store has not taken yet
 	wakes   []time.Time
 	squeeze squeeze
-	out     int   // flows
-	ended   int64 // transactions that had been taken on
+	waiting map[int]int // transactions without a flow, by destination; those that are told of with 0 go at the next telling
+	toldAt  time.Time   // when Ahead was told
+	out     int         // flows
+	ended   int64       // transactions that had been taken on
 
 	stretch atomic.Int64 // least time between two steps, where it is more than the module's
 
@@ -157,7 +169,7 @@
 		cfg.Meters = noMeters{}
 	}
 	r := &Relay{cfg: cfg, squeeze: squeeze{messages: cfg.Settings.MaxOpen, byteScale: 1}, sender: sender, origin: time.Now(), classes: map[string]*wrenford.Class{},
-		apart: map[string]bool{}, pool: newRoster(), open: map[string]*held{},
+		apart: map[string]bool{}, waiting: map[int]int{}, pool: newRoster(), open: map[string]*held{},
 		signal: make(chan struct{}, 1)}
 	for i := range cfg.Settings.Classes {
 		r.classes[cfg.Settings.Classes[i].Name] = &cfg.Settings.Classes[i]
@@ -178,6 +190,7 @@
 		h := &held{Open: o}
 		r.open[o.ID] = h
 		r.bytes += int64(o.Size())
+		r.waiting[o.Destination]++
 		events = append(events, r.request(&h.Open, now))
 	}
 	r.count.Recovered = int64(len(open))
@@ -415,6 +428,7 @@
 		h = &held{Open: traffic.Open{Transaction: in.t}, fresh: []chan<- traffic.Answer{in.answer}}
 		r.open[in.t.ID] = h
 		r.bytes, r.fresh = r.bytes+size, r.fresh+size
+		r.waiting[h.Destination]++
 		return h
 	}
 	in.answer <- traffic.Answer{Verdict: traffic.Busy, RetryIn: fullRetry}
@@ -443,6 +457,7 @@
 		h.FirstSent = h.begun
 	}
 	h.begun = time.Time{}
+	r.waiting[h.Destination]++
 	r.out--
 	if e.settled {
 		r.forget(h)
@@ -456,6 +471,9 @@
 func (r *Relay) forget(h *held) {
 	delete(r.open, h.ID)
 	r.bytes -= int64(h.Size())
+	if h.begun.IsZero() {
+		r.waiting[h.Destination]--
+	}
 	if h.fresh == nil {
 		r.ended++
 	}
@@ -498,6 +516,7 @@
 			f := r.flow(&h.Open, a, now)
 			h.Attempts++
 			h.begun = now
+			r.waiting[h.Destination]--
 			r.out++
 			changes = append(changes, traffic.FlowBegun{ID: f.ID, Attempt: f.Attempt, At: now})
 			after = append(after, deed{flow: &f})
@@ -525,6 +544,7 @@
 			r.cfg.Flows.Start(*d.flow)
 		}
 	}
+	r.tellAhead(now)
 	r.fresh = 0
 	r.count.Open, r.count.Bytes = len(r.open), r.bytes
 	r.mu.Lock()
@@ -534,6 +554,22 @@
 	r.mu.Unlock()
 }
 
+// tellAhead tells what is held, now and then.
+func (r *Relay) tellAhead(now time.Time) {
+	if now.Sub(r.toldAt) < aheadEvery {
+		return
+	}
+	r.toldAt = now
+	for dest, n := range r.waiting {
+		if r.cfg.Ahead != nil {
+			r.cfg.Ahead.Expect(dest, n)
+		}
+		if n == 0 {
+			delete(r.waiting, dest)
+		}
+	}
+}
+
 // end gives a transaction its final answer: to the client that just handed it in, or by a notice.
 func (r *Relay) end(n traffic.Notice, changes []traffic.Change, after *[]deed) []traffic.Change {
 	h := r.open[n.ID]
--- a/internal/trust/gate.go
+++ b/internal/trust/gate.go
@@ -55,6 +55,16 @@
 // Waiting is how many flows wait.
 func (g *Gate) Waiting() int { return len(g.waiting) }
 
+// WaitingAt is how many flows wait for a connection to one endpoint.
+func (g *Gate) WaitingAt(endpoint string) (n int) {
+	for _, a := range g.waiting {
+		if a.Endpoint == endpoint {
+			n++
+		}
+	}
+	return n
+}
+
 // Load tells the program's own load, as a share of what it may use: the more, the fewer handshakes.
 func (g *Gate) Load(busy float64) { g.busy = min(max(busy, 0), 1) }
 
--- a/sender.go
+++ b/sender.go
@@ -900,7 +900,7 @@
 		}
 	}
 	e.missIdle = 0
-	if e.fails == 0 && (st == Reset || st == TimedOut && s.lost > failMost) {
+	if e.fails == 0 && !s.set.IdleElsewhere && (st == Reset || st == TimedOut && s.lost > failMost) {
 		if f.idle > s.idleGood {
 			e.missIdle = f.idle
 		}
--- a/wrenford.go
+++ b/wrenford.go
@@ -110,6 +110,7 @@
 	MaxAttempts    int           // attempts for one message
 	ConnectTimeout time.Duration // a connection not made by then is ConnectFailed
 	KeepAlive      time.Duration // idle connections close after it
+	IdleElsewhere  bool          // who keeps the connections learns how long they may idle, and uses none for longer
 	CallsPerConn   int           // calls that one connection carries at once
 	MaxRetryAfter  time.Duration // longest Refuse.RetryAfter that clients honour
 	RetryAfter     bool          // clients are told Refuse.RetryAfter
