Take no limit of idling or uses from chance losses and early closings

Where connections break at random, one loss proves nothing: a second must confirm it, a connection that goes on beyond a supposed limit of uses refutes it, and seen closings set a limit only when many agree.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -57,20 +57,29 @@
 const (
 	// raceMargin is left before the time at which a server closes: its close and our call would cross on the way.
 	raceMargin = 0.1
-	// closeShare of connections is to outlive the limit that seen closings set.
-	closeShare = 0.98
+	// closeShare of connections is to outlive the limit that seen closings set. These cost no call unless one crosses them on the
+	// way, so that a few early ones, as at a restart, are no reason to give up the rest.
+	closeShare = 0.8
 	// quarantine is how long the idle time of a loss is not tried again at first; it doubles with each loss.
 	quarantine, quarantineMost = 10 * time.Second, time.Hour
 	// tryEvery parts the tries of idle times beyond the limit.
 	tryEvery = 10 * time.Second
+	// noiseMost is the share of calls that may break for other reasons before one loss is no proof of anything; suspectsMost is
+	// how many then are.
+	noiseMost, suspectsMost = 0.0005, 2
+	// shortIdle is too short to be why a connection died.
+	shortIdle = 100 * time.Millisecond
+	// evidenceHalf is the half-life of evidence, and evidenceFade how often it fades: servers are reconfigured unseen.
+	evidenceHalf, evidenceFade = 15 * time.Minute, 15 * time.Second
 	// recentGood is how long a good reuse speaks against a loss being for idling.
 	recentGood = 20 * time.Second
 	// quantile is the deviations above the mean that calls out at once are provided for.
 	quantile = 2.3
 	// demandFade smooths rates and service times; a tick is about tickUsual long.
 	demandFade = 0.3
-	// sameUses closings in a row behind the same number of calls make a limit of uses; usesTry of the connections go on.
-	sameUses, usesTry = 3, 50
+	// sameUses closings in a row behind the same number of calls make a limit of uses, and four times as many after each one that
+	// proved wrong, up to usesMost; one connection in usesTry goes on.
+	sameUses, usesMost, usesTry = 3, 200, 20
 	// capFor is how long a cap that a server seems to have is held to before one more is tried.
 	capFor = 30 * time.Second
 	// capDoubt is how soon behind a refusal closings show that the server was not full but going down.
@@ -158,7 +167,10 @@
 	goodIdle            [2]time.Duration // the longest good reuse of this stretch of time, and of the one before
 	goodFrom            time.Duration    // when this one began
 
+	suspects []time.Duration // idle times of losses that may have been for idling, or not
+
 	uses, usesSeen, usesN int // limit of calls a connection, 0 for none; the newest closing's, and how often in a row
+	usesNeed              int // closings in a row that make a limit
 	cap                   int // connections that the server seems to take; 0 for no limit
 	capAt                 time.Duration
 	fails                 int
@@ -168,16 +180,27 @@
 	given [whys]int64
 	stale int64
 
+	fadedAt         time.Duration // when the evidence faded
 	arrivals        int
 	rate, mean, dev float64 // calls a second; seconds a call takes, and its spread
 	peak            float64 // calls out at once, fading
 	expected        int     // calls that are known to come
 }
 
+// group is what the endpoints of a destination have in common: how many of their calls break for other reasons than idling.
+type group struct {
+	endpoints   int
+	calls, lost float64 // of late
+}
+
+// noisy says that connections break for other reasons often enough to be taken for idle ones that died.
+func (g *group) noisy() bool { return g.lost >= 2 && g.lost > noiseMost*g.calls }
+
 // Pool decides for all endpoints. It is not safe for use by several goroutines at once.
 type Pool struct {
 	cfg    Config
 	eps    map[string]*endpoint
+	groups map[int]*group // by destination
 	conns  map[ID]*conn
 	frugal bool // nothing is to rest
 	next   ID
@@ -205,7 +228,7 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	return &Pool{cfg: cfg, eps: map[string]*endpoint{}, conns: map[ID]*conn{}, rng: rand.New(rand.NewPCG(cfg.Seed, 9))}, nil
+	return &Pool{cfg: cfg, eps: map[string]*endpoint{}, groups: map[int]*group{}, conns: map[ID]*conn{}, rng: rand.New(rand.NewPCG(cfg.Seed, 9))}, nil
 }
 
 // Counters returns the counters.
@@ -225,13 +248,18 @@
 		if !open {
 			return nil
 		}
-		e = &endpoint{name: name, addr: addr, dest: dest, conns: map[ID]*conn{}}
+		e = &endpoint{name: name, addr: addr, dest: dest, fadedAt: p.last, conns: map[ID]*conn{}}
 		p.learnFromSiblings(e)
 		p.eps[name] = e
+		p.join(e, dest)
+	}
+	if e.dest != dest {
+		p.part(e)
+		p.join(e, dest)
 	}
 	why := Leaving
 	if moved := e.addr != addr; moved {
-		next := &endpoint{name: name, addr: addr, dest: dest, conns: e.conns, rest: e.rest, out: e.out, rate: e.rate, mean: e.mean, dev: e.dev, peak: e.peak}
+		next := &endpoint{name: name, addr: addr, dest: dest, fadedAt: p.last, conns: e.conns, rest: e.rest, out: e.out, rate: e.rate, mean: e.mean, dev: e.dev, peak: e.peak}
 		p.learnFromSiblings(next)
 		*e = *next
 		why = Moved
@@ -270,10 +298,26 @@
 	}
 }
 
+func (p *Pool) join(e *endpoint, dest int) {
+	if e.dest = dest; p.groups[dest] == nil {
+		p.groups[dest] = &group{}
+	}
+	p.groups[dest].endpoints++
+}
+
+func (p *Pool) part(e *endpoint) {
+	if g := p.groups[e.dest]; g.endpoints == 1 {
+		delete(p.groups, e.dest)
+	} else {
+		g.endpoints--
+	}
+}
+
 // forget ends what is kept of an endpoint that is gone, once no connection is left.
 func (p *Pool) forget(e *endpoint) {
-	if !e.open && len(e.conns) == 0 {
+	if !e.open && len(e.conns) == 0 && p.eps[e.name] == e {
 		delete(p.eps, e.name)
+		p.part(e)
 	}
 }
 
@@ -687,6 +731,12 @@
 	}
 	e := c.ep
 	c.carried++
+	if end == Answered && c.carried > max(e.usesSeen, e.uses) { // it goes on beyond what seemed the limit
+		e.usesN = 0
+		if e.uses > 0 {
+			e.uses, e.usesNeed = 0, min(max(e.usesNeed, sameUses)*4, usesMost)
+		}
+	}
 	p.learn(c, end)
 	if end == Answered || end == Last {
 		e.served(took.Seconds())
@@ -724,11 +774,24 @@
 // learn takes in what a call tells of idling.
 func (p *Pool) learn(c *conn, end End) {
 	e := c.ep
+	g := p.groups[e.dest]
+	if g.calls++; g.calls > staleWindow {
+		g.calls, g.lost = g.calls/2, g.lost/2
+	}
 	if c.idled == 0 {
+		if end == Dead {
+			g.lost++
+		}
 		return
 	}
 	if end != Dead {
 		if end != Cut { // what was cut tells nothing
+			e.suspects = slices.DeleteFunc(e.suspects, func(idle time.Duration) bool {
+				if idle <= c.idled {
+					g.lost++ // it was not for idling
+				}
+				return idle <= c.idled
+			})
 			e.reuses.add(c.idled, false)
 			e.spells.add(c.idled, false)
 			e.goodOf(p.last)
@@ -742,14 +805,21 @@
 	p.total.Stale++
 	e.stale++
 	p.stale++
-	e.reuses.add(c.idled, true)
-	if e.goodOf(p.last) > c.idled {
-		return // one that idled longer went well of late: it is not for idling
+	if c.idled < shortIdle || e.goodOf(p.last) > c.idled {
+		g.lost++ // one that idled longer went well of late: it is not for idling
+		return
+	}
+	if e.suspects = append(e.suspects, c.idled); g.noisy() && len(e.suspects) < suspectsMost {
+		return
 	}
 	e.ban = min(max(e.ban*2, quarantine), quarantineMost)
-	if e.banned == 0 || c.idled < e.banned {
-		e.banned = c.idled
+	for _, idle := range e.suspects {
+		e.reuses.add(idle, true)
+		if e.banned == 0 || idle < e.banned {
+			e.banned = idle
+		}
 	}
+	e.suspects = e.suspects[:0]
 	e.bannedUntil = p.last + e.ban
 	p.total.Bans++
 }
@@ -807,7 +877,7 @@
 	if e.usesSeen != n {
 		e.usesSeen, e.usesN = n, 0
 	}
-	if e.usesN++; e.usesN >= sameUses {
+	if e.usesN++; e.usesN >= max(e.usesNeed, sameUses) {
 		e.uses = n
 	}
 }
@@ -839,6 +909,12 @@
 	for _, name := range names {
 		e := p.eps[name]
 		e.fade(dt, p.cfg.Keep)
+		if p.last-e.fadedAt >= evidenceFade {
+			by := math.Exp2(-(p.last - e.fadedAt).Seconds() / evidenceHalf.Seconds())
+			e.fadedAt = p.last
+			e.reuses.fade(by)
+			e.spells.fade(by)
+		}
 		soft, hard := p.limits(e)
 		spare := float64(len(e.conns)) - e.target()
 		resting := slices.Clone(e.rest)
--- a/internal/conns/survival.go
+++ b/internal/conns/survival.go
@@ -12,6 +12,8 @@
 	idleBounds = perDecade * 7 // up to some hours
 	// evidenceMost is how many reuses a bucket remembers: more, and a server that changes would be believed too long.
 	evidenceMost = 200
+	// closingsLeast closings tell of a limit; one or two tell of a restart.
+	closingsLeast = 2.5
 	// priorWeight reuses without a loss are taken for granted where nothing is known, priorLoss their share of losses.
 	priorWeight, priorLoss = 100, 0.0005
 )
@@ -48,6 +50,14 @@
 	}
 }
 
+// fade forgets a part of the evidence.
+func (r *reuses) fade(by float64) {
+	for b := range idleBounds {
+		r.good[b] *= by
+		r.lost[b] *= by
+	}
+}
+
 // dead estimates, for each bucket, the share of connections that are dead after so long, never falling: neighbours that
 // would are pooled (the pool-adjacent-violators algorithm).
 func (r *reuses) dead() (share [idleBounds]float64) {
@@ -120,9 +130,13 @@
 
 // until is the longest idle time that a share of connections survives; false where no closing was seen that would tell.
 func (s *spells) until(share float64) (time.Duration, bool) {
-	at := 0.0
+	at, seen := 0.0, 0.0
 	for b := range idleBounds {
 		at += s.closed[b] + s.censored[b]
+		seen += s.closed[b]
+	}
+	if seen < closingsLeast {
+		return 0, false
 	}
 	alive := 1.0
 	for b := range idleBounds {
@@ -138,3 +152,11 @@
 	}
 	return 0, false
 }
+
+// fade forgets a part of the evidence.
+func (s *spells) fade(by float64) {
+	for b := range idleBounds {
+		s.closed[b] *= by
+		s.censored[b] *= by
+	}
+}
