--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -59,7 +59,7 @@
 	raceMargin = 0.1
 	// closeShare of connections is to outlive the limit that seen closings set. These cost no call unless one crosses them on the
 	// way, so that a few early ones, as at a restart, are no reason to give up the rest.
-	closeShare = 0.8
+	closeShare = 0.5
 	// quarantine is how long the idle time of a loss is not tried again at first; it doubles with each loss.
 	quarantine, quarantineMost = 10 * time.Second, time.Hour
 	// tryEvery parts the tries of idle times beyond the limit.
@@ -82,6 +82,8 @@
 	sameUses, usesMost, usesTry = 3, 200, 20
 	// capFor is how long a cap that a server seems to have is held to before one more is tried.
 	capFor = 30 * time.Second
+	// capRefusals in a row make a cap: one may be for anything.
+	capRefusals = 2
 	// capDoubt is how soon behind a refusal closings show that the server was not full but going down.
 	capDoubt = time.Second
 	// behindAnswer is how soon behind an answer a closing is for the number of calls.
@@ -173,6 +175,7 @@
 	usesNeed              int // closings in a row that make a limit
 	cap                   int // connections that the server seems to take; 0 for no limit
 	capAt                 time.Duration
+	refusals              int // in a row, while others were open
 	fails                 int
 	retryAt               time.Duration
 	goodOpen              time.Duration // the newest opening that went well
@@ -672,7 +675,7 @@
 		return
 	}
 	e := c.ep
-	e.goodOpen, e.fails = p.last, e.fails/2
+	e.goodOpen, e.fails, e.refusals = p.last, e.fails/2, 0
 	if !call {
 		e.settle(c, p.last)
 		return
@@ -701,10 +704,10 @@
 			up++
 		}
 	}
-	if refused && up > 0 && p.last-e.goodOpen < capFor {
-		e.cap, e.capAt = up, p.last
-	} else {
+	if !refused || up == 0 || p.last-e.goodOpen >= capFor {
 		e.fails++
+	} else if e.refusals++; e.refusals >= capRefusals {
+		e.cap, e.capAt = up, p.last
 	}
 	wait := min(float64(p.cfg.BackoffLeast)*math.Exp2(float64(min(max(e.fails-1, 0), 30))), float64(p.cfg.BackoffMost))
 	e.retryAt = p.last + time.Duration(wait*(0.5+p.rng.Float64()/2))
