--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -67,6 +67,11 @@
 	// noiseMost is the share of calls that may break for other reasons before one loss is no proof of anything; suspectsMost is
 	// how many then are.
 	noiseMost, suspectsMost = 0.0005, 2
+	// wary is how long after a loss for idling no idle time is believed in that has not gone well of late.
+	wary = time.Hour
+	// provenFor is how long a good reuse shows that others of its idle time will go well, and provenReach how far beyond that
+	// time it reaches; a loss leaves refuted of its idle time.
+	provenFor, provenReach, refuted = 5 * time.Minute, 1.25, 0.7
 	// shortIdle is too short to be why a connection died.
 	shortIdle = 100 * time.Millisecond
 	// evidenceHalf is the half-life of evidence, and evidenceFade how often it fades: servers are reconfigured unseen.
@@ -168,6 +173,9 @@
 	tryAt               time.Duration    // no idle time beyond the limit is tried before
 	goodIdle            [2]time.Duration // the longest good reuse of this stretch of time, and of the one before
 	goodFrom            time.Duration    // when this one began
+	proven              [2]time.Duration // the same over a longer stretch, but for what a loss has refuted since
+	provenFrom          time.Duration
+	lossAt              time.Duration // when one died for idling; 0 for never
 
 	suspects []time.Duration // idle times of losses that may have been for idling, or not
 
@@ -291,6 +299,10 @@
 			if e.uses == 0 {
 				e.uses = o.uses
 			}
+			e.lossAt = max(e.lossAt, o.lossAt)
+			if o := o.provenOf(p.last); o > e.proven[0] {
+				e.proven[0], e.provenFrom = o, p.last
+			}
 			for b := range idleBounds { // a part of what they know: it soon yields to what is seen here
 				e.reuses.good[b] += o.reuses.good[b] / 5
 				e.reuses.lost[b] += o.reuses.lost[b] / 5
@@ -602,7 +614,11 @@
 	dead := e.reuses.dead()
 	soft, hard := p.limits(e)
 	risk := math.Inf(1)
-	var try *conn
+	var try, canary *conn
+	trusted := time.Duration(math.MaxInt64) // as long as nothing was lost, what is told of servers is believed
+	if e.lossAt > 0 && p.last-e.lossAt < wary {
+		trusted = max(time.Duration(provenReach*float64(e.provenOf(p.last))), shortIdle)
+	}
 	for _, c := range slices.Clone(e.rest) {
 		why, over := p.over(c, soft)
 		if over && why == Idle && p.last-c.since < hard && p.mayTry(e) && (try == nil || c.since > try.since) {
@@ -615,15 +631,37 @@
 			bad = append(bad, p.give(c, why))
 			continue
 		}
+		if p.last-c.since > trusted {
+			canary = c // the last one idled least
+			continue
+		}
 		if r := dead[bucket(p.last-c.since)]; best == nil || r < risk || r == risk && c.since >= best.since {
 			best, risk = c, r
 		}
 	}
-	if best == nil && try != nil {
+	if best != nil {
+		return best, bad
+	}
+	if canary != nil && !e.exploring {
+		e.exploring, canary.tries = true, true
+		return canary, bad
+	}
+	if try != nil && canary == nil {
 		e.exploring, e.tryAt, try.tries = true, p.last+tryEvery, true
 		return try, bad
 	}
-	return best, bad
+	return nil, bad
+}
+
+// provenOf is the longest idle time that went well in this stretch of provenFor or the one before. One call at a time tries
+// more: in a clump, others that idled as long would be lost together.
+func (e *endpoint) provenOf(now time.Duration) time.Duration {
+	if n := now - e.provenFrom; n >= 2*provenFor {
+		e.proven, e.provenFrom = [2]time.Duration{}, now
+	} else if n >= provenFor {
+		e.proven, e.provenFrom = [2]time.Duration{0, e.proven[0]}, now
+	}
+	return max(e.proven[0], e.proven[1])
 }
 
 // mayTry says whether an idle time beyond the limit may be tried now: one at a time, now and then, and not in quarantine.
@@ -675,7 +713,7 @@
 		return
 	}
 	e := c.ep
-	e.goodOpen, e.fails, e.refusals = p.last, e.fails/2, 0
+	e.goodOpen, e.fails = p.last, e.fails/2
 	if !call {
 		e.settle(c, p.last)
 		return
@@ -698,19 +736,29 @@
 	e := c.ep
 	p.total.Failed++
 	p.drop(c)
+	if !refused || !p.refused(e) {
+		e.fails++
+	}
+	wait := min(float64(p.cfg.BackoffLeast)*math.Exp2(float64(min(max(e.fails-1, 0), 30))), float64(p.cfg.BackoffMost))
+	e.retryAt = p.last + time.Duration(wait*(0.5+p.rng.Float64()/2))
+}
+
+// refused takes in that a server would not have one more connection, while others are open or were of late: it may take no
+// more. A connection that breaks under its first call is one of these. It returns false where the server seems to be down.
+func (p *Pool) refused(e *endpoint) bool {
 	up := 0
 	for _, o := range e.conns {
 		if o.state != opening {
 			up++
 		}
 	}
-	if !refused || up == 0 || p.last-e.goodOpen >= capFor {
-		e.fails++
-	} else if e.refusals++; e.refusals >= capRefusals {
+	if up == 0 || p.last-e.goodOpen >= capFor {
+		return false
+	}
+	if e.refusals++; e.refusals >= capRefusals {
 		e.cap, e.capAt = up, p.last
 	}
-	wait := min(float64(p.cfg.BackoffLeast)*math.Exp2(float64(min(max(e.fails-1, 0), 30))), float64(p.cfg.BackoffMost))
-	e.retryAt = p.last + time.Duration(wait*(0.5+p.rng.Float64()/2))
+	return true
 }
 
 // End says how a call on a connection ended.
@@ -741,6 +789,9 @@
 		}
 	}
 	p.learn(c, end)
+	if end == Answered && c.carried == 1 {
+		e.refusals = 0
+	}
 	if end == Answered || end == Last {
 		e.served(took.Seconds())
 	}
@@ -771,6 +822,9 @@
 	p.total.Given[why]++
 	c.ep.given[why]++
 	p.drop(c)
+	if end == Dead && c.idled == 0 {
+		p.refused(e)
+	}
 	return false, why
 }
 
@@ -799,6 +853,8 @@
 			e.spells.add(c.idled, false)
 			e.goodOf(p.last)
 			e.goodIdle[0] = max(e.goodIdle[0], c.idled)
+			e.provenOf(p.last)
+			e.proven[0] = max(e.proven[0], c.idled)
 			if e.banned > 0 && c.idled >= e.banned { // it lives on that long now
 				e.banned, e.bannedUntil, e.ban = 0, 0, 0
 			}
@@ -816,7 +872,11 @@
 		return
 	}
 	e.ban = min(max(e.ban*2, quarantine), quarantineMost)
+	e.lossAt = p.last
 	for _, idle := range e.suspects {
+		for i := range e.proven {
+			e.proven[i] = min(e.proven[i], time.Duration(refuted*float64(idle)))
+		}
 		e.reuses.add(idle, true)
 		if e.banned == 0 || idle < e.banned {
 			e.banned = idle
--- /dev/null
+++ b/internal/lab/scripted/scripted_test.go
@@ -0,0 +1,80 @@
+package scripted
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const call = "POST /hook HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+
+func dial(t *testing.T, s Script) (*Server, net.Conn) {
+	t.Helper()
+	srv, err := Start(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(srv.Stop)
+	nc, err := net.Dial("tcp", srv.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	return srv, nc
+}
+
+func exchange(t *testing.T, nc net.Conn) error {
+	t.Helper()
+	if _, err := io.WriteString(nc, call); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(nc, make([]byte, len("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")))
+	return err
+}
+
+// Each way in which an idle connection ends looks to the client as its name says.
+func TestEnds(t *testing.T) {
+	for end, want := range map[End]error{Close: io.EOF, Reset: syscall.ECONNRESET} {
+		_, nc := dial(t, Script{End: end, Idle: 20 * time.Millisecond})
+		if err := exchange(t, nc); err != nil {
+			t.Fatal(err)
+		}
+		if end == Close {
+			if _, err := nc.Read(make([]byte, 1)); err != want {
+				t.Errorf("closed: %v", err)
+			}
+			continue
+		}
+		time.Sleep(100 * time.Millisecond)
+		if err := exchange(t, nc); !errors.Is(err, want) {
+			t.Errorf("end %d: %v", end, err)
+		}
+	}
+}
+
+func TestUsesAndCap(t *testing.T) {
+	srv, nc := dial(t, Script{Uses: 2, Cap: 1})
+	for i := range 2 {
+		if err := exchange(t, nc); err != nil {
+			t.Fatal(err)
+		}
+		if i == 1 {
+			break // the server closes it now
+		}
+		if other, err := net.Dial("tcp", srv.Addr()); err == nil {
+			if err := exchange(t, other); err == nil {
+				t.Error("one more connection was taken than the cap")
+			}
+			other.Close()
+		}
+	}
+	if err := exchange(t, nc); err == nil {
+		t.Error("a third call was answered")
+	}
+	if c := srv.Counters(); c.Calls != 2 || c.Turned != 1 || c.Most != 1 {
+		t.Errorf("%+v", c)
+	}
+}
