--- a/cmd/slatelab/connections.go
+++ b/cmd/slatelab/connections.go
@@ -246,7 +246,7 @@
 	cfg := conns.Defaults()
 	cfg.Most, cfg.IdleMost, cfg.Ahead = 500, idleMost, true
 	var err error
-	k.g, err = flow.New(flow.Config{ConnectWithin: time.Second, MostFlows: 10_000, Conns: cfg, StuckAfter: 100 * time.Millisecond}, func(e traffic.FlowEnd) {
+	k.g, err = flow.New(flow.Config{ConnectWithin: time.Second, MostFlows: 10_000, Conns: cfg, StuckAfter: 300 * time.Millisecond}, func(e traffic.FlowEnd) {
 		to, _ := k.ends.LoadAndDelete(e.ID)
 		to.(chan traffic.FlowEnd) <- e
 	})
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -67,6 +67,8 @@
 	// noiseMost is the share of calls that may break for other reasons before one loss is no proof of anything; suspectsMost is
 	// how many then are.
 	noiseMost, suspectsMost = 0.0005, 2
+	// contradicted losses, without a good reuse after as long among them, outweigh a longer good one of late.
+	contradicted = 3
 	// wary is how long after a loss for idling no idle time is believed in that has not gone well of late.
 	wary = time.Hour
 	// provenFor is how long a good reuse shows that others of its idle time will go well, and provenReach how far beyond that
@@ -864,11 +866,18 @@
 	p.total.Stale++
 	e.stale++
 	p.stale++
-	if c.idled < shortIdle || e.goodOf(p.last) > c.idled {
-		g.lost++ // one that idled longer went well of late: it is not for idling
+	if c.idled < shortIdle {
+		g.lost++
 		return
 	}
-	if e.suspects = append(e.suspects, c.idled); g.noisy() && len(e.suspects) < suspectsMost {
+	need := 1
+	if g.noisy() {
+		need = suspectsMost
+	}
+	if e.goodOf(p.last) > c.idled { // one that idled longer went well of late: the server has changed, or it is not for idling
+		need = contradicted
+	}
+	if e.suspects = append(e.suspects, c.idled); len(e.suspects) < need {
 		return
 	}
 	e.ban = min(max(e.ban*2, quarantine), quarantineMost)
@@ -876,6 +885,7 @@
 	for _, idle := range e.suspects {
 		for i := range e.proven {
 			e.proven[i] = min(e.proven[i], time.Duration(refuted*float64(idle)))
+			e.goodIdle[i] = min(e.goodIdle[i], time.Duration(refuted*float64(idle)))
 		}
 		e.reuses.add(idle, true)
 		if e.banned == 0 || idle < e.banned {
--- a/internal/flow/unacked_linux.go
+++ b/internal/flow/unacked_linux.go
@@ -7,7 +7,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// unacknowledged says that the kernel still holds bytes that the peer's has not acknowledged (tcp(7), TCP_INFO).
+// unacknowledged says that the kernel still holds bytes that the peer's has not acknowledged, and has tried again in vain (tcp(7),
+// TCP_INFO); a window that stays shut counts too. Without the vain tries a delayed acknowledgement, of 40 ms and more, would be taken for none.
 func unacknowledged(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
@@ -23,5 +24,5 @@
 	}); err != nil || info == nil {
 		return false
 	}
-	return info.Unacked > 0 || info.Notsent_bytes > 0
+	return info.Unacked > 0 && info.Retransmits > 0 || info.Notsent_bytes > 0 && (info.Probes > 0 || info.Backoff > 0)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -182,7 +182,7 @@
 		{"stale_share", p.StaleShare, 1e-5, 0.5, func(x float64) { c.Keep.StaleMost = x }},
 		{"open_price", p.OpenPrice, 1e-4, 1, func(x float64) { c.Keep.OpenPrice = x * c.Keep.LossPrice }},
 		{"held_most_ms", p.HeldMostMs, 1, 10_000, span(&c.HeldMost, time.Millisecond)},
-		{"stuck_after_ms", p.StuckAfterMs, 50, 60_000, span(&c.StuckAfter, time.Millisecond)},
+		{"stuck_after_ms", p.StuckAfterMs, 100, 60_000, span(&c.StuckAfter, time.Millisecond)},
 	}
 	for i, n := range list { // 0 switches these off
 		if (n.field == "max_age_s" || n.field == "stuck_after_ms") && n.value != nil && *n.value == 0 {
