--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -94,7 +94,11 @@
 	var r *relay.Relay
 	keep := cfg.gateway.Conns.Keep
 	keep.Most, keep.IdleMost, keep.Seed = most.members, cfg.settings.KeepAlive, uint64(cfg.seed)
-	flows, err := flow.New(flow.Config{Secure: overTLS, Gate: cfg.gateway.TLS.Gate, Busy: busy, ConnectWithin: cfg.settings.ConnectTimeout,
+	var names flow.Resolver // a nil interface where none are looked up
+	if cfg.gateway.Conns.LookUpNames {
+		names = net.DefaultResolver
+	}
+	flows, err := flow.New(flow.Config{Names: names, Secure: overTLS, Gate: cfg.gateway.TLS.Gate, Busy: busy, ConnectWithin: cfg.settings.ConnectTimeout,
 		MostFlows: most.flows, Settle: settle, Conns: keep, HeldMost: cfg.gateway.Conns.HeldMost, StuckAfter: cfg.gateway.Conns.StuckAfter,
 		OwnDelay: meters.Wait}, func(end traffic.FlowEnd) { r.FlowEnded(end) })
 	if err != nil {
--- /dev/null
+++ b/internal/flow/dial_test.go
@@ -0,0 +1,87 @@
+package flow
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+type names map[string][]netip.Addr
+
+func (n names) LookupNetIP(_ context.Context, _, host string) ([]netip.Addr, error) {
+	if list, ok := n[host]; ok {
+		return list, nil
+	}
+	return nil, errors.New("no such host")
+}
+
+// An endpoint with several addresses is reached where one of them answers: a dead one costs no more than the delay to the
+// next, and is not tried first again.
+func TestSeveralAddresses(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	_, port, _ := net.SplitHostPort(ln.Addr().String())
+	d := newDialer(names{"pay.example.org": {netip.MustParseAddr("127.0.0.1")}})
+	for _, addr := range []string{dead.Addr().String() + "," + ln.Addr().String(), "pay.example.org:" + port,
+		"none.example.org:1, pay.example.org:" + port, ln.Addr().String()} {
+		nc, err := d.dial(t.Context(), addr, time.Now().Add(time.Minute))
+		if err != nil {
+			t.Errorf("%s: %v", addr, err)
+			continue
+		}
+		nc.Close()
+	}
+	for _, addr := range []string{"none.example.org:1", "pay.example.org", "pay.example.org:99999", dead.Addr().String() + "," + dead.Addr().String()} {
+		if nc, err := d.dial(t.Context(), addr, time.Now().Add(time.Minute)); err == nil {
+			nc.Close()
+			t.Errorf("%s was reached", addr)
+		}
+	}
+	if _, err := newDialer(nil).dial(t.Context(), "pay.example.org:1,also.example.org:1", time.Now().Add(time.Minute)); err == nil {
+		t.Error("a name was looked up without a resolver")
+	}
+}
+
+// What hangs holds the race up for its delay alone; what answers later is closed, and the end of ctx ends all.
+func TestRaceOfConnections(t *testing.T) {
+	d := newDialer(nil)
+	list := []netip.AddrPort{netip.MustParseAddrPort("[2001:db8::1]:1"), netip.MustParseAddrPort("192.0.2.1:1")}
+	hangs, closed := make(chan struct{}), make(chan error, 1)
+	nc, err := d.race(t.Context(), list, func(to netip.AddrPort) (net.Conn, error) {
+		near, far := net.Pipe()
+		if to == list[0] {
+			<-hangs
+			go func() {
+				_, err := far.Read(make([]byte, 1))
+				closed <- err
+			}()
+		}
+		return near, nil
+	})
+	if err != nil || nc == nil {
+		t.Fatal(err)
+	}
+	close(hangs)
+	if err := <-closed; err == nil {
+		t.Error("the one that came late is open")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := d.race(ctx, list, func(netip.AddrPort) (net.Conn, error) {
+		<-t.Context().Done()
+		return nil, errors.New("ended")
+	}); !errors.Is(err, context.Canceled) {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -27,6 +27,9 @@
 	// StuckAfter has a warm connection given up whose bytes the peer has not acknowledged for so long; 0 for never.
 	StuckAfter time.Duration
 
+	// Names looks up the names of members that have some, and their addresses are raced; nil leaves names to package net.
+	Names Resolver
+
 	// Secure makes connections over TLS, to those members that want it; nil for none.
 	Secure Secure
 	Gate   trust.GateConfig
@@ -66,6 +69,7 @@
 	waits   map[string]time.Time // by Flow.Group: nothing is written before
 	flows   map[flowID]*running
 	opener  *opener
+	dialer  *dialer
 	conns   *conns.Pool
 	byID    map[conns.ID]*conn              // those that are open
 	ahead   map[conns.ID]context.CancelFunc // being opened without a call
@@ -100,7 +104,7 @@
 		return nil, err
 	}
 	return &Manager{cfg: cfg, done: done, origin: time.Now(), members: map[string]*member{}, waits: map[string]time.Time{},
-		flows: map[flowID]*running{}, opener: newOpener(cfg.Gate, cfg.Busy), conns: pool, byID: map[conns.ID]*conn{},
+		flows: map[flowID]*running{}, opener: newOpener(cfg.Gate, cfg.Busy), dialer: newDialer(cfg.Names), conns: pool, byID: map[conns.ID]*conn{},
 		ahead: map[conns.ID]context.CancelFunc{}, held: map[string][]*waiter{}}, nil
 }
 
--- a/internal/flow/keep.go
+++ b/internal/flow/keep.go
@@ -233,7 +233,7 @@
 	to := *r.m
 	g.mu.Unlock()
 	if g.cfg.Secure == nil || !g.cfg.Secure.Wants(&to.Member) {
-		nc, err := dial(ctx, to.Dial, r.Begun.Add(g.cfg.ConnectWithin))
+		nc, err := g.dialer.dial(ctx, to.Dial, r.Begun.Add(g.cfg.ConnectWithin))
 		if err != nil {
 			return nil, g.failed(ctx, id, err)
 		}
@@ -260,7 +260,7 @@
 	var took time.Duration
 	defer func() { g.opener.done(to.Host, took) }()
 	by := time.Now().Add(g.cfg.ConnectWithin)
-	raw, err := dial(ctx, to.Dial, by)
+	raw, err := g.dialer.dial(ctx, to.Dial, by)
 	if err != nil {
 		return nil, g.failed(ctx, id, err)
 	}
@@ -273,11 +273,6 @@
 	return g.adopt(id, to, nc, raw, call)
 }
 
-func dial(ctx context.Context, addr string, by time.Time) (net.Conn, error) {
-	dialer := net.Dialer{Deadline: by, KeepAlive: -1}
-	return dialer.DialContext(ctx, "tcp", addr)
-}
-
 // failed tells the pool that an opening came to nothing.
 func (g *Manager) failed(ctx context.Context, id conns.ID, err error) error {
 	g.mu.Lock()
@@ -325,7 +320,7 @@
 			g.mu.Unlock()
 		}()
 		if g.cfg.Secure == nil || !g.cfg.Secure.Wants(&to.Member) {
-			if nc, err := dial(ctx, to.Dial, by); err != nil {
+			if nc, err := g.dialer.dial(ctx, to.Dial, by); err != nil {
 				_ = g.failed(ctx, id, err) // the next call that needs one will meet it
 			} else {
 				_, _ = g.adopt(id, &to, nc, nil, false)
