--- /dev/null
+++ b/internal/conns/bench_test.go
@@ -0,0 +1,36 @@
+package conns
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkCall is the decisions of one call on a warm connection, with 20 that rest.
+func BenchmarkCall(b *testing.B) {
+	cfg := config()
+	cfg.MaxAge, cfg.IdleMost = 0, time.Hour
+	p, err := New(cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	p.Endpoint("e", "addr", 0, true)
+	now := time.Second
+	var ids []ID
+	for range 20 {
+		_, id, _ := p.Call(now, "e")
+		p.Opened(now, id, true)
+		ids = append(ids, id)
+	}
+	for _, id := range ids {
+		p.Done(now, id, Answered, 20*ms)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now += ms / 100
+		v, id, _ := p.Call(now, "e")
+		if v != Use {
+			b.Fatal(v)
+		}
+		p.Done(now, id, Answered, 20*ms)
+	}
+}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -71,6 +71,8 @@
 	contradicted = 3
 	// wary is how long after a loss for idling no idle time is believed in that has not gone well of late.
 	wary = time.Hour
+	// weighEvery is how often the evidence is weighed, besides after each loss.
+	weighEvery = 50 * time.Millisecond
 	// provenFor is how long a good reuse shows that others of its idle time will go well, and provenReach how far beyond that
 	// time it reaches; a loss leaves refuted of its idle time.
 	provenFor, provenReach, refuted = 5 * time.Minute, 1.25, 0.7
@@ -193,7 +195,12 @@
 	given [whys]int64
 	stale int64
 
-	fadedAt         time.Duration // when the evidence faded
+	fadedAt time.Duration // when the evidence faded
+
+	weighedAt  time.Duration // when the next three were made of the evidence; 0 for anew, as after a loss
+	dead       [idleBounds]float64
+	soft, hard time.Duration
+
 	arrivals        int
 	rate, mean, dev float64 // calls a second; seconds a call takes, and its spread
 	peak            float64 // calls out at once, fading
@@ -613,31 +620,36 @@
 // best is the resting connection that is least likely dead, if that is worth the risk; others that are not are returned
 // to be closed. Where none is, one that idled beyond the limit may be tried from time to time: a server's time changes.
 func (p *Pool) best(e *endpoint) (best *conn, bad []Give) {
-	dead := e.reuses.dead()
-	soft, hard := p.limits(e)
+	if e.weighedAt == 0 || p.last-e.weighedAt > weighEvery {
+		e.weighedAt = max(p.last, 1)
+		e.dead = e.reuses.dead()
+		e.soft, e.hard = p.limits(e)
+	}
+	dead, soft, hard := &e.dead, e.soft, e.hard
 	risk := math.Inf(1)
 	var try, canary *conn
 	trusted := time.Duration(math.MaxInt64) // as long as nothing was lost, what is told of servers is believed
 	if e.lossAt > 0 && p.last-e.lossAt < wary {
 		trusted = max(time.Duration(provenReach*float64(e.provenOf(p.last))), shortIdle)
 	}
-	for _, c := range slices.Clone(e.rest) {
+	for i := len(e.rest) - 1; i >= 0; i-- { // newest first; what is given up leaves the list behind
+		c := e.rest[i]
 		why, over := p.over(c, soft)
-		if over && why == Idle && p.last-c.since < hard && p.mayTry(e) && (try == nil || c.since > try.since) {
-			c, try = try, c // the one that idled less is the better try
-			if c == nil {
-				continue
-			}
+		if over && why == Idle && p.last-c.since < hard && p.mayTry(e) && try == nil {
+			try = c // the one that idled least is the best try
+			continue
 		}
 		if over {
 			bad = append(bad, p.give(c, why))
 			continue
 		}
 		if p.last-c.since > trusted {
-			canary = c // the last one idled least
+			if canary == nil { // the one that idled least
+				canary = c
+			}
 			continue
 		}
-		if r := dead[bucket(p.last-c.since)]; best == nil || r < risk || r == risk && c.since >= best.since {
+		if r := dead[bucket(p.last-c.since)]; best == nil || r < risk {
 			best, risk = c, r
 		}
 	}
@@ -865,6 +877,7 @@
 	}
 	p.total.Stale++
 	e.stale++
+	e.weighedAt = 0
 	p.stale++
 	if c.idled < shortIdle {
 		g.lost++
