--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -200,9 +200,11 @@
 		case <-in.report:
 			report("signal")
 		case <-in.conns:
+			level := max(slog.LevelInfo, min(logLevel.Level(), slog.LevelWarn))
 			for _, s := range flows.Connections() {
-				slog.Log(ctx, max(slog.LevelInfo, min(logLevel.Level(), slog.LevelWarn)), "member's connections", "state", s)
+				slog.Log(ctx, level, "member's connections", "state", s)
 			}
+			slog.Log(ctx, level, "idle at their ends", "connections", flows.Ends())
 		case <-in.reload:
 			apply()
 		case sig := <-in.end:
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -230,6 +230,7 @@
 	calls  float64       // of late
 	stale  float64
 	total  Counters
+	ends   Ends
 }
 
 // Counters count since the start.
@@ -390,6 +391,7 @@
 	c.ep.given[why]++
 	if c.state == resting {
 		c.ep.spells.add(p.last-c.since, false)
+		p.ends.Given[why].add(p.last - c.since)
 	}
 	p.drop(c)
 	return Give{c.id, why}
@@ -878,6 +880,7 @@
 	p.total.Stale++
 	e.stale++
 	e.weighedAt = 0
+	p.ends.Dead.add(c.idled)
 	p.stale++
 	if c.idled < shortIdle {
 		g.lost++
@@ -947,6 +950,7 @@
 // sawClosing notes that the server closed a connection that had idled for so long.
 func (p *Pool) sawClosing(c *conn, idle time.Duration) {
 	p.total.Closed++
+	p.ends.Closed.add(idle)
 	e := c.ep
 	if c.carried > 0 && idle < behindAnswer {
 		p.sawUses(e, c.carried) // for the number of calls, not for idling
@@ -1132,6 +1136,54 @@
 	return c.ep.name, true
 }
 
+// Histogram counts idle times at the end of connections: up to 10 ms, 100 ms, 1 s, 10 s, a minute, and longer.
+type Histogram [6]int64
+
+var histogramBounds = [len(Histogram{}) - 1]time.Duration{10 * time.Millisecond, 100 * time.Millisecond, time.Second, 10 * time.Second, time.Minute}
+
+func (h *Histogram) add(idle time.Duration) {
+	for i, most := range histogramBounds {
+		if idle <= most {
+			h[i]++
+			return
+		}
+	}
+	h[len(h)-1]++
+}
+
+// LogValue names each class that holds any.
+func (h Histogram) LogValue() slog.Value {
+	var attrs []slog.Attr
+	for i, n := range h {
+		name := "longer"
+		if i < len(histogramBounds) {
+			name = histogramBounds[i].String()
+		}
+		if n > 0 {
+			attrs = append(attrs, slog.Int64(name, n))
+		}
+	}
+	return slog.GroupValue(attrs...)
+}
+
+// Ends are the histograms by cause: given up, by reason; closed by the server; and dead under a call.
+type Ends struct {
+	Given        [whys]Histogram
+	Closed, Dead Histogram
+}
+
+// LogValue names those that hold any.
+func (e Ends) LogValue() slog.Value {
+	attrs := []slog.Attr{slog.Any("closed", e.Closed), slog.Any("dead", e.Dead)}
+	for w, h := range e.Given {
+		attrs = append(attrs, slog.Any(Why(w).String(), h))
+	}
+	return slog.GroupValue(attrs...)
+}
+
+// Ends returns how long connections had idled at their ends, by cause.
+func (p *Pool) Ends() Ends { return p.ends }
+
 // State is what is known of one endpoint, for operators.
 type State struct {
 	Endpoint            string
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -193,6 +193,9 @@
 	if c := p.Counters(); c.Stale > 0 || c.Given[Idle] == 0 {
 		t.Errorf("%+v", c)
 	}
+	if e := p.Ends(); e.Given[Idle][3] == 0 || e.Closed[3] == 0 || e.Dead != (Histogram{}) { // within 1 to 10 s
+		t.Errorf("%+v", e)
+	}
 }
 
 // Connections that break for no reason say nothing of idling: they go on being used again.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -213,6 +213,13 @@
 	return g.conns.Counters()
 }
 
+// Ends returns how long connections had idled at their ends, by cause.
+func (g *Manager) Ends() conns.Ends {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.conns.Ends()
+}
+
 // Connections returns what is known of each member's connections.
 func (g *Manager) Connections() []conns.State {
 	g.mu.Lock()
