--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -1083,7 +1083,7 @@
 		want = int(e.target()) - len(e.conns)
 	}
 	want = max(want, e.expected-free)
-	if e.cold || e.fails > 0 {
+	if e.cold || e.fails > 0 || e.goodOpen == 0 { // it is new, or comes back
 		want = min(want, 1-under)
 	}
 	for ; want > 0 && !e.full(p.last) && len(p.conns) < p.cfg.Most; want-- { // never at another's cost
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -415,7 +415,8 @@
 	cfg.Ahead = true
 	p := newPool(t, cfg, "e", "cold")
 	now := time.Second
-	p.Hint("e", false, 12)
+	rest(t, p, now, hold(t, p, now, "e", 1)) // else it would be new, and not be pushed either
+	p.Hint("e", false, 13)
 	p.Hint("cold", true, 12)
 	_, ahead := p.Tick(now)
 	by := map[string]int{}
--- a/internal/flow/keep_test.go
+++ b/internal/flow/keep_test.go
@@ -84,7 +84,13 @@
 	r.pool(traffic.Active)
 	r.g.Expect(0, 3)
 	r.g.sweep()
-	conns := []net.Conn{<-r.conns, <-r.conns, <-r.conns}
+	conns := []net.Conn{<-r.conns} // one alone, until it is known that the member takes any
+	until(t, "one rests", func() bool { return r.state(t).Idle == 1 })
+	if n := r.g.Counters(); n.Opened != 1 {
+		t.Errorf("%d opened at once to a member that is new", n.Opened)
+	}
+	r.g.sweep()
+	conns = append(conns, <-r.conns, <-r.conns)
 	until(t, "three rest", func() bool { return r.state(t).Idle == 3 })
 	for _, id := range []string{"a", "b", "c"} {
 		r.start(id)
