--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -129,9 +129,6 @@
 
 func (w Why) String() string { return whyNames[w] }
 
-// Whys is how many reasons there are.
-const Whys = int(whys)
-
 // Give is a connection to be closed, and why.
 type Give struct {
 	ID  ID
@@ -150,7 +147,6 @@
 	id      ID
 	ep      *endpoint
 	state   state
-	born    time.Duration
 	old     time.Duration // when it is given up for its age; 0 for never
 	since   time.Duration // of resting
 	carried int           // calls
@@ -577,7 +573,7 @@
 // open begins a connection.
 func (p *Pool) open(e *endpoint) *conn {
 	p.next++
-	c := &conn{id: p.next, ep: e, born: p.last}
+	c := &conn{id: p.next, ep: e}
 	if p.cfg.MaxAge > 0 { // a quarter to both sides: those that were opened together do not close together
 		c.old = p.last + time.Duration(float64(p.cfg.MaxAge)*(0.75+p.rng.Float64()/2))
 	}
@@ -1064,7 +1060,7 @@
 // ahead opens what an endpoint will need: for calls that are known to come, and in place of what was given up while it was
 // called often. An endpoint that is cold, or where openings fail, gets one at a time.
 func (p *Pool) ahead(e *endpoint) (ids []ID) {
-	if !e.open || p.last < e.retryAt {
+	if !e.open || p.frugal || p.last < e.retryAt {
 		return nil
 	}
 	under, free := 0, 0
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -452,6 +452,11 @@
 	if v, _, _ := p.Call(now+600*ms, "cold"); v != Open {
 		t.Errorf("a call is held back by what failed ahead: %v", v)
 	}
+	p.Frugal(now+600*ms, true)
+	p.Hint("e", false, 50)
+	if _, ids := p.Tick(now + time.Second); len(ids) != 0 {
+		t.Errorf("%d opened ahead while nothing is to rest", len(ids))
+	}
 	if c := p.Counters(); c.Ahead != 14 {
 		t.Errorf("%+v", c)
 	}
--- a/internal/flow/keep.go
+++ b/internal/flow/keep.go
@@ -237,7 +237,7 @@
 		if err != nil {
 			return nil, g.failed(ctx, id, err)
 		}
-		return g.adopt(id, &to, nc, nil, true)
+		return g.adopt(id, &to, nc, nil, true), nil
 	}
 	from := time.Now()
 	got := g.opener.wait(ctx, to.Host, r.Worth, r.Deadline)
@@ -270,7 +270,7 @@
 	if nc, took, err = g.cfg.Secure.Client(shaking, raw, &to.Member); err != nil {
 		return nil, g.failed(ctx, id, err)
 	}
-	return g.adopt(id, to, nc, raw, call)
+	return g.adopt(id, to, nc, raw, call), nil
 }
 
 // failed tells the pool that an opening came to nothing.
@@ -287,7 +287,7 @@
 }
 
 // adopt has a new connection read from. raw is what lies below TLS; call says that a call waits for it.
-func (g *Manager) adopt(id conns.ID, to *member, nc, raw net.Conn, call bool) (*conn, error) {
+func (g *Manager) adopt(id conns.ID, to *member, nc, raw net.Conn, call bool) *conn {
 	c := &conn{nc: nc, raw: raw, g: g, id: id, host: to.Host, over: make(chan struct{})}
 	g.mu.Lock()
 	g.byID[id] = c
@@ -297,7 +297,7 @@
 	}
 	g.mu.Unlock()
 	go c.read()
-	return c, nil
+	return c
 }
 
 // openAhead opens a connection that no call waits for yet. It needs the lock, and does not block.
@@ -323,7 +323,7 @@
 			if nc, err := g.dialer.dial(ctx, to.Dial, by); err != nil {
 				_ = g.failed(ctx, id, err) // the next call that needs one will meet it
 			} else {
-				_, _ = g.adopt(id, &to, nc, nil, false)
+				g.adopt(id, &to, nc, nil, false)
 			}
 			return
 		}
--- a/internal/flow/keep_test.go
+++ b/internal/flow/keep_test.go
@@ -75,13 +75,19 @@
 	r.read(<-r.conns)
 }
 
-// Calls that are known to come find their connections open; what nobody needs any more is called off.
-func TestOpenedAhead(t *testing.T) {
+// newAheadRig is a rig whose Manager opens connections ahead.
+func newAheadRig(t *testing.T) *rig {
 	r := newRig(t)
 	cfg := keeping(10)
 	cfg.Ahead = true
 	r.g = must(New(Config{ConnectWithin: time.Minute, MostFlows: 10, Conns: cfg}, func(e traffic.FlowEnd) { r.ends <- e }))
 	r.pool(traffic.Active)
+	return r
+}
+
+// Calls that are known to come find their connections open; what nobody needs any more is called off.
+func TestOpenedAhead(t *testing.T) {
+	r := newAheadRig(t)
 	r.g.Expect(0, 3)
 	r.g.sweep()
 	conns := []net.Conn{<-r.conns} // one alone, until it is known that the member takes any
@@ -111,11 +117,7 @@
 
 // The member leaves while a connection to it is being opened ahead: it is closed as soon as it is looked at.
 func TestLeavesWhileOpening(t *testing.T) {
-	r := newRig(t)
-	cfg := keeping(10)
-	cfg.Ahead = true
-	r.g = must(New(Config{ConnectWithin: time.Minute, MostFlows: 10, Conns: cfg}, func(e traffic.FlowEnd) { r.ends <- e }))
-	r.pool(traffic.Active)
+	r := newAheadRig(t)
 	r.g.Expect(0, 1)
 	r.g.sweep()
 	r.pool(traffic.Leaving)
