--- a/cmd/slatemux/config.go
+++ b/cmd/slatemux/config.go
@@ -23,6 +23,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Ops       string `json:"ops"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -37,6 +38,7 @@
 // config is what the relay runs with.
 type config struct {
 	name, listen, discovery, state string
+	ops                            string // the operators' address; none where empty
 	written                        string // discovery as the file has it, whatever the environment says
 	seed                           int64
 	memory, disk                   int64 // bytes
@@ -80,7 +82,7 @@
 		return value
 	}
 	c = config{gateway: own, gatewayPath: gatewayPath, cores: f.Limits.Cores, name: or("NODE_NAME", f.Name), listen: or("NODE_LISTEN", f.Listen),
-		discovery: or("NODE_DISCOVERY", f.Discovery), written: f.Discovery, state: getenv("NODE_STATE"), sockets: f.Limits.Sockets,
+		discovery: or("NODE_DISCOVERY", f.Discovery), ops: or("NODE_OPS", f.Ops), written: f.Discovery, state: getenv("NODE_STATE"), sockets: f.Limits.Sockets,
 		serveOn: serveOn, exitAfter: exitAfter}
 	if c.listen == "" || c.discovery == "" || c.state == "" {
 		return c, errors.New("listen, discovery or NODE_STATE is missing")
--- /dev/null
+++ b/cmd/slatemux/desk.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"wrenford/internal/maint"
+	"wrenford/internal/ops"
+	"wrenford/internal/relay"
+)
+
+// followEvery is how often the bans file is read for changes that the other process of a hand-over made.
+const followEvery = 200 * time.Millisecond
+
+// opsDesk answers the operators' address for the relay: it reads the relay's published figures, and keeps
+// bans in the state folder before the relay is told of them.
+type opsDesk struct {
+	server *ops.Server
+	bans   *maint.Bans
+	ready  atomic.Bool
+	relay  *relay.Relay // set before ready
+}
+
+func (d *opsDesk) Ready() bool { return d.ready.Load() }
+
+func (d *opsDesk) Stats() ops.Stats {
+	if !d.ready.Load() {
+		return ops.Stats{Success: map[string]int64{}, Overload: map[string]int64{}, Error: map[string]int64{}}
+	}
+	f := d.relay.Figures()
+	return ops.Stats{Success: orEmpty(f.Success), Overload: orEmpty(f.Overload), Error: orEmpty(f.Error), Dispatches: f.Dispatches,
+		Concurrent: f.Concurrent, Targets: f.Members, TargetsDisabled: f.Banned}
+}
+
+func orEmpty(m map[string]int64) map[string]int64 {
+	if m == nil {
+		return map[string]int64{}
+	}
+	return m
+}
+
+// Maintain writes the ban first, so that it outlives the process from the moment the relay obeys it.
+func (d *opsDesk) Maintain(ctx context.Context, id string, down bool) error {
+	if !d.ready.Load() {
+		return errNotReady
+	}
+	if !d.relay.Known(id) && !d.bans.Banned()[id] {
+		return ops.ErrUnknown
+	}
+	set, err := d.bans.Set(id, down)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-d.relay.Ban(set):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// follow takes over bans that another process wrote.
+func (d *opsDesk) follow(ctx context.Context) {
+	tick := time.NewTicker(followEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if set, changed := d.bans.Changed(); changed {
+				d.relay.Ban(set)
+			}
+		}
+	}
+}
+
+type notReady struct{}
+
+func (notReady) Error() string { return "not ready" }
+
+var errNotReady error = notReady{}
--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"os"
@@ -15,7 +16,9 @@
 	"wrenford/internal/front"
 	"wrenford/internal/governor"
 	"wrenford/internal/journal"
+	"wrenford/internal/maint"
 	"wrenford/internal/notice"
+	"wrenford/internal/ops"
 	"wrenford/internal/place"
 	"wrenford/internal/pool"
 	"wrenford/internal/recall"
@@ -23,6 +26,7 @@
 	"wrenford/internal/secure"
 	"wrenford/internal/traffic"
 	"wrenford/internal/vitals"
+	"wrenford/internal/waits"
 )
 
 // After SIGTERM the relay serves on for serveOn; then it closes its clients' connections between requests,
@@ -64,6 +68,26 @@
 	}
 	defer store.Close()
 
+	// The operators' address answers from the start: not ready until clients are taken.
+	var desk *opsDesk
+	if cfg.ops != "" {
+		desk = &opsDesk{bans: maint.Open(cfg.state)}
+		if desk.server, err = ops.Listen(cfg.ops, desk); err != nil {
+			return fmt.Errorf("ops: %w", err)
+		}
+		go func() {
+			if err := desk.server.Serve(); err != nil {
+				slog.Error("ops address ended", "err", err)
+			}
+		}()
+		defer desk.server.Close()
+		slog.Info("ops address", "listen", desk.server.Addr())
+	}
+	bans := map[string]bool{}
+	if desk != nil {
+		bans = desk.bans.Banned()
+	}
+
 	meters := vitals.New(cfg.cores)
 	var gov *governor.Governor
 	var admission front.Admission // a nil interface where nothing is governed
@@ -92,6 +116,13 @@
 		return gov.State().Reading.Busy
 	}
 
+	var shared flow.Waits // a nil interface where none are shared
+	if table, err := waits.Open(os.TempDir()); err != nil {
+		slog.Warn("told waits not shared with a successor", "err", err)
+	} else {
+		defer table.Close()
+		shared = table
+	}
 	var r *relay.Relay
 	keep := cfg.gateway.Conns.Keep
 	keep.Most, keep.IdleMost, keep.Seed = most.members, cfg.settings.KeepAlive, uint64(cfg.seed)
@@ -101,7 +132,7 @@
 	}
 	flows, err := flow.New(flow.Config{Names: names, Secure: overTLS, Gate: cfg.gateway.TLS.Gate, Busy: busy, ConnectWithin: cfg.settings.ConnectTimeout,
 		MostFlows: most.flows, Settle: settle, Conns: keep, HeldMost: cfg.gateway.Conns.HeldMost, StuckAfter: cfg.gateway.Conns.StuckAfter,
-		OwnDelay: meters.Wait}, func(end traffic.FlowEnd) { r.FlowEnded(end) })
+		OwnDelay: meters.Wait, Shared: shared}, func(end traffic.FlowEnd) { r.FlowEnded(end) })
 	if err != nil {
 		return err
 	}
@@ -112,7 +143,7 @@
 	learned := recall.Open(cfg.state, most.learned, time.Now())
 	notices := notice.New(discovery, func(ids []string) { r.NoticesAnswered(ids) })
 	r, err = relay.New(relay.Config{Meters: meters, Settings: cfg.settings, Seed: cfg.seed, MostBytes: most.openBytes, Store: store,
-		Flows: flows, Notices: notices, Ahead: ahead, Lessons: learned})
+		Flows: flows, Notices: notices, Ahead: ahead, Lessons: learned, Heir: store, Banned: bans})
 	if err != nil {
 		return err
 	}
@@ -152,6 +183,11 @@
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	slog.Info("ready", "listen", server.Addr())
+	if desk != nil {
+		desk.relay = r
+		desk.ready.Store(true)
+		parts.Go(func() { desk.follow(ctx) })
+	}
 	ready(server.Addr())
 
 	// apply takes over what a configuration that was read again may change; a bad one changes nothing.
@@ -225,6 +261,9 @@
 				drain, end = time.After(cfg.serveOn), time.After(cfg.exitAfter)
 			}
 		case <-drain:
+			if desk != nil {
+				desk.ready.Store(false)
+			}
 			server.Drain()
 		case <-end:
 			running = false
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -37,6 +37,15 @@
 
 	// OwnDelay is how long what has come waits at present until this program looks at it; nil for not known.
 	OwnDelay func() time.Duration
+	// Shared holds the waits of all processes of this relay: those of a hand-over's other process bind too. Nil
+	// for none.
+	Shared Waits
+}
+
+// Waits are told waits shared with the other process of a hand-over.
+type Waits interface {
+	Tell(group string, until time.Time)
+	Until(group string, now time.Time) time.Time
 }
 
 // Secure knows which members' connections go over TLS, and makes them.
@@ -249,6 +258,9 @@
 		// At once, not by way of the relay: a call still being connected must not be written into the wait.
 		if until := time.Now().Add(end.Wait); until.After(g.waits[r.Group]) {
 			g.waits[r.Group] = until
+			if g.cfg.Shared != nil {
+				g.cfg.Shared.Tell(r.Group, until)
+			}
 		}
 	}
 	g.mu.Unlock()
@@ -256,6 +268,9 @@
 }
 
 func (g *Manager) attempt(ctx context.Context, r *running, l lease) traffic.FlowEnd {
+	if end, told := g.toldElsewhere(r); told {
+		return end
+	}
 	c, err := g.get(ctx, r, l)
 	if err == errHeld {
 		return r.end(traffic.Unsent) // by this program itself: the member has nothing to do with it
@@ -263,6 +278,10 @@
 		slog.Debug("no connection", "member", r.Member, "id", r.ID, "err", err)
 		return r.end(traffic.NotConnected)
 	}
+	if end, told := g.toldElsewhere(r); told {
+		g.unused(c)
+		return end
+	}
 	if !g.mayWrite(ctx, r) {
 		g.unused(c)
 		return r.end(traffic.Unsent)
@@ -293,6 +312,25 @@
 	return end
 }
 
+// toldElsewhere ends a flow whose group the other process of a hand-over was told to wait for as turned away
+// with that wait, which the module then keeps as if it had been told here.
+func (g *Manager) toldElsewhere(r *running) (traffic.FlowEnd, bool) {
+	if g.cfg.Shared == nil {
+		return traffic.FlowEnd{}, false
+	}
+	now := time.Now()
+	until := g.cfg.Shared.Until(r.Group, now)
+	g.mu.Lock()
+	own := !until.After(g.waits[r.Group])
+	g.mu.Unlock()
+	if until.IsZero() || own {
+		return traffic.FlowEnd{}, false // none, or this process's own, which the module knows
+	}
+	end := r.end(traffic.TurnedAway)
+	end.Wait = until.Sub(now)
+	return end, true
+}
+
 // mayWrite says whether the first byte may still go out. What held when the flow was queued may not hold
 // once its connection is up: the member may be leaving, a wait told, or the memory of repeats too near its end.
 func (g *Manager) mayWrite(ctx context.Context, r *running) bool {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -2,6 +2,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -11,9 +12,11 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
+	"golang.org/x/sys/unix"
 
 	"wrenford"
 	"wrenford/internal/overload"
@@ -72,7 +75,8 @@
 
 // Listen opens a virtual server that holds no more than its limits. Admission may be nil.
 func Listen(addr string, limits Limits, classes []wrenford.Class, relay Relay, admission Admission) (*Server, error) {
-	ln, err := net.Listen("tcp", addr)
+	// A successor listens beside this process during a hand-over: the kernel deals new connections to both.
+	ln, err := (&net.ListenConfig{Control: reusePort}).Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("front: %w", err)
 	}
@@ -353,3 +357,14 @@
 		}
 	}
 }
+
+// reusePort lets a second process listen on the same address.
+func reusePort(_, _ string, c syscall.RawConn) error {
+	var err error
+	if cerr := c.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}); cerr != nil {
+		return cerr
+	}
+	return err
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -6,10 +6,13 @@
 import (
 	"cmp"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -17,8 +20,10 @@
 )
 
 const (
-	name, newName = "journal", "journal.new"
-	block         = 512
+	// prefix begins the name of every process's file: "journal.PID", or "journal" alone from before files had
+	// owners. A compaction writes the file's name and newSuffix first.
+	prefix, newSuffix = "journal", ".new"
+	block             = 512
 	// Shares of the folder's limit: what is owed may take livePart; the file is compacted when it would
 	// grow over filePart. Both files lie there side by side then: together they stay under 1.
 	livePart, filePart = 0.4, 0.55
@@ -27,6 +32,7 @@
 // Journal is the open file with what it says is owed.
 type Journal struct {
 	dir       string
+	name      string // of this process's file, which it holds locked for its life
 	limit     atomic.Int64
 	file      *os.File
 	size      int64
@@ -50,37 +56,131 @@
 }
 
 // Open replays the journal of a folder that may hold limit bytes, and compacts it.
+// Files of processes that still run are left alone; those of processes that have ended are taken over.
 func Open(dir string, limit int64) (*Journal, error) {
-	j := &Journal{dir: dir, open: map[string]*entry{}, notices: map[string]*entry{}}
+	return openAs(dir, limit, strconv.Itoa(os.Getpid()))
+}
+
+// openAs opens the folder for the process with that id: ids of processes that run at once differ.
+func openAs(dir string, limit int64, id string) (*Journal, error) {
+	j := &Journal{dir: dir, name: prefix + "." + id, open: map[string]*entry{}, notices: map[string]*entry{}}
 	j.Limit(limit)
 	if j.limit.Load() < 8*block {
 		return nil, fmt.Errorf("journal: %d bytes are too few", limit)
 	}
-	if err := os.Remove(j.path(newName)); err != nil && !os.IsNotExist(err) {
-		return nil, fmt.Errorf("journal: %w", err)
+	orphans, err := j.adopt()
+	if err != nil {
+		return nil, err
+	}
+	if err := j.compact(); err != nil {
+		return nil, err
+	}
+	j.release(orphans)
+	return j, nil
+}
+
+// Adopt takes over what processes that shared the folder and have ended since left owed: it is written to this
+// process's file, and returned, in the order it came. What this process owes already is left out.
+func (j *Journal) Adopt() ([]traffic.Open, []traffic.Notice, error) {
+	before := make(map[string]bool, len(j.open)+len(j.notices))
+	for id := range j.open {
+		before[id] = true
+	}
+	for id := range j.notices {
+		before[id] = true
+	}
+	orphans, err := j.adopt()
+	if err != nil || len(orphans) == 0 {
+		return nil, nil, err
+	}
+	if err := j.compact(); err != nil {
+		for _, o := range orphans { // they stay where they were, for a later try
+			o.file.Close()
+		}
+		return nil, nil, err
+	}
+	j.release(orphans)
+	var open []traffic.Open
+	var notices []traffic.Notice
+	for _, e := range inOrder(j.open) {
+		if !before[e.open.ID] {
+			open = append(open, e.open)
+		}
 	}
-	raw, err := os.ReadFile(j.path(name))
-	if err != nil && !os.IsNotExist(err) {
+	for _, e := range inOrder(j.notices) {
+		if !before[e.notice.ID] {
+			notices = append(notices, e.notice)
+		}
+	}
+	return open, notices, nil
+}
+
+// orphan is another process's file whose lock this process holds.
+type orphan struct {
+	name string
+	file *os.File
+}
+
+// adopt replays the files of the folder that no living process holds, this process's own name among them
+// where an ended process had the same id.
+func (j *Journal) adopt() ([]orphan, error) {
+	names, err := filepath.Glob(filepath.Join(j.dir, prefix+"*"))
+	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
+	var orphans []orphan
+	for _, path := range names {
+		base := filepath.Base(path)
+		if strings.HasSuffix(base, newSuffix) || base == j.name && j.file != nil {
+			continue
+		}
+		f, ok := lockIfOrphan(path)
+		if !ok {
+			continue
+		}
+		raw, err := io.ReadAll(f)
+		if err != nil {
+			f.Close()
+			slog.Warn("journal of an ended process not read", "file", base, "err", err)
+			continue
+		}
+		j.replay(base, raw)
+		orphans = append(orphans, orphan{base, f})
+	}
+	for _, e := range j.open {
+		if e.out { // it may have run when the process died
+			e.mayHaveRun()
+		}
+	}
+	return orphans, nil
+}
+
+// replay applies the records of a file.
+func (j *Journal) replay(file string, raw []byte) {
 	rest := raw
-	j.size = int64(len(raw)) // it lies beside the compacted one for a moment
+	j.size += int64(len(raw)) // it lies beside the compacted one for a moment
 	for len(rest) > 0 {
 		ch, n, err := decode(rest)
 		if err != nil {
 			// A process that dies in a write leaves a torn record; all before it is whole.
-			slog.Warn("journal tail dropped", "bytes", len(rest), "at", len(raw)-len(rest), "err", err)
+			slog.Warn("journal tail dropped", "file", file, "bytes", len(rest), "at", len(raw)-len(rest), "err", err)
 			break
 		}
 		j.apply(ch)
 		rest = rest[n:]
 	}
-	for _, e := range j.open {
-		if e.out { // it may have run when the process died
-			e.mayHaveRun()
+}
+
+// release removes adopted files once this process's own file holds what they owed.
+func (j *Journal) release(orphans []orphan) {
+	for _, o := range orphans {
+		if o.name != j.name {
+			os.Remove(j.path(o.name))
 		}
+		os.Remove(j.path(o.name + newSuffix))
+		o.file.Close()
+		slog.Info("journal taken over", "file", o.name)
 	}
-	return j, j.compact()
 }
 
 // Limit changes how many bytes the folder may hold. Any goroutine may call it.
@@ -243,12 +343,16 @@
 	if blocks(int64(len(b)))+blocks(j.size) > j.limit.Load() {
 		return fmt.Errorf("journal: no room to compact: %d and %d bytes of %d", len(b), j.size, j.limit.Load())
 	}
+	newName := j.name + newSuffix
 	f, err := os.OpenFile(j.path(newName), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
-	if _, err = f.Write(b); err == nil {
-		err = os.Rename(j.path(newName), j.path(name))
+	// The lock is taken before the file has its name: a successor never finds it named and free while we live.
+	if err = lock(f); err == nil {
+		if _, err = f.Write(b); err == nil {
+			err = os.Rename(j.path(newName), j.path(j.name))
+		}
 	}
 	if err != nil {
 		f.Close()
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -62,14 +62,18 @@
 // A flow that was out at the death may have run, and its first-sent time is the earliest of those that may.
 func TestReplay(t *testing.T) {
 	dir := t.TempDir()
-	commit(t, open(t, dir, megabyte), story...)
+	dead := open(t, dir, megabyte)
+	commit(t, dead, story...)
+	dead.Close() // the kernel drops the lock of a process that dies
 	wantOpen := []traffic.Open{
 		{Transaction: transaction("a", 10), Attempts: 2, FirstSent: at.Add(time.Second)},
 		{Transaction: transaction("b", 0), Attempts: 1, FirstSent: at.Add(3 * time.Second)},
 		{Transaction: transaction("c", 5), Attempts: 1},
 	}
 	for _, when := range []string{"after the changes", "after a compaction"} {
-		got, notices := open(t, dir, megabyte).Owed()
+		j := open(t, dir, megabyte)
+		got, notices := j.Owed()
+		j.Close()
 		for i := range got {
 			got[i].Body = append([]byte{}, got[i].Body...)
 		}
@@ -92,7 +96,7 @@
 	dir := t.TempDir()
 	cuts.Check(t, func(t *rapid.T) {
 		tail := cuts.Garbage(t, appendChange(nil, story[4])[:20])
-		if err := os.WriteFile(filepath.Join(dir, name), append(append([]byte{}, whole...), tail...), 0o600); err != nil {
+		if err := os.WriteFile(filepath.Join(dir, prefix), append(append([]byte{}, whole...), tail...), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		j := open(t, dir, megabyte)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -55,6 +55,16 @@
 	Learn(destination int, limit float64, at time.Time)
 }
 
+// Heir takes over what processes that shared the state folder and have ended left owed: a predecessor
+// that handed over to this process. Nothing blocks long: it reads a small folder.
+type Heir interface {
+	Adopt() ([]traffic.Open, []traffic.Notice, error)
+}
+
+// adoptEvery is how often the relay looks for what a predecessor left: what it left at its exit is taken up
+// within a fifth of a second.
+const adoptEvery = 200 * time.Millisecond
+
 // Notices tells the platform of ends. Each Send leads to the id in a call of Relay.NoticesAnswered.
 type Notices interface{ Send(traffic.Notice) }
 
@@ -80,8 +90,10 @@
 	Store     Store
 	Flows     Flows
 	Notices   Notices
-	Ahead     Ahead   // nil for nobody
-	Lessons   Lessons // nil for nobody
+	Ahead     Ahead           // nil for nobody
+	Lessons   Lessons         // nil for nobody
+	Heir      Heir            // nil for nobody
+	Banned    map[string]bool // members that operators had taken down at the start
 }
 
 // Counters count since the start.
@@ -132,6 +144,12 @@
 	out     int             // flows
 	ended   int64           // transactions that had been taken on
 	learned map[int]float64 // limits that an earlier process had learned, of destinations that no list has named yet
+	adopted time.Time       // when the Heir was last asked
+	bans    map[string]bool // members that operators took down
+	tally   tally
+	// dispatches counts transactions written whole to members.
+	dispatches int64
+	figuredAt  time.Time
 
 	stretch atomic.Int64 // least time between two steps, where it is more than the module's
 
@@ -139,6 +157,8 @@
 	inbox     []any
 	stopped   bool
 	published Counters
+	figures   Figures
+	known     map[string]bool // the pool's members, for operators' calls
 	load      Load
 	dueAt     time.Time // when the next step could run; zero while nothing asks for one
 	earliest  time.Time // the module's least time after the last step
@@ -177,8 +197,9 @@
 		cfg.Meters = noMeters{}
 	}
 	r := &Relay{cfg: cfg, squeeze: squeeze{messages: cfg.Settings.MaxOpen, byteScale: 1}, sender: sender, origin: time.Now(), classes: map[string]*wrenford.Class{},
-		apart: map[string]bool{}, waiting: map[int]int{}, pool: newRoster(), open: map[string]*held{},
+		apart: map[string]bool{}, waiting: map[int]int{}, pool: newRoster(), open: map[string]*held{}, tally: newTally(),
 		signal: make(chan struct{}, 1)}
+	r.bans = maps.Clone(cfg.Banned)
 	for i := range cfg.Settings.Classes {
 		r.classes[cfg.Settings.Classes[i].Name] = &cfg.Settings.Classes[i]
 	}
@@ -193,20 +214,45 @@
 func (r *Relay) Start(known traffic.PoolNews, limits map[int]float64, open []traffic.Open, notices []traffic.Notice) {
 	now := time.Now()
 	r.pool.take(known, now)
+	r.knownChanged()
 	r.learned = maps.Clone(limits)
-	events := append([]wrenford.Event{members(known)}, r.recalled(known)...)
+	events := append([]wrenford.Event{r.members(known)}, r.recalled(known)...)
+	r.decide(now, r.takeUp(open, notices, now, events), nil)
+}
+
+// takeUp takes over open transactions and owed notices of an earlier process.
+func (r *Relay) takeUp(open []traffic.Open, notices []traffic.Notice, now time.Time, events []wrenford.Event) []wrenford.Event {
 	for _, o := range open {
+		if r.open[o.ID] != nil { // handed in here again meanwhile: it is owed once
+			continue
+		}
 		h := &held{Open: o}
 		r.open[o.ID] = h
 		r.bytes += int64(o.Size())
 		r.waiting[o.Destination]++
+		r.count.Recovered++
 		events = append(events, r.request(&h.Open, now))
 	}
-	r.count.Recovered = int64(len(open))
 	for _, n := range notices {
 		r.cfg.Notices.Send(n)
 	}
-	r.decide(now, events, nil)
+	return events
+}
+
+// adopt asks the Heir, now and then, for what a predecessor left at its end.
+func (r *Relay) adopt(now time.Time, events []wrenford.Event) []wrenford.Event {
+	if r.cfg.Heir == nil || now.Sub(r.adopted) < adoptEvery {
+		return events
+	}
+	r.adopted = now
+	open, notices, err := r.cfg.Heir.Adopt()
+	if err != nil {
+		slog.Error("journal of an ended process not taken over", "err", err)
+	}
+	if len(open)+len(notices) > 0 {
+		slog.Info("taken over from an ended process", "open", len(open), "notices", len(notices))
+	}
+	return r.takeUp(open, notices, now, events)
 }
 
 // Put hands a transaction in. The answer comes through the channel, exactly once.
@@ -307,7 +353,11 @@
 		r.mu.Lock()
 		r.earliest = last.Add(r.spacing())
 		r.mu.Unlock()
-		timer.Reset(time.Until(r.nextWake(last)))
+		next := r.nextWake(last)
+		if r.cfg.Heir != nil && next.After(last.Add(adoptEvery)) {
+			next = last.Add(adoptEvery) // a predecessor's end comes unannounced
+		}
+		timer.Reset(time.Until(next))
 	}
 }
 
@@ -380,6 +430,7 @@
 		}
 	}
 	r.wakes = due
+	events = r.adopt(now, events)
 	for _, in := range batch {
 		switch in := in.(type) {
 		case handIn:
@@ -389,10 +440,14 @@
 		case traffic.FlowEnd:
 			events, changes = r.flowEnd(in, events, changes)
 		case traffic.PoolNews:
-			r.cfg.Flows.Pool(in)
+			r.cfg.Flows.Pool(r.overlay(in, r.bans))
 			r.pool.take(in, now)
 			r.pool.told = true
-			events = append(append(events, members(in)), r.recalled(in)...)
+			events = append(append(events, r.members(in)), r.recalled(in)...)
+			r.knownChanged()
+		case bans:
+			events = append(events, r.banned(in))
+			defer close(in.done) // once the module has stepped with it
 		case limit:
 			r.cfg.MostBytes = int64(in)
 		case squeeze:
@@ -416,6 +471,7 @@
 	switch h := r.open[in.t.ID]; {
 	case h != nil && !same(&h.Transaction, &in.t): // another client's id: that one's message is not touched
 		r.count.Borrowed++
+		r.answeredAs(in.t.Class, traffic.Answer{Verdict: traffic.Failed})
 		in.answer <- traffic.Answer{Verdict: traffic.Failed}
 		return nil
 	case h != nil && h.fresh != nil:
@@ -426,6 +482,7 @@
 		return nil
 	case !r.pool.knows(in.t.Destination, now):
 		if r.count.Unlisted++; r.pool.told {
+			r.answeredAs(in.t.Class, traffic.Answer{Verdict: traffic.Failed})
 			in.answer <- traffic.Answer{Verdict: traffic.Failed}
 			return nil
 		}
@@ -440,6 +497,7 @@
 		r.waiting[h.Destination]++
 		return h
 	}
+	r.answeredAs(in.t.Class, traffic.Answer{Verdict: traffic.Busy})
 	in.answer <- traffic.Answer{Verdict: traffic.Busy, RetryIn: fullRetry}
 	return nil
 }
@@ -456,11 +514,17 @@
 func (r *Relay) flowEnd(f traffic.FlowEnd, events []wrenford.Event, changes []traffic.Change) ([]wrenford.Event,
 	[]traffic.Change) {
 	r.count.Ends[f.Status]++
+	if written(f.Status) {
+		r.dispatches++
+	}
 	h := r.open[f.ID]
 	if h == nil || h.begun.IsZero() || f.Attempt != h.Attempts-1 {
 		slog.Error("flow end without its flow", "id", f.ID, "attempt", f.Attempt)
 		return events, changes
 	}
+	if f.Status == traffic.Delivered {
+		r.counted(h.Class, r.tally.success)
+	}
 	if f.Report != nil && r.cfg.Lessons != nil && !r.apart[r.pool.members[f.Member].Class] {
 		r.cfg.Lessons.Learn(h.Destination, f.Report.Limit, time.Now())
 	}
@@ -559,7 +623,16 @@
 	r.tellAhead(now)
 	r.fresh = 0
 	r.count.Open, r.count.Bytes = len(r.open), r.bytes
+	var figures *Figures
+	if now.Sub(r.figuredAt) >= figuresEvery {
+		r.figuredAt = now
+		f := r.publishFigures()
+		figures = &f
+	}
 	r.mu.Lock()
+	if figures != nil {
+		r.figures = *figures
+	}
 	r.published = r.count
 	r.load = Load{Open: len(r.open), Waiting: len(r.open) - r.out, Bytes: float64(r.bytes) / float64(max(r.cfg.MostBytes, 1)),
 		Ended: r.ended}
@@ -595,12 +668,15 @@
 			r.count.Refused++
 		}
 		h.reply(answer)
+		r.answeredAs(h.Class, answer)
 		return changes
 	}
 	if n.Outcome == traffic.GivenUp {
 		r.count.GivenUp++
+		r.counted(h.Class, r.tally.errors)
 	} else {
 		r.count.HandedBack++
+		r.counted(h.Class, r.tally.overload)
 	}
 	*after = append(*after, deed{do: func() { r.cfg.Notices.Send(n) }})
 	return append(changes, traffic.Ended{ID: n.ID, Notice: &n})
@@ -640,6 +716,7 @@
 		dropped[h.ID] = true
 		r.forget(h)
 		r.count.Full++
+		r.answeredAs(h.Class, traffic.Answer{Verdict: traffic.Busy})
 		h.reply(traffic.Answer{Verdict: traffic.Busy, RetryIn: fullRetry})
 		follow = append(follow, wrenford.Hangup{ID: h.ID})
 	}
@@ -660,3 +737,14 @@
 	}
 	return false
 }
+
+// knownChanged publishes the pool's members for operators' calls.
+func (r *Relay) knownChanged() {
+	known := make(map[string]bool, len(r.pool.members))
+	for id := range r.pool.members {
+		known[id] = true
+	}
+	r.mu.Lock()
+	r.known = known
+	r.mu.Unlock()
+}
--- a/internal/relay/translate.go
+++ b/internal/relay/translate.go
@@ -14,15 +14,23 @@
 var states = map[traffic.Health]wrenford.State{traffic.Active: wrenford.Listed,
 	traffic.Leaving: wrenford.Draining, traffic.Left: wrenford.Gone}
 
-func members(news traffic.PoolNews) wrenford.Members {
+// members tells the module of the pool. A member that operators took down drains, whatever discovery says.
+func (r *Relay) members(news traffic.PoolNews) wrenford.Members {
 	ev := wrenford.Members{Whole: news.Whole}
 	for _, m := range news.Members {
-		ev.Endpoints = append(ev.Endpoints, wrenford.Endpoint{ID: m.Host, Zone: m.Site, Kind: m.Class,
-			Destination: m.Destination, State: states[m.Health], Weight: m.Share})
+		ev.Endpoints = append(ev.Endpoints, r.member(m, r.bans))
 	}
 	return ev
 }
 
+func (r *Relay) member(m traffic.Member, banned map[string]bool) wrenford.Endpoint {
+	e := wrenford.Endpoint{ID: m.Host, Zone: m.Site, Kind: m.Class, Destination: m.Destination, State: states[m.Health], Weight: m.Share}
+	if banned[m.Host] && e.State == wrenford.Listed {
+		e.State = wrenford.Draining
+	}
+	return e
+}
+
 // recalled tells, once, what an earlier process had learned of the destinations that a list names, in the list's order.
 func (r *Relay) recalled(news traffic.PoolNews) (events []wrenford.Event) {
 	if len(r.learned) == 0 { // as a rule, and a list may be long
--- /dev/null
+++ b/internal/waits/waits.go
@@ -0,0 +1,105 @@
+// Package waits shares told waits between the processes of one relay. During a hand-over two processes send
+// to the same partners, and a wait that a partner told one of them binds both: the rule is the relay's.
+// The table is a small file in $TMPDIR mapped into both processes' memory, so that a wait is seen by the
+// other before its next write without a system call. A restart empties $TMPDIR, and a restart ends a wait.
+package waits
+
+import (
+	"fmt"
+	"hash/fnv"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"time"
+	"unsafe"
+)
+
+// slots is how many waits the table holds at once; one that comes when all are taken replaces the one that
+// ends first.
+const slots = 256
+
+const slotBytes = 16 // the group's hash, then the wait's end in Unix nanoseconds
+
+// Table is the shared table. A nil Table shares nothing.
+type Table struct {
+	mem []byte
+}
+
+// Open maps the table of a folder, made where there is none.
+func Open(dir string) (*Table, error) {
+	path := filepath.Join(dir, "slatemux-waits")
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("waits: %w", err)
+	}
+	defer f.Close()
+	if err := f.Truncate(slots * slotBytes); err != nil {
+		return nil, fmt.Errorf("waits: %w", err)
+	}
+	mem, err := syscall.Mmap(int(f.Fd()), 0, slots*slotBytes, syscall.PROT_READ|syscall.PROT_WRITE, syscall.MAP_SHARED)
+	if err != nil {
+		return nil, fmt.Errorf("waits: %w", err)
+	}
+	return &Table{mem: mem}, nil
+}
+
+// Close unmaps it.
+func (t *Table) Close() error {
+	if t == nil {
+		return nil
+	}
+	return syscall.Munmap(t.mem)
+}
+
+func (t *Table) slot(i int) (hash, until *uint64) {
+	base := unsafe.Pointer(&t.mem[i*slotBytes])
+	return (*uint64)(base), (*uint64)(unsafe.Add(base, 8))
+}
+
+func key(group string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(group))
+	return max(h.Sum64(), 1) // 0 marks a free slot
+}
+
+// Tell records that nothing goes to the group before until.
+func (t *Table) Tell(group string, until time.Time) {
+	if t == nil {
+		return
+	}
+	k, end := key(group), uint64(until.UnixNano())
+	victim, least := 0, uint64(1<<64-1)
+	for i := range slots {
+		h, u := t.slot(i)
+		if atomic.LoadUint64(h) == k {
+			for old := atomic.LoadUint64(u); old < end && !atomic.CompareAndSwapUint64(u, old, end); old = atomic.LoadUint64(u) {
+			}
+			return
+		}
+		if v := atomic.LoadUint64(u); v < least {
+			victim, least = i, v
+		}
+	}
+	h, u := t.slot(victim)
+	atomic.StoreUint64(u, 0) // while the hash changes, the slot holds nothing back
+	atomic.StoreUint64(h, k)
+	atomic.StoreUint64(u, end)
+}
+
+// Until says until when the group waits; zero where it does not.
+func (t *Table) Until(group string, now time.Time) time.Time {
+	if t == nil {
+		return time.Time{}
+	}
+	k, at := key(group), uint64(now.UnixNano())
+	for i := range slots {
+		h, u := t.slot(i)
+		if atomic.LoadUint64(h) == k {
+			if end := atomic.LoadUint64(u); end > at {
+				return time.Unix(0, int64(end))
+			}
+		}
+	}
+	return time.Time{}
+}
--- a/sender.go
+++ b/sender.go
@@ -176,8 +176,7 @@
 	return s, nil
 }
 
-// Step takes in what happened at now and returns what to do, in order. All events are taken in before
-// anything is sent.
+// Step takes in what happened at now and returns what to do, in order; all events come in before any send.
 func (s *Sender) Step(now time.Duration, events []Event) []Action {
 	s.now, s.acts = max(now, s.now), nil
 	for _, ev := range events {
@@ -253,6 +252,9 @@
 				s.takeOut(e) // cold, and not the place for all that waits
 			}
 		}
+		if row.Cold && row.State == Listed && e.state != Listed {
+			e.ramp, e.rampFrom = true, s.now // as after an outage
+		}
 		e.state, e.zone = row.State, row.Zone
 		e.ledger.weight = row.Weight * weightPart[s.set.Weights]
 	}
@@ -342,8 +344,7 @@
 	m.dest.held++
 }
 
-// ledger is the log of one destination, or of one route where routes are apart: what was spent, what was
-// reported as left, and the waits that were told.
+// ledger is the log of a destination, or of a route where routes are apart: spends, reports and told waits.
 type ledger struct {
 	limit, weight   float64 // calls a second: as reported, 0 where none is; as listed
 	kind            *kind
@@ -948,9 +949,8 @@
 	}
 }
 
-// opens is when a message behind so many others can go, as far as is known: no endpoint of its destination
-// is called before a told wait is over, nor one in an outage before its next try, unless a call that is out
-// there may end that sooner; and those ahead go at our part of the reported limit.
+// opens is when a message behind so many others can go: no endpoint is called before a told wait is over, nor
+// in an outage before its next try, unless a call out may end that sooner; those ahead go at our part of the limit.
 func (s *Sender) opens(d *destination, ahead int) time.Duration {
 	first, rate := time.Duration(math.MaxInt64), 0.0
 	for i, e := range d.eps {
--- a/wrenford.go
+++ b/wrenford.go
@@ -193,6 +193,7 @@
 	Destination int
 	State       State
 	Weight      float64 // see Settings.Weights
+	Cold        bool    // listed again after operators had it out: it was restarted meanwhile
 }
 
 // Event is something that happened: [Members], [MembersLost], [Recalled], [Request], [Outcome], [Hangup], [HoldCap],
