--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -166,6 +166,12 @@
 // Relay starts a relay on processors and waits until it is ready. gateway is the text of its own settings; empty
 // for none.
 func (d *Deployment) Relay(binary string, cpus []int, gateway string, flags ...string) (*Process, error) {
+	return d.RelayWith(binary, cpus, nil, gateway, flags...)
+}
+
+// RelayWith starts a relay as Relay does, with more of the environment: a second process beside the first
+// gets an operators' address of its own, and the first one's TMPDIR.
+func (d *Deployment) RelayWith(binary string, cpus []int, env []string, gateway string, flags ...string) (*Process, error) {
 	args := append([]string{"--log-format", "json"}, flags...)
 	if gateway != "" {
 		path := filepath.Join(d.Dir, "gateway.textproto")
@@ -174,7 +180,7 @@
 		}
 		args = append(args, "--config", path)
 	}
-	p, err := Run(cpus, []string{"NODE_CONFIG=" + d.Config(), "NODE_STATE=" + d.State()}, binary, args...)
+	p, err := Run(cpus, append([]string{"NODE_CONFIG=" + d.Config(), "NODE_STATE=" + d.State()}, env...), binary, args...)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/lab/handover_test.go
@@ -0,0 +1,83 @@
+package lab
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"wrenford/internal/lab/load"
+)
+
+// A second process is started beside the first on the same client address, says it is ready on its own
+// operators' address, and the first is ended by SIGTERM under load. The ledger of the stand-ins demands that
+// every message taken on had exactly one end and that none ran twice; the successor takes up what the first
+// left in its journal.
+func TestHandOver(t *testing.T) {
+	d := put(t, 30*time.Millisecond, 64)
+	tmp := t.TempDir()
+	opsOld, err := FreePort()
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, err := d.RelayWith(binary, nil, []string{"TMPDIR=" + tmp, "NODE_OPS=" + opsOld}, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(old.Kill)
+
+	loaded := make(chan error, 1)
+	go func() {
+		loaded <- d.Load(context.Background(), load.Config{Clients: 20, Patience: 400 * time.Millisecond, Streams: slots(100),
+			Steps: []load.Step{{For: 6 * time.Second, Rate: 150}}, Dests: []int{0, 1}, Retries: 2, Honour: 1, Seed: 9})
+	}()
+	time.Sleep(time.Second)
+	opsNew, err := FreePort()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, err := d.RelayWith(binary, nil, []string{"TMPDIR=" + tmp, "NODE_OPS=" + opsNew}, "")
+	if err != nil {
+		t.Fatalf("the successor did not start beside the first: %v", err)
+	}
+	t.Cleanup(next.Kill)
+	deadline := time.Now().Add(6 * time.Second)
+	for !ready(opsNew) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the successor never said it was ready\n%s", next.Log())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if err := old.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := old.End(time.Now().Add(3700 * time.Millisecond)); err != nil {
+		t.Fatalf("the first process did not end before its SIGKILL: %v", err)
+	}
+	if err := <-loaded; err != nil {
+		t.Fatal(err)
+	}
+	v := d.judge(t, next)
+	if offered, accepted, _ := total(v); accepted == 0 || offered == 0 {
+		t.Fatalf("nothing was served: %d of %d", accepted, offered)
+	}
+	journals, _ := filepath.Glob(filepath.Join(d.State(), "journal*"))
+	if len(journals) != 1 {
+		t.Errorf("journals left in the state folder: %v", journals)
+	}
+	if _, err := os.Stat(filepath.Join(tmp, "slatemux-waits")); err != nil {
+		t.Errorf("no shared table of waits: %v", err)
+	}
+}
+
+func ready(addr string) bool {
+	resp, err := http.Get("http://" + addr + "/ops/readiness")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
