--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -100,6 +100,7 @@
 		}
 	}
 	r.bans = b.set
+	r.figuredAt = time.Time{}                // operators see their call in the figures at once
 	r.cfg.Flows.Pool(r.overlay(news, b.set)) // what waits for a connection there is not written either
 	return ev
 }
--- a/sender.go
+++ b/sender.go
@@ -949,8 +949,8 @@
 	}
 }
 
-// opens is when a message behind so many others can go: no endpoint is called before a told wait is over, nor
-// in an outage before its next try, unless a call out may end that sooner; those ahead go at our part of the limit.
+// opens is when a message behind so many others can go: nothing is called in a told wait, or in an outage
+// before its next try, unless a call out may end that sooner; those ahead go at our part of the limit.
 func (s *Sender) opens(d *destination, ahead int) time.Duration {
 	first, rate := time.Duration(math.MaxInt64), 0.0
 	for i, e := range d.eps {
--- a/sender_test.go
+++ b/sender_test.go
@@ -1318,3 +1318,20 @@
 		t.Errorf("a new report grants %.2f", l.left)
 	}
 }
+
+// An endpoint that operators had out comes back cold: it was restarted while out, and is ramped up. One that
+// discovery alone lists again, without that word, is not.
+func TestColdAfterMaintenance(t *testing.T) {
+	for _, cold := range []bool{true, false} {
+		s := newSender(t, testSettings(), ep("e", 1))
+		out := ep("e", 1)
+		out.State = Draining
+		s.Step(time.Second, []Event{Members{Endpoints: []Endpoint{out}}})
+		back := ep("e", 1)
+		back.Cold = cold
+		s.Step(20*time.Second, []Event{Members{Endpoints: []Endpoint{back}}})
+		if e := s.endpoints["e"]; e.ramp != cold || cold && e.rampFrom != 20*time.Second {
+			t.Errorf("cold %v: ramp %v from %v", cold, e.ramp, e.rampFrom)
+		}
+	}
+}
