Count refusals at the front and members the module holds out in the operators' figures

overload now adds, by class, what overload control refused once the command was read (front.ShedByClass); targets_disabled adds the listed members that the module holds to be in an outage (Sender.Avoided, a count outside the policy file that decides nothing). Tests: the front's count against its counters, the module's count of an endpoint in an outage.

--- a/cmd/slatemux/desk.go
+++ b/cmd/slatemux/desk.go
@@ -20,6 +20,7 @@
 	bans   *maint.Bans
 	ready  atomic.Bool
 	relay  *relay.Relay // set before ready
+	front  interface{ ShedByClass() map[string]int64 }
 }
 
 func (d *opsDesk) Ready() bool { return d.ready.Load() }
@@ -29,8 +30,17 @@
 		return ops.Stats{Success: map[string]int64{}, Overload: map[string]int64{}, Error: map[string]int64{}}
 	}
 	f := d.relay.Figures()
-	return ops.Stats{Success: orEmpty(f.Success), Overload: orEmpty(f.Overload), Error: orEmpty(f.Error), Dispatches: f.Dispatches,
-		Concurrent: f.Concurrent, Targets: f.Members, TargetsDisabled: f.Banned}
+	overload := map[string]int64{}
+	for class, n := range f.Overload {
+		overload[class] += n
+	}
+	for class, n := range d.front.ShedByClass() { // refused before the relay saw them
+		if n > 0 {
+			overload[class] += n
+		}
+	}
+	return ops.Stats{Success: orEmpty(f.Success), Overload: overload, Error: orEmpty(f.Error), Dispatches: f.Dispatches,
+		Concurrent: f.Concurrent, Targets: f.Members, TargetsDisabled: f.Banned + f.Avoided}
 }
 
 func orEmpty(m map[string]int64) map[string]int64 {
--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -184,7 +184,7 @@
 	go func() { served <- server.Serve() }()
 	slog.Info("ready", "listen", server.Addr())
 	if desk != nil {
-		desk.relay = r
+		desk.relay, desk.front = r, server
 		desk.ready.Store(true)
 		parts.Go(func() { desk.follow(ctx) })
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -56,6 +56,7 @@
 	limits   Limits
 	buffered int64 // of Limits.Buffered
 	conns    map[*client]bool
+	shedBy   map[string]*atomic.Int64 // by class: refused by overload control after their command was read
 
 	ending    atomic.Bool
 	lingering atomic.Int64 // connections that were refused and are read past
@@ -80,9 +81,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("front: %w", err)
 	}
-	s := &Server{relay: relay, admission: admission, classes: map[string]wrenford.Effect{}, limits: limits, ln: ln, conns: map[*client]bool{}}
+	s := &Server{relay: relay, admission: admission, classes: map[string]wrenford.Effect{}, limits: limits, ln: ln, conns: map[*client]bool{},
+		shedBy: map[string]*atomic.Int64{}}
 	for _, c := range classes {
 		s.classes[c.Name] = c.Effect
+		s.shedBy[c.Name] = new(atomic.Int64) // its keys are fixed from now on: any goroutine may read it
 	}
 	return s, nil
 }
@@ -94,6 +97,15 @@
 	s.limits = limits
 }
 
+// ShedByClass counts, by class, the hand-ins that overload control refused once their command was read.
+func (s *Server) ShedByClass() map[string]int64 {
+	counts := make(map[string]int64, len(s.shedBy))
+	for name, n := range s.shedBy {
+		counts[name] = n.Load()
+	}
+	return counts
+}
+
 // Addr is where the server listens.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
@@ -199,6 +211,9 @@
 		if t := &cmd.Transaction; s.admission != nil && !ruled {
 			if ruling = s.admission.Admit(overload.HandIn{Class: t.Class, Tenant: t.Tenant, Size: len(t.Body),
 				Left: t.Deadline.Sub(received)}); ruling.Refused {
+				if n := s.shedBy[t.Class]; n != nil { // Parse takes only the settings' classes
+					n.Add(1)
+				}
 				s.refuse(conn, c, ruling)
 				return
 			}
--- a/internal/front/refuse_test.go
+++ b/internal/front/refuse_test.go
@@ -168,6 +168,10 @@
 	if n := s.Counters(); relay.n.Load() != 2 || g.asked.Load() != 5 || n.Shed != 3 || n.ShedUnread > 3 || n.BadCommands != 1 {
 		t.Errorf("%d reached the relay, %d were asked about, counters %+v", relay.n.Load(), g.asked.Load(), n)
 	}
+	// Those refused with their command read are counted by class for the operators' figures.
+	if n, by := s.Counters(), s.ShedByClass(); by["pay"] != n.Shed-n.ShedUnread || len(by) != 1 {
+		t.Errorf("by class %v, counters %+v", by, n)
+	}
 }
 
 // A refused connection rests before more is read, and is then served as before.
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -16,6 +16,7 @@
 	Dispatches               int64 // transactions written whole to pool members
 	Concurrent               int   // taken on and not ended
 	Members, Banned          int   // in the pool, and of them those taken down by operators
+	Avoided                  int   // listed members that the module holds to be out, beside the banned ones
 }
 
 type tally struct{ success, overload, errors map[string]int64 }
@@ -59,7 +60,7 @@
 	}
 	return Figures{Success: maps.Clone(r.tally.success), Overload: maps.Clone(r.tally.overload),
 		Error: maps.Clone(r.tally.errors), Dispatches: r.dispatches, Concurrent: len(r.open),
-		Members: len(r.pool.members), Banned: banned}
+		Members: len(r.pool.members), Banned: banned, Avoided: r.sender.Avoided()}
 }
 
 // figuresEvery is how often the figures are copied for operators: they may be half a second old.
--- a/sender_test.go
+++ b/sender_test.go
@@ -1333,5 +1333,12 @@
 		if e := s.endpoints["e"]; e.ramp != cold || cold && e.rampFrom != 20*time.Second {
 			t.Errorf("cold %v: ramp %v from %v", cold, e.ramp, e.rampFrom)
 		}
+		if s.Avoided() != 0 {
+			t.Errorf("cold %v: %d avoided", cold, s.Avoided())
+		}
+		s.endpoints["e"].outage = true
+		if s.Avoided() != 1 {
+			t.Errorf("cold %v: an endpoint in an outage is not counted as avoided", cold)
+		}
 	}
 }
--- a/wrenford.go
+++ b/wrenford.go
@@ -326,3 +326,15 @@
 func (Release) action() {}
 func (Watch) action()   {}
 func (Log) action()     {}
+
+// Avoided counts the listed endpoints that the sender keeps from use by its own choice, for it holds them to be
+// in an outage. It decides nothing: operators are shown it. Call it between steps, from the goroutine that steps.
+func (s *Sender) Avoided() int {
+	n := 0
+	for _, e := range s.endpoints {
+		if e.state == Listed && e.outage {
+			n++
+		}
+	}
+	return n
+}
