--- a/internal/journal/handover_test.go
+++ b/internal/journal/handover_test.go
@@ -57,3 +57,30 @@
 		t.Fatalf("after the successor's end: %+v %+v", got, owed)
 	}
 }
+
+// Both files of a hand-over count against the folder's one limit: the successor leaves room for the living one's.
+func TestRoomBesideALivingProcess(t *testing.T) {
+	dir := t.TempDir()
+	const limit = 64 * block
+	old, err := openAs(dir, limit, "1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	commit(t, old, traffic.Taken{Transaction: transaction("a", 16*block)})
+	next, err := openAs(dir, limit, "2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	alone := livePart * limit
+	if next.Room(int64(alone) - 4*block) {
+		t.Fatalf("room as if alone, beside %d bytes of a living process", next.foreign)
+	}
+	old.Close()
+	if _, _, err := next.Adopt(); err != nil {
+		t.Fatal(err)
+	}
+	if next.foreign != 0 {
+		t.Fatalf("%d foreign bytes after the hand-over", next.foreign)
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -33,6 +33,7 @@
 type Journal struct {
 	dir       string
 	name      string // of this process's file, which it holds locked for its life
+	foreign   int64  // bytes, in whole blocks, of files that living processes hold, as last seen
 	limit     atomic.Int64
 	file      *os.File
 	size      int64
@@ -129,13 +130,23 @@
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	var orphans []orphan
+	j.foreign = 0
 	for _, path := range names {
 		base := filepath.Base(path)
-		if strings.HasSuffix(base, newSuffix) || base == j.name && j.file != nil {
+		if base == j.name+newSuffix || base == j.name && j.file != nil {
+			continue
+		}
+		if strings.HasSuffix(base, newSuffix) { // another's compaction, under way or left by its death
+			if info, err := os.Stat(path); err == nil {
+				j.foreign += blocks(info.Size())
+			}
 			continue
 		}
 		f, ok := lockIfOrphan(path)
-		if !ok {
+		if !ok { // a living process's
+			if info, err := os.Stat(path); err == nil {
+				j.foreign += blocks(info.Size())
+			}
 			continue
 		}
 		raw, err := io.ReadAll(f)
@@ -183,6 +194,10 @@
 	}
 }
 
+// room is what of the folder's limit this process's file may take: a living process's file beside it takes its
+// part, for both count against the one limit during a hand-over.
+func (j *Journal) room() int64 { return j.limit.Load() - j.foreign }
+
 // Limit changes how many bytes the folder may hold. Any goroutine may call it.
 func (j *Journal) Limit(bytes int64) { j.limit.Store(bytes - bytes%block) }
 
@@ -212,7 +227,7 @@
 
 // Room says whether a transaction of that size can be taken on beside others that need so much.
 func (j *Journal) Room(bytes int64) bool {
-	return float64(j.live+bytes+block) <= livePart*float64(j.limit.Load())
+	return float64(j.live+bytes+block) <= livePart*float64(j.room())
 }
 
 // Commit writes the changes of one step. After an error none of them counts as written.
@@ -224,13 +239,13 @@
 	for _, ch := range changes {
 		j.buf = appendChange(j.buf, ch)
 	}
-	if float64(j.size+int64(len(j.buf))) > filePart*float64(j.limit.Load()) {
+	if float64(j.size+int64(len(j.buf))) > filePart*float64(j.room()) {
 		if err := j.compact(); err != nil {
 			slog.Error("journal not compacted", "err", err) // it may still fit
 		}
 	}
-	if blocks(j.size+int64(len(j.buf))) > j.limit.Load() {
-		return fmt.Errorf("journal: full: %d bytes of %d", j.size, j.limit.Load())
+	if blocks(j.size+int64(len(j.buf))) > j.room() {
+		return fmt.Errorf("journal: full: %d bytes of %d", j.size, j.room())
 	}
 	if n, err := j.file.Write(j.buf); err != nil {
 		if n > 0 { // later records must not stand behind a torn one
@@ -340,8 +355,8 @@
 			b = e.appendTo(b)
 		}
 	}
-	if blocks(int64(len(b)))+blocks(j.size) > j.limit.Load() {
-		return fmt.Errorf("journal: no room to compact: %d and %d bytes of %d", len(b), j.size, j.limit.Load())
+	if blocks(int64(len(b)))+blocks(j.size) > j.room() {
+		return fmt.Errorf("journal: no room to compact: %d and %d bytes of %d", len(b), j.size, j.room())
 	}
 	newName := j.name + newSuffix
 	f, err := os.OpenFile(j.path(newName), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
