--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -381,5 +381,8 @@
 	}); cerr != nil {
 		return cerr
 	}
-	return err
+	if err != nil { // alone on the address it serves as well; a successor then cannot start beside it
+		slog.Warn("client address not shared with a successor", "err", err)
+	}
+	return nil
 }
--- a/internal/journal/lock.go
+++ b/internal/journal/lock.go
@@ -10,14 +10,19 @@
 // lock takes the exclusive lock of a file that this process has just made; nobody else knows it yet.
 func lock(f *os.File) error {
 	err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
-	if errors.Is(err, syscall.ENOSYS) || errors.Is(err, syscall.EINVAL) {
-		// Where the system has no locks of files, one process uses the folder at a time: it works without.
+	if err != nil && !held(err) {
+		// Where the system gives no locks of files, one process uses the folder at a time: it works without.
 		slog.Warn("journal not locked: no locks of files here", "err", err)
 		return nil
 	}
 	return err
 }
 
+// held says that a lock failed for another holder; any other failure is a system without such locks.
+func held(err error) bool {
+	return errors.Is(err, syscall.EWOULDBLOCK) || errors.Is(err, syscall.EAGAIN)
+}
+
 // lockIfOrphan opens a file and takes its lock, where no living process holds it. The lock belongs to the
 // file, not to its name: a file that was replaced under the name while we waited is not the one named, and is
 // left to its owner.
@@ -26,9 +31,8 @@
 	if err != nil {
 		return nil, false
 	}
-	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
-	if err != nil && !errors.Is(err, syscall.ENOSYS) && !errors.Is(err, syscall.EINVAL) {
-		f.Close() // held: its process lives
+	if err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil && held(err) {
+		f.Close() // its process lives
 		return nil, false
 	}
 	held, err1 := f.Stat()
