--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -34,11 +34,6 @@
 // then is in the journal.
 const serveOn, exitAfter = 3000 * time.Millisecond, 3550 * time.Millisecond
 
-// handOverEvery is how often a relay that ends beside a successor looks whether any flow is still out: once
-// none is, it exits, and the successor takes up what it held within a fifth of a second. Serving on would only
-// hold messages back from a process that is ready to send them.
-const handOverEvery = 20 * time.Millisecond
-
 // settle is how long a connection to a pool member rests after an answer: less than half of a step.
 const settle = 2 * time.Millisecond
 
@@ -246,8 +241,7 @@
 		defer tick.Stop()
 		every = tick.C
 	}
-	var drain, end, handOver <-chan time.Time
-	var drained, handing bool
+	var drain, end <-chan time.Time
 	for running := true; running; {
 		select {
 		case <-in.report:
@@ -266,34 +260,12 @@
 			if end == nil {
 				slog.Info("ending", "signal", sig.String())
 				drain, end = time.After(cfg.serveOn), time.After(cfg.exitAfter)
-				tick := time.NewTicker(handOverEvery)
-				defer tick.Stop()
-				handOver = tick.C
 			}
 		case <-drain:
-			drained = true
 			if desk != nil {
 				desk.ready.Store(false)
 			}
 			server.Drain()
-		case <-handOver:
-			// A successor beside this process takes clients and what is held: serving on would only hold them back.
-			if !handing && store.Others() {
-				handing = true
-				slog.Info("a successor runs beside: handing over")
-				r.Quiesce()
-				if !drained {
-					drained = true
-					if desk != nil {
-						desk.ready.Store(false)
-					}
-					server.Drain()
-				}
-			}
-			if load := r.Load(); handing && load.Open == load.Waiting { // no flow is out
-				slog.Info("handed over", "held", load.Open)
-				running = false
-			}
 		case <-end:
 			running = false
 		case err := <-served:
--- a/internal/journal/handover_test.go
+++ b/internal/journal/handover_test.go
@@ -84,21 +84,3 @@
 		t.Fatalf("%d foreign bytes after the hand-over", next.foreign)
 	}
 }
-
-// A process sees a successor beside it by the successor's locked file, and no ended process as one.
-func TestOthers(t *testing.T) {
-	dir := t.TempDir()
-	old := openAsT(t, dir, "1")
-	defer old.Close()
-	if old.Others() {
-		t.Fatal("beside nobody")
-	}
-	next := openAsT(t, dir, "2")
-	if !old.Others() {
-		t.Fatal("the successor is not seen")
-	}
-	next.Close()
-	if old.Others() {
-		t.Fatal("an ended process is taken for a living one")
-	}
-}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -80,23 +80,6 @@
 	return j, nil
 }
 
-// Others looks now whether another living process shares the folder: a successor, when this process is told to
-// end. It adopts nothing, and any goroutine may call it.
-func (j *Journal) Others() bool {
-	names, _ := filepath.Glob(filepath.Join(j.dir, prefix+".*"))
-	for _, path := range names {
-		if base := filepath.Base(path); base == j.name || strings.HasSuffix(base, newSuffix) {
-			continue
-		}
-		if f, free := lockIfOrphan(path); free {
-			f.Close() // an ended process's: it is left for the step's look
-		} else if _, err := os.Stat(path); err == nil {
-			return true
-		}
-	}
-	return false
-}
-
 // Adopt takes over what processes that shared the folder and have ended since left owed: it is written to this
 // process's file, and returned, in the order it came. What this process owes already is left out.
 func (j *Journal) Adopt() ([]traffic.Open, []traffic.Notice, error) {
--- a/internal/relay/ban_test.go
+++ b/internal/relay/ban_test.go
@@ -62,25 +62,3 @@
 		t.Fatalf("after the bans changed over, sent to %v", sent)
 	}
 }
-
-// Quiet, the relay decides nothing: hand-ins are refused, nothing starts, and only the ends of flows that were
-// out are journalled, so that a successor takes up the rest from the journal.
-func TestQuiesce(t *testing.T) {
-	r, w, now := start(t)
-	for _, id := range []string{"a", "b"} {
-		hand(t, r, now, transaction(id, "pay", now.Add(20*time.Second)))
-	}
-	w.took()
-	r.step(now, []any{quiesce{}})
-	if a := hand(t, r, now, transaction("c", "pay", now.Add(20*time.Second))); a.Verdict != traffic.Busy {
-		t.Fatalf("a hand-in while quiet: %+v", a)
-	}
-	first := w.flows[0]
-	r.step(now, []any{traffic.FlowEnd{ID: first.ID, Attempt: first.Attempt, Member: first.Member, Status: traffic.Errored}})
-	if got := w.took(); got != "FlowEnded" {
-		t.Fatalf("while quiet: %q", got)
-	}
-	if l := r.Load(); l.Open != 2 || l.Open-l.Waiting != 1 {
-		t.Fatalf("load %+v", l)
-	}
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"log/slog"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -146,7 +145,6 @@
 	ended   int64           // transactions that had been taken on
 	learned map[int]float64 // limits that an earlier process had learned, of destinations that no list has named yet
 	adopted time.Time       // when the Heir was last asked
-	quiet   bool            // decisions have ended: a successor takes over
 	bans    map[string]bool // members that operators took down
 	tally   tally
 	// dispatches counts transactions written whole to members.
@@ -419,59 +417,8 @@
 	return next
 }
 
-// Quiesce ends the decisions of this process: from the next step on nothing is sent or ended any more, hand-ins
-// are refused, and only the ends of flows that are out are journalled. A successor beside this process takes up
-// what is held once it has exited, and decides with all it knows; serving on here would keep messages from it.
-func (r *Relay) Quiesce() { r.post(quiesce{}) }
-
-type quiesce struct{}
-
-// still journals what comes while the relay is quiet.
-func (r *Relay) still(batch []any) {
-	var changes []traffic.Change
-	for _, in := range batch {
-		switch in := in.(type) {
-		case handIn:
-			r.answeredAs(in.t.Class, traffic.Answer{Verdict: traffic.Busy})
-			in.answer <- traffic.Answer{Verdict: traffic.Busy, RetryIn: fullRetry}
-		case traffic.FlowEnd:
-			if in.Status == traffic.Delivered {
-				if h := r.open[in.ID]; h != nil {
-					r.counted(h.Class, r.tally.success)
-				}
-			}
-			_, changes = r.flowEnd(in, nil, changes)
-		case answered:
-			r.count.NoticesAnswered += int64(len(in))
-			changes = append(changes, acknowledged(in)...)
-		case bans:
-			r.bans = in.set
-			close(in.done)
-		}
-	}
-	if err := r.cfg.Store.Commit(append(r.unsaved, changes...)); err != nil {
-		slog.Error("journal write failed", "err", err)
-		r.unsaved = append(r.unsaved, changes...)
-	} else {
-		r.unsaved = nil
-	}
-	r.mu.Lock()
-	r.load = Load{Open: len(r.open), Waiting: len(r.open) - r.out, Bytes: float64(r.bytes) / float64(max(r.cfg.MostBytes, 1)),
-		Ended: r.ended}
-	r.published = r.count
-	r.mu.Unlock()
-}
-
 // step turns a batch of the inbox into events, and the wakes that are due.
 func (r *Relay) step(now time.Time, batch []any) {
-	if !r.quiet && slices.ContainsFunc(batch, func(in any) bool { _, ok := in.(quiesce); return ok }) {
-		r.quiet = true
-		slog.Info("quiet: no more decisions here", "open", len(r.open), "out", r.out)
-	}
-	if r.quiet {
-		r.still(batch)
-		return
-	}
 	var events []wrenford.Event
 	var changes []traffic.Change
 	due := r.wakes[:0]
