--- a/internal/lab/world/model/queue.go
+++ b/internal/lab/world/model/queue.go
@@ -84,10 +84,12 @@
 
 type tags []tag
 
-func (t tags) Len() int           { return len(t) }
-func (t tags) Less(i, j int) bool { return t[i].finish < t[j].finish || t[i].finish == t[j].finish && t[i].job < t[j].job }
-func (t tags) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *tags) Push(x any)        { *t = append(*t, x.(tag)) }
+func (t tags) Len() int { return len(t) }
+func (t tags) Less(i, j int) bool {
+	return t[i].finish < t[j].finish || t[i].finish == t[j].finish && t[i].job < t[j].job
+}
+func (t tags) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *tags) Push(x any)   { *t = append(*t, x.(tag)) }
 func (t *tags) Pop() any {
 	old := *t
 	x := old[len(old)-1]
--- a/internal/lab/world/model/queue_test.go
+++ b/internal/lab/world/model/queue_test.go
@@ -9,7 +9,9 @@
 )
 
 // server is what the closed forms are checked against.
-type server interface{ Arrive(job int, work time.Duration) }
+type server interface {
+	Arrive(job int, work time.Duration)
+}
 
 // sojourn feeds Poisson arrivals at rate lambda and works drawn by size, and returns the mean time in the system.
 func sojourn(t *testing.T, jobs int, lambda float64, size func(*world.Sim) time.Duration,
