Laboratory health: outages that refuse or fall silent, cold starts, gray failures

A server's timeline of spells: Down (connections refused), Silent (nothing comes back), or up and slower; after an outage its capacity grows evenly from a start share over the cold time. Test: state and share at nine moments across all three kinds of spell.

--- /dev/null
+++ b/internal/lab/world/model/health_test.go
@@ -0,0 +1,32 @@
+package model
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"wrenford/internal/lab/world"
+)
+
+func TestHealth(t *testing.T) {
+	s := func(d time.Duration) world.Time { return world.Time(d) }
+	h := Health{StartShare: 0.25, Cold: 10 * time.Second, Spells: []Spell{
+		{From: s(5 * time.Second), To: s(10 * time.Second), State: Down},
+		{From: s(30 * time.Second), To: s(40 * time.Second), State: Up, Slower: 4},
+		{From: s(50 * time.Second), To: s(55 * time.Second), State: Silent},
+	}}
+	for _, c := range []struct {
+		at    time.Duration
+		state State
+		share float64
+	}{
+		{0, Up, 1}, {5 * time.Second, Down, 0}, {10 * time.Second, Up, 0.25}, {15 * time.Second, Up, 0.625},
+		{20 * time.Second, Up, 1}, {35 * time.Second, Up, 0.25}, {40 * time.Second, Up, 1},
+		{52 * time.Second, Silent, 0}, {60 * time.Second, Up, 0.625},
+	} {
+		state, share := h.At(s(c.at))
+		if state != c.state || math.Abs(share-c.share) > 1e-9 {
+			t.Errorf("at %v: %v and %.3f, want %v and %.3f", c.at, state, share, c.state, c.share)
+		}
+	}
+}
