Play relays with the real module against the laboratory's servers, in virtual time

internal/lab/world/play: each relay's Sender is stepped as the real relay steps it (at most once a resolution, on news and on its wakes); sends meet a destination's health, limit and FIFO servers; the relay's time-outs end calls that the server finishes later. Records come from the clients' and servers' side.

--- /dev/null
+++ b/internal/lab/world/play/play.go
@@ -0,0 +1,210 @@
+// Package play runs relays with the real decision module against the laboratory's modelled servers, in virtual
+// time: clients hand messages in, each relay's module steps as the real relay steps it, and servers answer as
+// their models say. It decides nothing for the module; it records what every message met, for invariants that
+// are judged apart from the module.
+package play
+
+import (
+	"fmt"
+	"time"
+
+	"wrenford"
+	"wrenford/internal/lab/world"
+	"wrenford/internal/lab/world/model"
+)
+
+// Destination is one partner with one endpoint: c servers, a limit of calls, a timeline of health.
+type Destination struct {
+	Servers int
+	Work    time.Duration // mean work of a call, drawn exponential
+	Limit   model.Bucket
+	Health  model.Health
+	Rate    float64 // messages a second that clients hand in for it, over all relays
+}
+
+// Day is what is played.
+type Day struct {
+	Seed         uint64
+	Relays       int
+	Settings     wrenford.Settings // of every relay; Peers is set to Relays
+	Destinations []Destination
+	Length       time.Duration // of the hand-ins; the day runs on until all has ended
+	Class        string        // of every message
+	TimeLeft     time.Duration
+}
+
+// Record is what one message met.
+type Record struct {
+	Relay, Destination int
+	Sends, Ends        int  // sends to servers; final answers given
+	SentAfterEnd       bool // a send came after the message had ended
+	Delivered          bool
+	EndedAt, Due       world.Time
+}
+
+// Result is the day's record, by message id.
+type Result struct {
+	Messages map[string]*Record
+	Events   uint64
+}
+
+const (
+	kindServer world.Kind = iota // answers first, then
+	kindStep                     // the steps of relays
+)
+
+type relay struct {
+	i       int
+	s       *wrenford.Sender
+	pending []wrenford.Event
+	stepAt  world.Time // of the step that is scheduled; -1 for none
+	last    world.Time
+}
+
+// Play plays a day.
+func Play(d Day) (Result, error) {
+	sim := world.New(d.Seed)
+	res := Result{Messages: map[string]*Record{}}
+	set := d.Settings
+	set.Peers = d.Relays
+	var eps []wrenford.Endpoint
+	for i := range d.Destinations {
+		eps = append(eps, wrenford.Endpoint{ID: fmt.Sprint("e", i), Destination: i, Kind: set.Kinds[0].Name, Zone: set.Zone})
+	}
+	relays := make([]*relay, d.Relays)
+	for i := range relays {
+		s, err := wrenford.New(set, int64(sim.Stream(fmt.Sprint("relay seed ", i)).Uint64()>>1))
+		if err != nil {
+			return res, fmt.Errorf("play: %w", err)
+		}
+		relays[i] = &relay{i: i, s: s, stepAt: -1, last: -world.Time(set.Resolution)}
+		relays[i].pending = append(relays[i].pending, wrenford.Members{Whole: true, Endpoints: eps})
+	}
+	servers := make([]*model.FIFO, len(d.Destinations))
+	work := make([]interface{ ExpFloat64() float64 }, len(d.Destinations))
+	var step func(r *relay)
+	post := func(r *relay, ev wrenford.Event) {
+		r.pending = append(r.pending, ev)
+		if r.stepAt >= 0 {
+			return
+		}
+		r.stepAt = max(sim.Now(), r.last+world.Time(set.Resolution))
+		sim.At(r.stepAt, kindStep, func() { step(r) })
+	}
+	type call struct {
+		r       *relay
+		id      string
+		attempt int
+		sent    world.Time
+		over    *bool // the relay stopped waiting: its time-out came first
+	}
+	calls := map[int]call{}
+	nextCall := 0
+	attempts := map[string]int{}
+	step = func(r *relay) {
+		r.stepAt, r.last = -1, sim.Now()
+		events := r.pending
+		r.pending = nil
+		for _, a := range r.s.Step(sim.Now().Duration(), events) {
+			switch a := a.(type) {
+			case wrenford.Send:
+				rec := res.Messages[a.ID]
+				rec.Sends++
+				if rec.Ends > 0 {
+					rec.SentAfterEnd = true
+				}
+				attempt := attempts[a.ID]
+				attempts[a.ID]++
+				dest := rec.Destination
+				state, share := d.Destinations[dest].Health.At(sim.Now())
+				answer := func(after time.Duration, o wrenford.Outcome) {
+					o.ID, o.Attempt, o.Endpoint, o.Latency = a.ID, attempt, a.Endpoint, after
+					sim.After(after, kindServer, func() { post(r, o) })
+				}
+				switch ok, wait := d.Destinations[dest].Limit.Take(sim.Now()); {
+				case state == model.Down:
+					answer(time.Millisecond, wrenford.Outcome{Status: wrenford.ConnectFailed})
+				case state == model.Silent:
+					answer(max(a.TimeOut, time.Millisecond), wrenford.Outcome{Status: wrenford.TimedOut})
+				case !ok:
+					answer(time.Millisecond, wrenford.Outcome{Status: wrenford.Full, Wait: wait})
+				default:
+					n := nextCall
+					nextCall++
+					over := new(bool)
+					calls[n] = call{r, a.ID, attempt, sim.Now(), over}
+					// The relay waits so long, or until the message's time is up; the call may run on at the server.
+					until := rec.Due
+					if a.TimeOut > 0 {
+						until = min(until, sim.Now()+world.Time(a.TimeOut))
+					}
+					sim.At(max(until, sim.Now()), kindServer, func() {
+						if _, out := calls[n]; out && !*over {
+							*over = true
+							post(r, wrenford.Outcome{ID: a.ID, Attempt: attempt, Endpoint: a.Endpoint, Status: wrenford.TimedOut,
+								Latency: (sim.Now() - calls[n].sent).Duration()})
+						}
+					})
+					w := time.Duration(work[dest].ExpFloat64() * float64(d.Destinations[dest].Work) / max(share, 0.01))
+					servers[dest].Arrive(n, w)
+				}
+			case wrenford.Refuse, wrenford.Fail:
+				id := fmt.Sprint(a)
+				switch a := a.(type) {
+				case wrenford.Refuse:
+					id = a.ID
+				case wrenford.Fail:
+					id = a.ID
+				}
+				rec := res.Messages[id]
+				rec.Ends++
+				rec.EndedAt = sim.Now()
+			case wrenford.Wake:
+				at := max(world.Time(a.At), sim.Now())
+				sim.At(at, kindStep, func() { post(r, wrenford.Woken{}) })
+			}
+		}
+	}
+	for i, dest := range d.Destinations {
+		work[i] = sim.Stream(fmt.Sprint("work ", i))
+		servers[i] = model.NewFIFO(sim, dest.Servers, func(job int, served bool, _ time.Duration) {
+			c := calls[job]
+			delete(calls, job)
+			if *c.over {
+				return // its answer finds nobody
+			}
+			*c.over = true
+			o := wrenford.Outcome{ID: c.id, Attempt: c.attempt, Endpoint: fmt.Sprint("e", i), Latency: (sim.Now() - c.sent).Duration()}
+			if served {
+				o.Status, o.Settled = wrenford.OK, true
+				if rec := res.Messages[c.id]; !rec.Delivered && rec.Ends == 0 {
+					rec.Delivered, rec.Ends, rec.EndedAt = true, rec.Ends+1, sim.Now()
+				}
+			} else {
+				o.Status = wrenford.Full
+			}
+			post(c.r, o)
+		})
+		arrivals, pick := sim.Stream(fmt.Sprint("arrivals ", i)), sim.Stream(fmt.Sprint("front ", i))
+		seq := 0
+		var next func()
+		next = func() {
+			if sim.Now() > world.Time(d.Length) {
+				return
+			}
+			seq++
+			id := fmt.Sprintf("%04x%012x", i, seq)
+			r := relays[pick.IntN(len(relays))]
+			res.Messages[id] = &Record{Relay: r.i, Destination: i, Due: sim.Now() + world.Time(d.TimeLeft)}
+			post(r, wrenford.Request{ID: id, Destination: i, Class: d.Class, TimeLeft: d.TimeLeft, Size: 100})
+			sim.After(time.Duration(arrivals.ExpFloat64()/dest.Rate*1e9), world.Any, next)
+		}
+		sim.At(0, world.Any, next)
+	}
+	for _, r := range relays {
+		post(r, wrenford.Woken{})
+	}
+	sim.Run(world.Time(d.Length + 10*d.TimeLeft))
+	res.Events = sim.Events()
+	return res, nil
+}
--- /dev/null
+++ b/internal/lab/world/play/play_test.go
@@ -0,0 +1,86 @@
+package play
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"wrenford"
+	"wrenford/internal/lab/world"
+	"wrenford/internal/lab/world/model"
+)
+
+func day(seed uint64) Day {
+	set := wrenford.Settings{
+		Classes:    []wrenford.Class{{Name: "slot", Aim: time.Second, Deadline: 5 * time.Second, Worth: 3}},
+		Kinds:      []wrenford.Kind{{Name: "partner"}},
+		Resolution: 5 * time.Millisecond, MaxCalls: 40, MaxOpen: 400, MaxAttempts: 8, ConnectTimeout: time.Second,
+		KeepAlive: 5 * time.Second, RetryAfter: true, MaxRetryAfter: 3 * time.Second,
+		Safety: wrenford.Safety{StartCapacity: 0.23, Cold: 13 * time.Second, FallMultiple: 1.5, TipAfter: 1500 * time.Millisecond},
+	}
+	d := Day{Seed: seed, Relays: 3, Settings: set, Length: 30 * time.Second, Class: "slot", TimeLeft: 5 * time.Second}
+	for i := range 20 {
+		dest := Destination{Servers: 4, Work: 200 * time.Millisecond, Rate: 3,
+			Limit: model.Bucket{Rate: 4, Burst: 4, Tells: true}}
+		if i%5 == 0 { // an outage with a cold return
+			dest.Health = model.Health{StartShare: 0.25, Cold: 5 * time.Second,
+				Spells: []model.Spell{{From: world.Time(10 * time.Second), To: world.Time(15 * time.Second), State: model.Down}}}
+		}
+		d.Destinations = append(d.Destinations, dest)
+	}
+	return d
+}
+
+func summary(r Result) string {
+	ids := slices.Sorted(maps.Keys(r.Messages))
+	var delivered, sends int
+	for _, id := range ids {
+		m := r.Messages[id]
+		sends += m.Sends
+		if m.Delivered {
+			delivered++
+		}
+	}
+	return fmt.Sprintf("%d messages, %d delivered, %d sends, %d events", len(ids), delivered, sends, r.Events)
+}
+
+// Every message handed in gets exactly one final answer before its time is up, and nothing is sent after it.
+// The module decides; these records come from the clients' and servers' side.
+func TestEveryMessageEndsOnce(t *testing.T) {
+	r, err := Play(day(3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const slack = world.Time(20 * time.Millisecond)
+	delivered := 0
+	for id, m := range r.Messages {
+		if m.Ends != 1 || m.EndedAt > m.Due+slack || m.SentAfterEnd {
+			t.Fatalf("message %s: %+v", id, m)
+		}
+		if m.Delivered {
+			delivered++
+		}
+	}
+	if len(r.Messages) < 1000 || delivered < len(r.Messages)/2 {
+		t.Fatalf("%s: too little was played or served", summary(r))
+	}
+	t.Log(summary(r))
+}
+
+// The same seed gives the same day.
+func TestSameSeedSameDay(t *testing.T) {
+	a, err := Play(day(5))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, _ := Play(day(5))
+	c, _ := Play(day(6))
+	if summary(a) != summary(b) {
+		t.Fatalf("%s, then %s", summary(a), summary(b))
+	}
+	if summary(a) == summary(c) {
+		t.Fatalf("another seed gave the same day: %s", summary(a))
+	}
+}
