Judge told waits in the laboratory, and catch a planted defect that ignores them

play records, for each relay and destination, the waits that answers told, from the step that brought them (its own sends excused, as the rule says), and marks a send before the end.

--- a/internal/lab/world/play/play.go
+++ b/internal/lab/world/play/play.go
@@ -22,8 +22,15 @@
 	Rate    float64 // messages a second that clients hand in for it, over all relays
 }
 
+// Decider is what steps for a relay: the real module, or in tests a planted defect around it.
+type Decider interface {
+	Step(now time.Duration, events []wrenford.Event) []wrenford.Action
+}
+
 // Day is what is played.
 type Day struct {
+	// Mutate wraps each relay's module, for tests that plant a defect; nil plays the module as it is.
+	Mutate       func(*wrenford.Sender) Decider
 	Seed         uint64
 	Relays       int
 	Settings     wrenford.Settings // of every relay; Peers is set to Relays
@@ -38,6 +45,7 @@
 	Relay, Destination int
 	Sends, Ends        int  // sends to servers; final answers given
 	SentAfterEnd       bool // a send came after the message had ended
+	SentInWait         bool // a send went to a destination that had told this relay to wait, before the wait was over
 	Delivered          bool
 	EndedAt, Due       world.Time
 }
@@ -55,7 +63,8 @@
 
 type relay struct {
 	i       int
-	s       *wrenford.Sender
+	s       Decider
+	waits   map[int]world.Time // by destination: told to wait until
 	pending []wrenford.Event
 	stepAt  world.Time // of the step that is scheduled; -1 for none
 	last    world.Time
@@ -77,7 +86,11 @@
 		if err != nil {
 			return res, fmt.Errorf("play: %w", err)
 		}
-		relays[i] = &relay{i: i, s: s, stepAt: -1, last: -world.Time(set.Resolution)}
+		var decider Decider = s
+		if d.Mutate != nil {
+			decider = d.Mutate(s)
+		}
+		relays[i] = &relay{i: i, s: decider, waits: map[int]world.Time{}, stepAt: -1, last: -world.Time(set.Resolution)}
 		relays[i].pending = append(relays[i].pending, wrenford.Members{Whole: true, Endpoints: eps})
 	}
 	servers := make([]*model.FIFO, len(d.Destinations))
@@ -116,6 +129,10 @@
 				attempt := attempts[a.ID]
 				attempts[a.ID]++
 				dest := rec.Destination
+				// What the reply to the step that brought the wait sends is excused; later steps are not.
+				if sim.Now() < r.waits[dest] {
+					rec.SentInWait = true
+				}
 				state, share := d.Destinations[dest].Health.At(sim.Now())
 				answer := func(after time.Duration, o wrenford.Outcome) {
 					o.ID, o.Attempt, o.Endpoint, o.Latency = a.ID, attempt, a.Endpoint, after
@@ -164,6 +181,13 @@
 				sim.At(at, kindStep, func() { post(r, wrenford.Woken{}) })
 			}
 		}
+		// A wait runs from the step that brought it; what that step sent is excused.
+		for _, ev := range events {
+			if o, ok := ev.(wrenford.Outcome); ok && o.Status == wrenford.Full && o.Wait > 0 {
+				dest := res.Messages[o.ID].Destination
+				r.waits[dest] = max(r.waits[dest], sim.Now()+world.Time(o.Wait))
+			}
+		}
 	}
 	for i, dest := range d.Destinations {
 		work[i] = sim.Stream(fmt.Sprint("work ", i))
--- a/internal/lab/world/play/play_test.go
+++ b/internal/lab/world/play/play_test.go
@@ -84,3 +84,50 @@
 		t.Fatalf("another seed gave the same day: %s", summary(a))
 	}
 }
+
+// hasty is a planted defect: a call that was told to wait goes again at the next step, wait or not.
+type hasty struct {
+	s     *wrenford.Sender
+	again []wrenford.Send
+}
+
+func (h *hasty) Step(now time.Duration, events []wrenford.Event) []wrenford.Action {
+	acts := h.s.Step(now, events)
+	for _, a := range h.again {
+		acts = append(acts, a)
+	}
+	h.again = nil
+	for _, ev := range events {
+		if o, ok := ev.(wrenford.Outcome); ok && o.Status == wrenford.Full && o.Wait > 0 {
+			h.again = append(h.again, wrenford.Send{ID: o.ID, Endpoint: o.Endpoint})
+		}
+	}
+	return acts
+}
+
+// The real module keeps the waits it is told; a module that forgets them is caught.
+func TestWaitsAreKept(t *testing.T) {
+	count := func(d Day) (inWait int) {
+		r, err := Play(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range r.Messages {
+			if m.SentInWait {
+				inWait++
+			}
+		}
+		return inWait
+	}
+	tight := day(3)
+	for i := range tight.Destinations {
+		tight.Destinations[i].Rate = 8 // twice the limit: waits are told all day
+	}
+	if n := count(tight); n != 0 {
+		t.Fatalf("the module sent %d messages into told waits", n)
+	}
+	tight.Mutate = func(s *wrenford.Sender) Decider { return &hasty{s: s} }
+	if n := count(tight); n == 0 {
+		t.Fatal("a module that goes again into a told wait was not caught")
+	}
+}
