--- a/internal/lab/world/play/play_test.go
+++ b/internal/lab/world/play/play_test.go
@@ -153,3 +153,52 @@
 		}
 	}
 }
+
+// relentless is a planted defect: whatever did not go through goes again at the next step, without end.
+type relentless struct {
+	s     *wrenford.Sender
+	again []wrenford.Send
+	sent  map[string]int
+}
+
+func (r *relentless) Step(now time.Duration, events []wrenford.Event) []wrenford.Action {
+	acts := r.s.Step(now, events)
+	for _, a := range r.again {
+		acts = append(acts, a)
+	}
+	r.again = nil
+	for _, ev := range events {
+		if o, ok := ev.(wrenford.Outcome); ok && o.Status != wrenford.OK && r.sent[o.ID] < 50 {
+			r.sent[o.ID]++
+			r.again = append(r.again, wrenford.Send{ID: o.ID, Endpoint: o.Endpoint})
+		}
+	}
+	return acts
+}
+
+// The module keeps to its most attempts a message; one that retries without bound is caught.
+func TestAttemptsAreBounded(t *testing.T) {
+	over := func(d Day) (n int) {
+		r, err := Play(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range r.Messages {
+			if m.Sends > d.Settings.MaxAttempts {
+				n++
+			}
+		}
+		return n
+	}
+	tight := day(4)
+	for i := range tight.Destinations {
+		tight.Destinations[i].Rate = 8
+	}
+	if n := over(tight); n != 0 {
+		t.Fatalf("%d messages had more than the most attempts", n)
+	}
+	tight.Mutate = func(s *wrenford.Sender) Decider { return &relentless{s: s, sent: map[string]int{}} }
+	if n := over(tight); n == 0 {
+		t.Fatal("a module that retries without bound was not caught")
+	}
+}
