Drains in the laboratory: told to every relay, judged after the grace, a deaf module caught

The real module sent nothing past the grace to five draining endpoints; a wrapper that drops news of the list is caught.

--- a/internal/lab/world/play/play.go
+++ b/internal/lab/world/play/play.go
@@ -39,14 +39,25 @@
 	Length       time.Duration // of the hand-ins; the day runs on until all has ended
 	Class        string        // of every message
 	TimeLeft     time.Duration
+	Drains       []Drain // discovery tells every relay that an endpoint drains
 }
 
+// Drain is a destination's endpoint told as draining, at a time: nothing new may go to it after the grace.
+type Drain struct {
+	Destination int
+	At          world.Time
+}
+
+// DrainGrace is how long after the telling a send to a draining endpoint is still allowed.
+const DrainGrace = 2 * time.Second
+
 // Record is what one message met.
 type Record struct {
 	Relay, Destination int
 	Sends, Ends        int  // sends to servers; final answers given
 	SentAfterEnd       bool // a send came after the message had ended
 	SentInWait         bool // a send went to a destination that had told this relay to wait, before the wait was over
+	SentDrained        bool // a send went to an endpoint later than the grace after its drain was told
 	Delivered          bool
 	EndedAt, Due       world.Time
 }
@@ -115,6 +126,7 @@
 		over    *bool // the relay stopped waiting: its time-out came first
 	}
 	calls := map[int]call{}
+	drained := map[int]world.Time{} // by destination: when its endpoint's drain was told
 	nextCall := 0
 	attempts := map[string]int{}
 	step = func(r *relay) {
@@ -132,6 +144,9 @@
 				attempt := attempts[a.ID]
 				attempts[a.ID]++
 				dest := rec.Destination
+				if at, ok := drained[dest]; ok && sim.Now() > at+world.Time(DrainGrace) {
+					rec.SentDrained = true
+				}
 				// What the reply to the step that brought the wait sends is excused; later steps are not.
 				if sim.Now() < r.waits[dest] {
 					rec.SentInWait = true
@@ -228,6 +243,18 @@
 		}
 		sim.At(0, world.Any, next)
 	}
+	for _, dr := range d.Drains {
+		sim.At(dr.At, kindServer, func() {
+			if _, ok := drained[dr.Destination]; !ok {
+				drained[dr.Destination] = sim.Now()
+			}
+			row := eps[dr.Destination]
+			row.State = wrenford.Draining
+			for _, r := range relays {
+				post(r, wrenford.Members{Endpoints: []wrenford.Endpoint{row}})
+			}
+		})
+	}
 	for _, r := range relays {
 		post(r, wrenford.Woken{})
 	}
--- a/internal/lab/world/play/play_test.go
+++ b/internal/lab/world/play/play_test.go
@@ -202,3 +202,44 @@
 		t.Fatal("a module that retries without bound was not caught")
 	}
 }
+
+// deaf is a planted defect: the module never hears that an endpoint drains.
+type deaf struct{ s *wrenford.Sender }
+
+func (d deaf) Step(now time.Duration, events []wrenford.Event) []wrenford.Action {
+	kept := events[:0:0]
+	for _, ev := range events {
+		if m, ok := ev.(wrenford.Members); ok && !m.Whole {
+			continue
+		}
+		kept = append(kept, ev)
+	}
+	return d.s.Step(now, kept)
+}
+
+// Nothing new goes to a draining endpoint after the grace; a module that does not hear of drains is caught.
+func TestDrainsAreKept(t *testing.T) {
+	sentDrained := func(d Day) (n int) {
+		r, err := Play(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range r.Messages {
+			if m.SentDrained {
+				n++
+			}
+		}
+		return n
+	}
+	d := day(7)
+	for i := range 5 {
+		d.Drains = append(d.Drains, Drain{Destination: i, At: world.Time(8 * time.Second)})
+	}
+	if n := sentDrained(d); n != 0 {
+		t.Fatalf("%d messages went to draining endpoints after the grace", n)
+	}
+	d.Mutate = func(s *wrenford.Sender) Decider { return deaf{s} }
+	if n := sentDrained(d); n == 0 {
+		t.Fatal("a module that forgets drains was not caught")
+	}
+}
