Payments that may have run are judged in the laboratory; a doubling module is caught

A call may have run once the server has it (not turned away), or once it went to a silent machine; play marks any later send of a message whose class must never take effect twice.

--- a/internal/lab/world/play/play.go
+++ b/internal/lab/world/play/play.go
@@ -58,6 +58,8 @@
 	SentAfterEnd       bool // a send came after the message had ended
 	SentInWait         bool // a send went to a destination that had told this relay to wait, before the wait was over
 	SentDrained        bool // a send went to an endpoint later than the grace after its drain was told
+	MayHaveRun         bool // a call of it may have taken effect: it was served, or left without an answer
+	SentAfterRun       bool // a send came after that, where the class must never take effect twice
 	Delivered          bool
 	EndedAt, Due       world.Time
 }
@@ -127,6 +129,10 @@
 	}
 	calls := map[int]call{}
 	drained := map[int]world.Time{} // by destination: when its endpoint's drain was told
+	unsafe := false
+	for _, c := range set.Classes {
+		unsafe = unsafe || c.Name == d.Class && c.Effect == wrenford.Unsafe
+	}
 	nextCall := 0
 	attempts := map[string]int{}
 	step = func(r *relay) {
@@ -144,6 +150,9 @@
 				attempt := attempts[a.ID]
 				attempts[a.ID]++
 				dest := rec.Destination
+				if rec.MayHaveRun && unsafe {
+					rec.SentAfterRun = true
+				}
 				if at, ok := drained[dest]; ok && sim.Now() > at+world.Time(DrainGrace) {
 					rec.SentDrained = true
 				}
@@ -159,7 +168,8 @@
 				switch ok, wait := d.Destinations[dest].Limit.Take(sim.Now()); {
 				case state == model.Down:
 					answer(time.Millisecond, wrenford.Outcome{Status: wrenford.ConnectFailed})
-				case state == model.Silent:
+				case state == model.Silent: // the call reached a machine that says nothing: it may have run
+					rec.MayHaveRun = true
 					answer(max(a.TimeOut, time.Millisecond), wrenford.Outcome{Status: wrenford.TimedOut})
 				case !ok:
 					answer(time.Millisecond, wrenford.Outcome{Status: wrenford.Full, Wait: wait})
@@ -182,6 +192,9 @@
 					})
 					w := time.Duration(work[dest].ExpFloat64() * float64(d.Destinations[dest].Work) / max(share, 0.01))
 					servers[dest].Arrive(n, w)
+					if _, in := calls[n]; in { // not turned away: it may run, whatever the relay hears
+						rec.MayHaveRun = true
+					}
 				}
 			case wrenford.Refuse, wrenford.Fail:
 				id := fmt.Sprint(a)
--- a/internal/lab/world/play/play_test.go
+++ b/internal/lab/world/play/play_test.go
@@ -243,3 +243,53 @@
 		t.Fatal("a module that forgets drains was not caught")
 	}
 }
+
+// doubling is a planted defect: a payment whose call got no answer is sent once more.
+type doubling struct {
+	s     *wrenford.Sender
+	again []wrenford.Send
+}
+
+func (d *doubling) Step(now time.Duration, events []wrenford.Event) []wrenford.Action {
+	acts := d.s.Step(now, events)
+	for _, a := range d.again {
+		acts = append(acts, a)
+	}
+	d.again = nil
+	for _, ev := range events {
+		if o, ok := ev.(wrenford.Outcome); ok && o.Status == wrenford.TimedOut {
+			d.again = append(d.again, wrenford.Send{ID: o.ID, Endpoint: o.Endpoint})
+		}
+	}
+	return acts
+}
+
+// A payment that may have run is never sent again; a module that sends it again is caught.
+func TestPaymentsRunOnce(t *testing.T) {
+	doubled := func(d Day) (n int) {
+		r, err := Play(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range r.Messages {
+			if m.SentAfterRun {
+				n++
+			}
+		}
+		return n
+	}
+	d := day(8)
+	d.Settings.Classes = []wrenford.Class{{Name: "pay", Effect: wrenford.Unsafe, Aim: 4 * time.Second, Deadline: 28 * time.Second, Worth: 1}}
+	d.Class, d.TimeLeft = "pay", 28*time.Second
+	for i := range 5 { // silent machines: calls that reach them may have run
+		d.Destinations[i].Health = model.Health{StartShare: 0.25, Cold: 5 * time.Second,
+			Spells: []model.Spell{{From: world.Time(8 * time.Second), To: world.Time(16 * time.Second), State: model.Silent}}}
+	}
+	if n := doubled(d); n != 0 {
+		t.Fatalf("%d payments were sent again after they may have run", n)
+	}
+	d.Mutate = func(s *wrenford.Sender) Decider { return &doubling{s: s} }
+	if n := doubled(d); n == 0 {
+		t.Fatal("a module that doubles payments was not caught")
+	}
+}
