--- a/internal/lab/world/play/play_test.go
+++ b/internal/lab/world/play/play_test.go
@@ -293,3 +293,16 @@
 		t.Fatal("a module that doubles payments was not caught")
 	}
 }
+
+// BenchmarkDay plays the test day and reports the events it ran a second of the machine's time.
+func BenchmarkDay(b *testing.B) {
+	var events uint64
+	for i := range b.N {
+		r, err := Play(day(uint64(i)))
+		if err != nil {
+			b.Fatal(err)
+		}
+		events += r.Events
+	}
+	b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+}
