One planted-defect wrapper and one check for the laboratory's four mutants

Seen in review: hasty, relentless and doubling were the same wrapper three times with another condition, and each test repeated the same play-and-count (21 lines alike, and nine runs more). Now resending takes the condition and caught plays the real module (no message marked) and the defect (some marked).

--- a/internal/lab/world/play/play_test.go
+++ b/internal/lab/world/play/play_test.go
@@ -86,121 +86,27 @@
 	}
 }
 
-// hasty is a planted defect: a call that was told to wait goes again at the next step, wait or not.
-type hasty struct {
+// resending is a planted defect around the real module: an outcome that pleases it sends that message again at
+// the next step, whatever the module would do.
+type resending struct {
 	s     *wrenford.Sender
-	again []wrenford.Send
+	when  func(wrenford.Outcome) bool
+	again []wrenford.Action
 }
 
-func (h *hasty) Step(now time.Duration, events []wrenford.Event) []wrenford.Action {
-	acts := h.s.Step(now, events)
-	for _, a := range h.again {
-		acts = append(acts, a)
-	}
-	h.again = nil
-	for _, ev := range events {
-		if o, ok := ev.(wrenford.Outcome); ok && o.Status == wrenford.Full && o.Wait > 0 {
-			h.again = append(h.again, wrenford.Send{ID: o.ID, Endpoint: o.Endpoint})
-		}
-	}
-	return acts
-}
-
-// The real module keeps the waits it is told; a module that forgets them is caught.
-func TestWaitsAreKept(t *testing.T) {
-	count := func(d Day) (inWait int) {
-		r, err := Play(d)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, m := range r.Messages {
-			if m.SentInWait {
-				inWait++
-			}
-		}
-		return inWait
-	}
-	tight := day(3)
-	for i := range tight.Destinations {
-		tight.Destinations[i].Rate = 8 // twice the limit: waits are told all day
-	}
-	if n := count(tight); n != 0 {
-		t.Fatalf("the module sent %d messages into told waits", n)
-	}
-	tight.Mutate = func(s *wrenford.Sender) Decider { return &hasty{s: s} }
-	if n := count(tight); n == 0 {
-		t.Fatal("a module that goes again into a told wait was not caught")
-	}
-}
-
-// Days played side by side give what each gives alone: the same records at 1 and 4 workers.
-func TestWorkers(t *testing.T) {
-	var days []Day
-	for seed := range uint64(6) {
-		days = append(days, day(seed))
-	}
-	one, err := Many(days, 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	four, err := Many(days, 4)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for i := range days {
-		if !reflect.DeepEqual(one[i], four[i]) {
-			t.Fatalf("day %d: %s alone, %s beside others", i, summary(one[i]), summary(four[i]))
-		}
-	}
-}
-
-// relentless is a planted defect: whatever did not go through goes again at the next step, without end.
-type relentless struct {
-	s     *wrenford.Sender
-	again []wrenford.Send
-	sent  map[string]int
-}
-
-func (r *relentless) Step(now time.Duration, events []wrenford.Event) []wrenford.Action {
-	acts := r.s.Step(now, events)
-	for _, a := range r.again {
-		acts = append(acts, a)
-	}
+func (r *resending) Step(now time.Duration, events []wrenford.Event) []wrenford.Action {
+	acts := append(r.s.Step(now, events), r.again...)
 	r.again = nil
 	for _, ev := range events {
-		if o, ok := ev.(wrenford.Outcome); ok && o.Status != wrenford.OK && r.sent[o.ID] < 50 {
-			r.sent[o.ID]++
+		if o, ok := ev.(wrenford.Outcome); ok && r.when(o) {
 			r.again = append(r.again, wrenford.Send{ID: o.ID, Endpoint: o.Endpoint})
 		}
 	}
 	return acts
 }
 
-// The module keeps to its most attempts a message; one that retries without bound is caught.
-func TestAttemptsAreBounded(t *testing.T) {
-	over := func(d Day) (n int) {
-		r, err := Play(d)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, m := range r.Messages {
-			if m.Sends > d.Settings.MaxAttempts {
-				n++
-			}
-		}
-		return n
-	}
-	tight := day(4)
-	for i := range tight.Destinations {
-		tight.Destinations[i].Rate = 8
-	}
-	if n := over(tight); n != 0 {
-		t.Fatalf("%d messages had more than the most attempts", n)
-	}
-	tight.Mutate = func(s *wrenford.Sender) Decider { return &relentless{s: s, sent: map[string]int{}} }
-	if n := over(tight); n == 0 {
-		t.Fatal("a module that retries without bound was not caught")
-	}
+func resend(when func(wrenford.Outcome) bool) func(*wrenford.Sender) Decider {
+	return func(s *wrenford.Sender) Decider { return &resending{s: s, when: when} }
 }
 
 // deaf is a planted defect: the module never hears that an endpoint drains.
@@ -209,75 +115,69 @@
 func (d deaf) Step(now time.Duration, events []wrenford.Event) []wrenford.Action {
 	kept := events[:0:0]
 	for _, ev := range events {
-		if m, ok := ev.(wrenford.Members); ok && !m.Whole {
-			continue
+		if m, ok := ev.(wrenford.Members); !ok || m.Whole {
+			kept = append(kept, ev)
 		}
-		kept = append(kept, ev)
 	}
 	return d.s.Step(now, kept)
 }
 
-// Nothing new goes to a draining endpoint after the grace; a module that does not hear of drains is caught.
-func TestDrainsAreKept(t *testing.T) {
-	sentDrained := func(d Day) (n int) {
+// caught plays a day with the real module, which must mark no message, and with a planted defect, which must.
+func caught(t *testing.T, d Day, mark func(*Record) bool, defect func(*wrenford.Sender) Decider) {
+	t.Helper()
+	marked := func(d Day) (n int) {
 		r, err := Play(d)
 		if err != nil {
 			t.Fatal(err)
 		}
 		for _, m := range r.Messages {
-			if m.SentDrained {
+			if mark(m) {
 				n++
 			}
 		}
 		return n
 	}
-	d := day(7)
-	for i := range 5 {
-		d.Drains = append(d.Drains, Drain{Destination: i, At: world.Time(8 * time.Second)})
+	if n := marked(d); n != 0 {
+		t.Fatalf("the module itself broke the rule for %d messages", n)
 	}
-	if n := sentDrained(d); n != 0 {
-		t.Fatalf("%d messages went to draining endpoints after the grace", n)
+	if d.Mutate = defect; marked(d) == 0 {
+		t.Fatal("the planted defect was not caught")
 	}
-	d.Mutate = func(s *wrenford.Sender) Decider { return deaf{s} }
-	if n := sentDrained(d); n == 0 {
-		t.Fatal("a module that forgets drains was not caught")
+}
+
+// tight is the test day with every destination offered twice its limit: waits are told all day.
+func tight(seed uint64) Day {
+	d := day(seed)
+	for i := range d.Destinations {
+		d.Destinations[i].Rate = 8
 	}
+	return d
 }
 
-// doubling is a planted defect: a payment whose call got no answer is sent once more.
-type doubling struct {
-	s     *wrenford.Sender
-	again []wrenford.Send
+// Told waits are kept; a module that sends a call again into the wait it was told is caught.
+func TestWaitsAreKept(t *testing.T) {
+	caught(t, tight(3), func(m *Record) bool { return m.SentInWait },
+		resend(func(o wrenford.Outcome) bool { return o.Status == wrenford.Full && o.Wait > 0 }))
 }
 
-func (d *doubling) Step(now time.Duration, events []wrenford.Event) []wrenford.Action {
-	acts := d.s.Step(now, events)
-	for _, a := range d.again {
-		acts = append(acts, a)
-	}
-	d.again = nil
-	for _, ev := range events {
-		if o, ok := ev.(wrenford.Outcome); ok && o.Status == wrenford.TimedOut {
-			d.again = append(d.again, wrenford.Send{ID: o.ID, Endpoint: o.Endpoint})
-		}
+// The most attempts a message are kept; a module that retries whatever failed, without end, is caught.
+func TestAttemptsAreBounded(t *testing.T) {
+	d := tight(4)
+	caught(t, d, func(m *Record) bool { return m.Sends > d.Settings.MaxAttempts },
+		resend(func(o wrenford.Outcome) bool { return o.Status != wrenford.OK }))
+}
+
+// Nothing new goes to a draining endpoint after the grace; a module that does not hear of drains is caught.
+func TestDrainsAreKept(t *testing.T) {
+	d := day(7)
+	for i := range 5 {
+		d.Drains = append(d.Drains, Drain{Destination: i, At: world.Time(8 * time.Second)})
 	}
-	return acts
+	caught(t, d, func(m *Record) bool { return m.SentDrained }, func(s *wrenford.Sender) Decider { return deaf{s} })
 }
 
-// A payment that may have run is never sent again; a module that sends it again is caught.
+// A payment that may have run is never sent again; a module that resends what got no answer is caught.
 func TestPaymentsRunOnce(t *testing.T) {
-	doubled := func(d Day) (n int) {
-		r, err := Play(d)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, m := range r.Messages {
-			if m.SentAfterRun {
-				n++
-			}
-		}
-		return n
-	}
 	d := day(8)
 	d.Settings.Classes = []wrenford.Class{{Name: "pay", Effect: wrenford.Unsafe, Aim: 4 * time.Second, Deadline: 28 * time.Second, Worth: 1}}
 	d.Class, d.TimeLeft = "pay", 28*time.Second
@@ -285,12 +185,28 @@
 		d.Destinations[i].Health = model.Health{StartShare: 0.25, Cold: 5 * time.Second,
 			Spells: []model.Spell{{From: world.Time(8 * time.Second), To: world.Time(16 * time.Second), State: model.Silent}}}
 	}
-	if n := doubled(d); n != 0 {
-		t.Fatalf("%d payments were sent again after they may have run", n)
+	caught(t, d, func(m *Record) bool { return m.SentAfterRun },
+		resend(func(o wrenford.Outcome) bool { return o.Status == wrenford.TimedOut }))
+}
+
+// Days played side by side give what each gives alone: the same records at 1 and 4 workers.
+func TestWorkers(t *testing.T) {
+	var days []Day
+	for seed := range uint64(6) {
+		days = append(days, day(seed))
 	}
-	d.Mutate = func(s *wrenford.Sender) Decider { return &doubling{s: s} }
-	if n := doubled(d); n == 0 {
-		t.Fatal("a module that doubles payments was not caught")
+	one, err := Many(days, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	four, err := Many(days, 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range days {
+		if !reflect.DeepEqual(one[i], four[i]) {
+			t.Fatalf("day %d: %s alone, %s beside others", i, summary(one[i]), summary(four[i]))
+		}
 	}
 }
 
