Test that a ban read at the start holds from the first step

The test starts a relay with m1 banned and hands in four messages: all go to m2. With Config.Banned ignored it fails. The tests' settings move into settingsForTest, shared with start.

--- a/internal/relay/ban_test.go
+++ b/internal/relay/ban_test.go
@@ -62,3 +62,23 @@
 		t.Fatalf("after the bans changed over, sent to %v", sent)
 	}
 }
+
+// A ban read from the state folder at the start holds from the first step on, before any news of the pool.
+func TestBanFromTheStart(t *testing.T) {
+	w := &world{}
+	r, err := New(Config{Settings: settingsForTest(), MostBytes: 1 << 20, Store: w, Flows: w, Notices: w,
+		Banned: map[string]bool{"m1": true}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Start(known, nil, nil, nil)
+	now := r.origin.Add(10 * time.Millisecond)
+	for i := range 4 {
+		id := string(rune('a' + i))
+		hand(t, r, now, transaction(id, "slot", now.Add(5*time.Second)))
+		if m := w.last().Member; m != "m2" {
+			t.Fatalf("%s went to %s, banned since the start", id, m)
+		}
+		r.step(now, []any{traffic.FlowEnd{ID: id, Member: "m2", Status: traffic.Delivered}})
+	}
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -45,14 +45,7 @@
 func start(t *testing.T, open ...traffic.Open) (*Relay, *world, time.Time) {
 	t.Helper()
 	w := &world{}
-	r, err := New(Config{Settings: wrenford.Settings{
-		Classes: []wrenford.Class{
-			{Name: "pay", Effect: wrenford.Keyed, Memory: 15 * time.Second, Aim: 4 * time.Second, Deadline: 28 * time.Second, Worth: 1},
-			{Name: "slot", Aim: time.Second, Deadline: 5 * time.Second, Worth: 3}},
-		Kinds: []wrenford.Kind{{Name: "partner"}}, Peers: 1, Resolution: 5 * time.Millisecond, MaxCalls: 4, MaxOpen: 6,
-		MaxAttempts: 3, ConnectTimeout: time.Second, KeepAlive: 5 * time.Second, RetryAfter: true,
-		MaxRetryAfter: 3 * time.Second, Safety: wrenford.Safety{StartCapacity: 0.2, Cold: 10 * time.Second,
-			FallMultiple: 2, TipAfter: 2 * time.Second}}, MostBytes: 1 << 20, Store: w, Flows: w, Notices: w})
+	r, err := New(Config{Settings: settingsForTest(), MostBytes: 1 << 20, Store: w, Flows: w, Notices: w})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -299,3 +292,14 @@
 		t.Errorf("told again: %v", got)
 	}
 }
+
+func settingsForTest() wrenford.Settings {
+	return wrenford.Settings{
+		Classes: []wrenford.Class{
+			{Name: "pay", Effect: wrenford.Keyed, Memory: 15 * time.Second, Aim: 4 * time.Second, Deadline: 28 * time.Second, Worth: 1},
+			{Name: "slot", Aim: time.Second, Deadline: 5 * time.Second, Worth: 3}},
+		Kinds: []wrenford.Kind{{Name: "partner"}}, Peers: 1, Resolution: 5 * time.Millisecond, MaxCalls: 4, MaxOpen: 6,
+		MaxAttempts: 3, ConnectTimeout: time.Second, KeepAlive: 5 * time.Second, RetryAfter: true,
+		MaxRetryAfter: 3 * time.Second, Safety: wrenford.Safety{StartCapacity: 0.2, Cold: 10 * time.Second,
+			FallMultiple: 2, TipAfter: 2 * time.Second}}
+}
