Decide what relays may learn from each other, and how news spreads, without I/O

Change: internal/verdicts (statements, a book that merges them as a least upper bound, a judge with accounts and agreement, the wording of a relay's own), internal/spread (two hops, comparison of books, lateness, budget), internal/fleet/wire (protobuf behind a byte of version), internal/lab/world/gossip (the same code over modelled links).

--- /dev/null
+++ b/internal/fleet/wire/wire_test.go
@@ -0,0 +1,73 @@
+package wire
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wrenford/internal/cuts"
+	"wrenford/internal/spread"
+	"wrenford/internal/verdicts"
+)
+
+func drawn(t *rapid.T) spread.Packet {
+	us := func(name string) time.Duration {
+		return time.Duration(rapid.Int64Range(0, 3600e6).Draw(t, name)) * time.Microsecond
+	}
+	p := spread.Packet{From: rapid.StringN(1, 20, 100).Draw(t, "from"), Incarnation: rapid.Uint64().Draw(t, "incarnation"), Uptime: us("uptime"),
+		Count: rapid.Uint64Min(1).Draw(t, "count"), Salt: rapid.Uint64().Draw(t, "salt"), Groups: 9, Group: rapid.IntRange(0, 8).Draw(t, "group"),
+		Ask: rapid.Bool().Draw(t, "ask"), Known: rapid.Uint64().Draw(t, "known")}
+	if p.Ask {
+		p.Summary[rapid.IntRange(0, len(p.Summary)-1).Draw(t, "part")] = rapid.Uint32().Draw(t, "hash")
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "news") {
+		p.News = append(p.News, verdicts.Statement{Origin: rapid.StringN(1, 20, 100).Draw(t, "origin"),
+			Version: verdicts.Version{Incarnation: rapid.Uint64().Draw(t, "i"), Seq: rapid.Uint64().Draw(t, "seq")},
+			Subject: verdicts.Subject{Kind: verdicts.Kind(rapid.Byte().Draw(t, "kind")), Destination: int(rapid.Int32().Draw(t, "dest")), Member: rapid.String().Draw(t, "member")},
+			Over:    rapid.Bool().Draw(t, "over"), Length: us("length"), List: rapid.Int64().Draw(t, "list"), Age: us("age"), Life: us("life")})
+	}
+	return p
+}
+
+// What is encoded is decoded the same, and its size is told before.
+func TestRoundTrip(t *testing.T) {
+	cuts.Check(t, func(t *rapid.T) {
+		p := drawn(t)
+		b, err := Append(nil, &p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(b)+Sealing != Size(&p) {
+			t.Errorf("%d bytes, told as %d", len(b)+Sealing, Size(&p))
+		}
+		if got, err := Decode(b); err != nil || !reflect.DeepEqual(got, p) {
+			t.Errorf("%v\n%+v\n%+v", err, got, p)
+		}
+	})
+}
+
+// Whatever comes, a packet is refused whole or makes sense; another version is told from garbage.
+func TestGarbage(t *testing.T) {
+	cuts.Check(t, func(t *rapid.T) {
+		p := drawn(t)
+		b, _ := Append(nil, &p)
+		b = cuts.Garbage(t, b)
+		got, err := Decode(b)
+		if err == nil && (got.From == "" || got.Count == 0 || got.Groups > 0 && got.Group >= got.Groups || len(got.News) > MostNews) {
+			t.Errorf("taken: %+v", got)
+		}
+		book := verdicts.NewBook()
+		for _, s := range got.News {
+			book.Merge(0, s)
+		}
+	})
+	if _, err := Decode([]byte{Version + 1, 1, 2}); !errors.Is(err, ErrVersion) {
+		t.Errorf("another version: %v", err)
+	}
+	if _, err := Decode(nil); !errors.Is(err, ErrForm) {
+		t.Errorf("nothing: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/verdicts/statement.go
@@ -0,0 +1,114 @@
+// Package verdicts decides what relays of one fleet may learn from each other of outside destinations: what a
+// statement says, how statements merge, when they lapse, how many origins must agree, and what one alone may
+// do. It makes no calls, reads no clock and keeps no goroutine: times are those that its caller hands in, all
+// from one monotonic origin, and ages travel instead of times. docs/fleet-verdicts.md says what was weighed.
+package verdicts
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"time"
+)
+
+// Kind is what a statement is about.
+type Kind byte
+
+// The kinds, in the order of their weight: where bytes are short, the lower go first.
+const (
+	Wait   Kind = iota + 1 // a call was turned away and told to wait
+	Health                 // a member is out; Over: it answered again, and was cold from then on
+	Drain                  // discovery says that a member leaves or is gone; Over: it is listed again
+	Ban                    // operators took a member down; Over: they brought it up
+	kinds
+)
+
+var kindNames = [kinds]string{Wait: "wait", Health: "health", Drain: "drain", Ban: "ban"}
+
+func (k Kind) String() string {
+	if !k.Known() {
+		return "unknown"
+	}
+	return kindNames[k]
+}
+
+// Known says whether this build knows the kind. A statement of another is neither merged nor told on.
+func (k Kind) Known() bool { return k > 0 && k < kinds }
+
+// lives bound how long a statement of a kind may hold anything back, whatever life its origin gives it: a relay
+// that hears nothing more decides alone again after that.
+var lives = [kinds]time.Duration{Wait: 60 * time.Second, Health: 15 * time.Second, Drain: 60 * time.Second,
+	Ban: 30 * time.Second}
+
+// Life is the longest life of a statement of the kind. A wait lives for its length.
+func (k Kind) Life() time.Duration {
+	if !k.Known() {
+		return 0
+	}
+	return lives[k]
+}
+
+// Subject is what a statement is about. A wait of a whole destination names no member; one of a route apart does.
+type Subject struct {
+	Kind        Kind
+	Destination int
+	Member      string
+}
+
+func (s Subject) compare(o Subject) int {
+	return cmp.Or(cmp.Compare(s.Kind, o.Kind), cmp.Compare(s.Destination, o.Destination), cmp.Compare(s.Member, o.Member))
+}
+
+// Version orders the statements of one origin: its incarnation counts its starts, the sequence its statements.
+type Version struct{ Incarnation, Seq uint64 }
+
+// Compare orders versions, the older first.
+func (v Version) Compare(o Version) int {
+	return cmp.Or(cmp.Compare(v.Incarnation, o.Incarnation), cmp.Compare(v.Seq, o.Seq))
+}
+
+// Statement is one origin's present word on one subject.
+type Statement struct {
+	Origin string
+	Version
+	Subject
+	Over   bool          // the origin takes it back
+	Length time.Duration // Wait: how long, from when it was told; Health: how long the outage had lasted when this was said
+	List   int64         // Drain: the version of discovery's list that said it
+	Age    time.Duration // since it was said; each hop adds what it held it for
+	Life   time.Duration // it has no effect once it is older; at most Kind.Life
+}
+
+// lapsed says that a statement is over by itself.
+func (s *Statement) lapsed(age time.Duration) bool { return age >= min(s.Life, s.Kind.Life()) }
+
+// tie orders two statements of one version that differ, which only an origin that says one thing here and another
+// there has: what restrains less stands, at every relay alike.
+func (s *Statement) tie(o *Statement) int {
+	less := func(a, b bool) int {
+		if a == b {
+			return 0
+		} else if a {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(less(s.Over, o.Over), cmp.Compare(o.Length, s.Length), cmp.Compare(o.Life, s.Life), cmp.Compare(s.List, o.List))
+}
+
+// hash tells one statement from others, the same at every relay. Its age does not count.
+func (s *Statement) hash() uint64 {
+	h := fnv.New64a()
+	b := make([]byte, 0, 64)
+	for _, x := range [...]uint64{uint64(s.Kind), uint64(s.Destination), s.Incarnation, s.Seq, uint64(s.Length), uint64(s.Life), uint64(s.List)} {
+		b = binary.LittleEndian.AppendUint64(b, x)
+	}
+	if s.Over {
+		b = append(b, 1)
+	}
+	_, _ = h.Write(b)
+	_, _ = h.Write([]byte(s.Member))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(s.Origin))
+	return h.Sum64()
+}
