Give back the connection of a flow that another process's wait ends

Cause: a flow that the shared table of waits ended before its connection was fetched kept what it had been dealt: a busy connection, or leave to open one, for good; a member with two connections was unreachable after two such ends. Change: giveBack; a told wait's group is a typed value (destination, or member of a route apart); the seam for other relays' word (Config.Fleet). Measured: TestHeldElsewhere hangs without the change and passes with it.

--- a/cmd/slatelab/connections.go
+++ b/cmd/slatelab/connections.go
@@ -273,7 +273,7 @@
 		end := make(chan traffic.FlowEnd, 1)
 		id := fmt.Sprint(k.seq.Add(1))
 		k.ends.Store(id, end)
-		k.g.Start(traffic.Flow{ID: id, Member: k.addrs[addr], Group: addr, Body: body, Begun: time.Now(), Deadline: by})
+		k.g.Start(traffic.Flow{ID: id, Member: k.addrs[addr], Group: traffic.Group{Member: addr}, Body: body, Begun: time.Now(), Deadline: by})
 		e := <-end
 		if e.Status == traffic.Unsent && time.Now().Before(by) { // held back, and not sent: the decision module would send it again
 			continue
--- a/internal/flow/bench_test.go
+++ b/internal/flow/bench_test.go
@@ -47,7 +47,7 @@
 	body := make([]byte, 200)
 	b.ReportAllocs()
 	for n := 0; b.Loop(); n++ {
-		g.Start(traffic.Flow{ID: fmt.Sprint(n), Member: "m", Group: "g", Body: body, Begun: time.Now(), Deadline: time.Now().Add(time.Minute)})
+		g.Start(traffic.Flow{ID: fmt.Sprint(n), Member: "m", Body: body, Begun: time.Now(), Deadline: time.Now().Add(time.Minute)})
 		if e := <-ends; e.Status != traffic.Delivered {
 			b.Fatalf("%+v", e)
 		}
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -40,12 +40,22 @@
 	// Shared holds the waits of all processes of this relay: those of a hand-over's other process bind too. Nil
 	// for none.
 	Shared Waits
+	// Fleet is told of each flow's end, and asked before a call is written; nil for a relay alone.
+	Fleet Fleet
 }
 
 // Waits are told waits shared with the other process of a hand-over.
 type Waits interface {
-	Tell(group string, until time.Time)
-	Until(group string, now time.Time) time.Time
+	Tell(group traffic.Group, until time.Time)
+	Until(group traffic.Group, now time.Time) time.Time
+}
+
+// Fleet is what relays tell each other. Nothing of it blocks.
+type Fleet interface {
+	// Ended hears how a flow ended.
+	Ended(traffic.Flow, traffic.FlowEnd)
+	// Held says whether other relays' word holds a group just now.
+	Held(group traffic.Group, now time.Time) bool
 }
 
 // Secure knows which members' connections go over TLS, and makes them.
@@ -75,7 +85,7 @@
 
 	mu      sync.Mutex
 	members map[string]*member
-	waits   map[string]time.Time // by Flow.Group: nothing is written before
+	waits   map[traffic.Group]time.Time // nothing is written before
 	flows   map[flowID]*running
 	opener  *opener
 	dialer  *dialer
@@ -112,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Manager{cfg: cfg, done: done, origin: time.Now(), members: map[string]*member{}, waits: map[string]time.Time{},
+	return &Manager{cfg: cfg, done: done, origin: time.Now(), members: map[string]*member{}, waits: map[traffic.Group]time.Time{},
 		flows: map[flowID]*running{}, opener: newOpener(cfg.Gate, cfg.Busy), dialer: newDialer(cfg.Names), conns: pool, byID: map[conns.ID]*conn{},
 		ahead: map[conns.ID]context.CancelFunc{}, held: map[string][]*waiter{}}, nil
 }
@@ -264,13 +274,21 @@
 		}
 	}
 	g.mu.Unlock()
+	if g.cfg.Fleet != nil {
+		g.cfg.Fleet.Ended(r.Flow, end)
+	}
 	g.done(end)
 }
 
 func (g *Manager) attempt(ctx context.Context, r *running, l lease) traffic.FlowEnd {
 	if end, told := g.toldElsewhere(r); told {
+		g.giveBack(l)
 		return end
 	}
+	if g.barred(r.Group, time.Now()) {
+		g.giveBack(l)
+		return r.end(traffic.Unsent)
+	}
 	c, err := g.get(ctx, r, l)
 	if err == errHeld {
 		return r.end(traffic.Unsent) // by this program itself: the member has nothing to do with it
@@ -331,13 +349,18 @@
 	return end, true
 }
 
+// barred says whether other relays hold a group back.
+func (g *Manager) barred(group traffic.Group, now time.Time) bool {
+	return g.cfg.Fleet != nil && g.cfg.Fleet.Held(group, now)
+}
+
 // mayWrite says whether the first byte may still go out. What held when the flow was queued may not hold
 // once its connection is up: the member may be leaving, a wait told, or the memory of repeats too near its end.
 func (g *Manager) mayWrite(ctx context.Context, r *running) bool {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return ctx.Err() == nil && r.m.open && !now.Before(g.waits[r.Group]) &&
+	return ctx.Err() == nil && r.m.open && !now.Before(g.waits[r.Group]) && !g.barred(r.Group, now) &&
 		(r.WriteBy.IsZero() || now.Before(r.WriteBy.Add(-writeSlack)))
 }
 
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -65,7 +65,7 @@
 }
 
 func (r *rig) start(id string, change ...func(*traffic.Flow)) {
-	f := traffic.Flow{ID: id, Member: "m", Group: "g", Key: "k", Body: []byte("body"), Begun: time.Now(),
+	f := traffic.Flow{ID: id, Member: "m", Key: "k", Body: []byte("body"), Begun: time.Now(),
 		Deadline: time.Now().Add(time.Minute)}
 	for _, c := range change {
 		c(&f)
@@ -265,10 +265,10 @@
 	r := newRig(t)
 	r.start("a", func(f *traffic.Flow) { f.WriteBy = time.Now().Add(writeSlack / 2) })
 	r.want("a", traffic.Unsent)
-	r.g.waits["g"] = time.Now().Add(time.Minute)
+	r.g.waits[traffic.Group{}] = time.Now().Add(time.Minute)
 	r.start("b")
 	r.want("b", traffic.Unsent)
-	r.start("c", func(f *traffic.Flow) { f.Group = "other" })
+	r.start("c", func(f *traffic.Flow) { f.Group.Destination = 9 })
 	nc := <-r.conns
 	r.read(nc)
 	r.pool(traffic.Leaving)
@@ -280,6 +280,46 @@
 	r.want("c", traffic.Delivered)
 }
 
+// elsewhere holds groups back, as the other process of a hand-over and other relays do.
+type elsewhere struct {
+	until time.Time
+	held  bool
+	ended []traffic.FlowStatus
+}
+
+func (e *elsewhere) Tell(traffic.Group, time.Time)             {}
+func (e *elsewhere) Until(traffic.Group, time.Time) time.Time  { return e.until }
+func (e *elsewhere) Held(traffic.Group, time.Time) bool        { return e.held }
+func (e *elsewhere) Ended(_ traffic.Flow, end traffic.FlowEnd) { e.ended = append(e.ended, end.Status) }
+
+// What others hold back takes no connection with it: as many flows as the member has connections end unsent or turned away, and
+// the next is written all the same.
+func TestHeldElsewhere(t *testing.T) {
+	r := newRig(t)
+	e := &elsewhere{held: true}
+	r.g.cfg.Shared, r.g.cfg.Fleet = e, e
+	for range 3 { // the member may have two connections
+		r.start("held")
+		r.want("held", traffic.Unsent)
+	}
+	e.held, e.until = false, time.Now().Add(time.Minute)
+	for i := range 3 {
+		r.start("told", func(f *traffic.Flow) { f.Group.Destination = 1 + i })
+		r.want("told", traffic.TurnedAway)
+	}
+	e.until = time.Time{}
+	r.start("a")
+	nc := <-r.conns
+	r.read(nc)
+	if _, err := io.WriteString(nc, ok); err != nil {
+		t.Fatal(err)
+	}
+	r.want("a", traffic.Delivered)
+	if len(e.ended) != 7 {
+		t.Errorf("the fleet heard of %d ends, not 7", len(e.ended))
+	}
+}
+
 func TestNoConnectionAndNoSlot(t *testing.T) {
 	r := newRig(t)
 	r.start("a")
--- a/internal/flow/keep.go
+++ b/internal/flow/keep.go
@@ -370,6 +370,18 @@
 	g.admit()
 }
 
+// giveBack gives back what a flow was to get its connection by, and does not need any more.
+func (g *Manager) giveBack(l lease) {
+	if l.c != nil {
+		g.unused(l.c)
+	} else if l.id != 0 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.conns.Cancel(g.now(), l.id)
+		g.admit()
+	}
+}
+
 // ended takes in that the reader of a connection is over. What is lent the flow gives back.
 func (g *Manager) ended(c *conn) {
 	g.mu.Lock()
--- a/internal/flow/keep_test.go
+++ b/internal/flow/keep_test.go
@@ -142,7 +142,7 @@
 		func(e traffic.FlowEnd) { ends <- e }))
 	g.Pool(traffic.PoolNews{Members: []traffic.Member{{Host: "m", Dial: srv.Addr()}}})
 	start := func(id string) {
-		g.Start(traffic.Flow{ID: id, Member: "m", Group: "g", Body: make([]byte, 256<<10), Begun: time.Now(), Deadline: time.Now().Add(time.Minute)})
+		g.Start(traffic.Flow{ID: id, Member: "m", Body: make([]byte, 256<<10), Begun: time.Now(), Deadline: time.Now().Add(time.Minute)})
 	}
 	start("a")
 	if e := <-ends; e.Status != traffic.Delivered {
--- a/internal/flow/tls_test.go
+++ b/internal/flow/tls_test.go
@@ -93,7 +93,7 @@
 }
 
 func (s *secured) start(id string, worth float64) {
-	s.g.Start(traffic.Flow{ID: id, Member: "m", Group: "g", Worth: worth, Body: []byte("body"), Begun: time.Now(), Deadline: time.Now().Add(time.Minute)})
+	s.g.Start(traffic.Flow{ID: id, Member: "m", Worth: worth, Body: []byte("body"), Begun: time.Now(), Deadline: time.Now().Add(time.Minute)})
 }
 
 func (s *secured) want(t *testing.T, status traffic.FlowStatus) traffic.FlowEnd {
@@ -217,7 +217,7 @@
 	s.want(t, traffic.Delivered)
 	(<-s.conns).Close()
 	s.g.Release("m")
-	s.g.Start(traffic.Flow{ID: "held", Member: "m", Group: "g", Begun: time.Now(), Deadline: time.Now().Add(50 * time.Millisecond)})
+	s.g.Start(traffic.Flow{ID: "held", Member: "m", Begun: time.Now(), Deadline: time.Now().Add(50 * time.Millisecond)})
 	s.want(t, traffic.Unsent)
 	s.start("off", 1)
 	for _, n := s.g.Handshakes(); n == 0; _, n = s.g.Handshakes() {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -73,7 +73,7 @@
 // News turns a list into what the relay and the flows are told. An entry that makes no sense is passed over:
 // it must not keep the rest of the list from them.
 func (l *List) News() traffic.PoolNews {
-	news := traffic.PoolNews{Whole: l.Whole}
+	news := traffic.PoolNews{Seq: l.Seq, Whole: l.Whole}
 	for _, h := range l.Hosts {
 		if !h.valid() {
 			slog.Warn("pool entry passed over", "host", h.Host, "health", h.Health)
--- a/internal/relay/translate.go
+++ b/internal/relay/translate.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"strconv"
 	"time"
 
 	"wrenford"
@@ -102,9 +101,10 @@
 }
 
 // group names what a told wait holds back: the destination, or the member alone where routes are apart.
-func (r *Relay) group(m traffic.Member) string {
+func (r *Relay) group(m traffic.Member) traffic.Group {
+	g := traffic.Group{Destination: m.Destination}
 	if r.apart[m.Class] {
-		return "member " + m.Host
+		g.Member = m.Host
 	}
-	return "destination " + strconv.Itoa(m.Destination)
+	return g
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -2,7 +2,10 @@
 // behaviour: a front decodes a transaction once, the relay decides, a flow encodes it once.
 package traffic
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // MaxBody is the most that a transaction's body may hold.
 const MaxBody = 64 << 10
@@ -101,16 +104,31 @@
 
 // PoolNews is a change of the pool, or all of it.
 type PoolNews struct {
+	Seq     int64 // version of discovery's list
 	Whole   bool
 	Members []Member
 }
 
+// Group is what a told wait holds back: a destination, or, with its name, the one member where routes are apart.
+type Group struct {
+	Destination int
+	Member      string
+}
+
+// String names the group among all groups.
+func (g Group) String() string {
+	if g.Member != "" {
+		return "member " + g.Member
+	}
+	return "destination " + strconv.Itoa(g.Destination)
+}
+
 // Flow is one attempt to deliver a transaction to a pool member.
 type Flow struct {
 	ID       string
 	Attempt  int
 	Member   string
-	Group    string // what a told wait holds back: the destination, or the member where routes are apart
+	Group    Group // what a told wait holds back
 	Key      string
 	Worth    float64 // of the transaction's class; what is worth more gets a new connection first
 	Body     []byte
@@ -172,3 +190,29 @@
 	Verdict Verdict
 	RetryIn time.Duration // with Busy: 0 if nothing is told
 }
+
+// Restraint is what the word of other relays comes to here. It only restrains: no send goes out for it, and it names
+// no member that the relay's own pool does not have.
+type Restraint struct {
+	Kind   RestraintKind
+	Group  Group // with Held
+	Member string
+	At     time.Time // Held: until then; Out: since then; Back: coming back since then
+}
+
+// RestraintKind says what is asked.
+type RestraintKind int
+
+// The kinds of restraint.
+const (
+	Held     RestraintKind = iota // nothing to the group until then; a time that is over ends it
+	HeldOut                       // the member is out, by the word of enough others or of a try of another that failed
+	HeldBack                      // the fleet has heard from it again: it comes back, cold
+	Freed                         // what was said has lapsed
+)
+
+// Bar is a member that is to get nothing new by the word of other relays.
+type Bar struct {
+	Member string
+	Banned bool // operators took it down somewhere: it comes back cold
+}
--- a/internal/waits/waits.go
+++ b/internal/waits/waits.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 	"unsafe"
+
+	"wrenford/internal/traffic"
 )
 
 // slots is how many waits the table holds at once; one that comes when all are taken replaces the one that
@@ -57,14 +59,14 @@
 	return (*uint64)(base), (*uint64)(unsafe.Add(base, 8))
 }
 
-func key(group string) uint64 {
+func key(group traffic.Group) uint64 {
 	h := fnv.New64a()
-	h.Write([]byte(group))
+	h.Write([]byte(group.String()))
 	return max(h.Sum64(), 1) // 0 marks a free slot
 }
 
 // Tell records that nothing goes to the group before until.
-func (t *Table) Tell(group string, until time.Time) {
+func (t *Table) Tell(group traffic.Group, until time.Time) {
 	if t == nil {
 		return
 	}
@@ -88,7 +90,7 @@
 }
 
 // Until says until when the group waits; zero where it does not.
-func (t *Table) Until(group string, now time.Time) time.Time {
+func (t *Table) Until(group traffic.Group, now time.Time) time.Time {
 	if t == nil {
 		return time.Time{}
 	}
--- a/internal/waits/waits_test.go
+++ b/internal/waits/waits_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"wrenford/internal/traffic"
 )
 
 func TestShared(t *testing.T) {
@@ -19,30 +21,30 @@
 	}
 	defer b.Close()
 	now := time.Unix(1_790_000_000, 0)
-	a.Tell("destination 3", now.Add(16*time.Second))
-	if got := b.Until("destination 3", now); !got.Equal(now.Add(16 * time.Second)) {
+	a.Tell(traffic.Group{Destination: 3}, now.Add(16*time.Second))
+	if got := b.Until(traffic.Group{Destination: 3}, now); !got.Equal(now.Add(16 * time.Second)) {
 		t.Fatalf("the other sees %v", got)
 	}
-	if got := b.Until("destination 4", now); !got.IsZero() {
+	if got := b.Until(traffic.Group{Destination: 4}, now); !got.IsZero() {
 		t.Fatalf("another destination waits: %v", got)
 	}
-	b.Tell("destination 3", now.Add(time.Second)) // a shorter wait does not end a longer one
-	if got := a.Until("destination 3", now); !got.Equal(now.Add(16 * time.Second)) {
+	b.Tell(traffic.Group{Destination: 3}, now.Add(time.Second)) // a shorter wait does not end a longer one
+	if got := a.Until(traffic.Group{Destination: 3}, now); !got.Equal(now.Add(16 * time.Second)) {
 		t.Fatalf("shortened to %v", got)
 	}
-	if got := a.Until("destination 3", now.Add(17*time.Second)); !got.IsZero() {
+	if got := a.Until(traffic.Group{Destination: 3}, now.Add(17*time.Second)); !got.IsZero() {
 		t.Fatalf("over, yet %v", got)
 	}
 	// More waits than slots: the one that ends first gives way, the longest stay.
 	for i := range 2 * slots {
-		a.Tell(fmt.Sprint("member ", i), now.Add(time.Duration(i)*time.Millisecond))
+		a.Tell(traffic.Group{Member: fmt.Sprint(i)}, now.Add(time.Duration(i)*time.Millisecond))
 	}
-	if got := b.Until(fmt.Sprint("member ", 2*slots-1), now); got.IsZero() {
+	if got := b.Until(traffic.Group{Member: fmt.Sprint(2*slots - 1)}, now); got.IsZero() {
 		t.Fatal("the newest and longest wait was dropped")
 	}
 	var nilTable *Table
-	nilTable.Tell("x", now)
-	if !nilTable.Until("x", now).IsZero() {
+	nilTable.Tell(traffic.Group{}, now)
+	if !nilTable.Until(traffic.Group{}, now).IsZero() {
 		t.Fatal("a nil table holds waits")
 	}
 }
