--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -120,12 +120,11 @@
 	Moved               // its endpoint has another address
 	Server              // the server said that it closes
 	Pressure            // memory is short
-	Asked               // the decision module wants it closed
 	Trust               // what it was trusted by has changed
 	whys
 )
 
-var whyNames = [whys]string{"idle", "age", "uses", "thin", "room", "leaving", "moved", "server", "pressure", "asked", "trust"}
+var whyNames = [whys]string{"idle", "age", "uses", "thin", "room", "leaving", "moved", "server", "pressure", "trust"}
 
 func (w Why) String() string { return whyNames[w] }
 
@@ -528,15 +527,6 @@
 	return true
 }
 
-// Release gives up what rests at an endpoint, as the decision module asks for.
-func (p *Pool) Release(now time.Duration, name string) (give []Give) {
-	p.now(now)
-	if e := p.eps[name]; e != nil {
-		give = p.giveAll(e, Asked)
-	}
-	return give
-}
-
 // Frugal has nothing rest while it is on.
 func (p *Pool) Frugal(now time.Duration, on bool) (give []Give) {
 	if p.frugal = on; on {
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -163,7 +163,7 @@
 	var l lease
 	if !full && r.m != nil {
 		g.flows[flowID{f.ID, f.Attempt}] = r
-		l = g.ask(f.Member, g.conns.Call) // here, so that a Release after this Start leaves it alone
+		l = g.ask(f.Member, g.conns.Call)
 	}
 	g.mu.Unlock()
 	switch {
@@ -203,13 +203,6 @@
 	g.kill(g.conns.Frugal(g.now(), on))
 }
 
-// Release closes the idle connections to a member.
-func (g *Manager) Release(host string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.kill(g.conns.Release(g.now(), host))
-}
-
 // Expect tells how many calls are known to come to the members of a destination soon.
 func (g *Manager) Expect(destination, calls int) {
 	g.mu.Lock()
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -15,7 +15,7 @@
 	Success, Overload, Error map[string]int64
 	Dispatches               int64 // transactions written whole to pool members
 	Concurrent               int   // taken on and not ended
-	Members, Banned          int   // in the pool, and of them those taken down by operators
+	Members, Banned          int   // in the pool, and of them those taken down by operators or barred by other relays
 	Avoided                  int   // listed members that the module holds to be out, beside the banned ones
 }
 
@@ -53,7 +53,7 @@
 
 func (r *Relay) publishFigures() Figures {
 	banned := 0
-	for id := range r.bans {
+	for id := range r.shut {
 		if _, ok := r.pool.members[id]; ok {
 			banned++
 		}
@@ -91,18 +91,36 @@
 // banned applies a new set of bans: members whose standing changed are told to the module again, those that
 // come back as cold, for they were restarted while out.
 func (r *Relay) banned(b bans) wrenford.Members {
+	before := r.bans
+	r.bans = b.set
+	if r.cfg.Fleet != nil {
+		r.cfg.Fleet.Bans(maps.Clone(b.set))
+	}
+	return r.closed(func(id string) bool { return before[id] })
+}
+
+// closed tells the module of the members whose standing has changed, by operators here or by the word of other relays. Of
+// those that come back, cold says which were restarted.
+func (r *Relay) closed(cold func(id string) bool) wrenford.Members {
+	shut := maps.Clone(r.bans)
+	if shut == nil {
+		shut = map[string]bool{}
+	}
+	for id := range r.bars {
+		shut[id] = true
+	}
 	ev, news := wrenford.Members{}, traffic.PoolNews{}
 	for _, id := range slices.Sorted(maps.Keys(r.pool.members)) {
-		if m := r.pool.members[id]; b.set[id] != r.bans[id] {
-			row := r.member(m, b.set)
-			row.Cold = !b.set[id]
+		if m := r.pool.members[id]; shut[id] != r.shut[id] {
+			row := r.member(m, shut)
+			row.Cold = !shut[id] && cold(id)
 			ev.Endpoints = append(ev.Endpoints, row)
 			news.Members = append(news.Members, m)
 		}
 	}
-	r.bans = b.set
-	r.figuredAt = time.Time{}                // operators see their call in the figures at once
-	r.cfg.Flows.Pool(r.overlay(news, b.set)) // what waits for a connection there is not written either
+	r.shut = shut
+	r.figuredAt = time.Time{}               // operators see their call in the figures at once
+	r.cfg.Flows.Pool(r.overlay(news, shut)) // what waits for a connection there is not written either
 	return ev
 }
 
--- /dev/null
+++ b/internal/relay/fleet_test.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"wrenford/internal/traffic"
+)
+
+// others keeps what a relay tells them.
+type others struct {
+	health []string
+	bans   map[string]bool
+	pools  int
+}
+
+func (o *others) Health(member string, _ int, out, tried bool, _ time.Time) {
+	o.health = append(o.health, map[[2]bool]string{{true, false}: "out ", {true, true}: "tried ", {false, false}: "back "}[[2]bool{out, tried}]+member)
+}
+func (o *others) Pool(int64, map[string]traffic.Member) { o.pools++ }
+func (o *others) Bans(set map[string]bool)              { o.bans = set }
+
+// A relay tells of an outage that its own calls have met, of each try there that fails, and of its end; it tells nothing that it has
+// from others, but for their member's answer. Others' word restrains it.
+func TestFleetSeam(t *testing.T) {
+	r, w, now := start(t)
+	o := &others{}
+	r.cfg.Fleet = o
+	w.took()
+	n, ended := 0, 0 // messages; flows that were ended
+	try := func(status traffic.FlowStatus) (member string) {
+		n++
+		hand(t, r, now, transaction(string(rune('a'+n)), "slot", now.Add(5*time.Second)))
+		for ; ended < len(w.flows); ended++ { // those that the end of one lets go included
+			f := w.flows[ended]
+			r.step(now, []any{traffic.FlowEnd{ID: f.ID, Attempt: f.Attempt, Member: f.Member, Status: status, Took: time.Second}})
+			member = f.Member
+		}
+		now = now.Add(50 * time.Millisecond)
+		return member
+	}
+	for range 6 {
+		try(traffic.OutOfTime)
+	}
+	if len(o.health) == 0 || o.health[0] != "out m1" && o.health[0] != "out m2" {
+		t.Fatalf("told %v", o.health)
+	}
+	for end := now.Add(20 * time.Second); now.Before(end) && !slices.ContainsFunc(o.health, func(s string) bool { return s[:4] == "trie" }); {
+		now = now.Add(100 * time.Millisecond)
+		try(traffic.OutOfTime)
+	}
+	if !slices.ContainsFunc(o.health, func(s string) bool { return s[:4] == "trie" }) {
+		t.Errorf("no failed try was told: %v", o.health)
+	}
+	for end := now.Add(20 * time.Second); now.Before(end) && !slices.ContainsFunc(o.health, func(s string) bool { return s[:4] == "back" }); {
+		now = now.Add(100 * time.Millisecond)
+		try(traffic.Delivered)
+	}
+	if !slices.ContainsFunc(o.health, func(s string) bool { return s[:4] == "back" }) {
+		t.Errorf("no end was told: %v", o.health)
+	}
+
+	r, w, now = start(t)
+	o, ended = &others{}, 0
+	r.cfg.Fleet = o
+	dest := r.pool.members["m1"].Destination
+	r.step(now, []any{[]traffic.Restraint{{Kind: traffic.Held, Group: traffic.Group{Destination: dest}, At: now.Add(time.Second)}}})
+	if m := try(traffic.Delivered); m != "" {
+		t.Errorf("sent to %s into a wait that others were told", m)
+	}
+	now = now.Add(1100 * time.Millisecond)
+	r.step(now, []any{[]traffic.Bar{{Member: "m1"}}})
+	for range 5 {
+		if m := try(traffic.Delivered); m == "m1" {
+			t.Error("sent to a member that others bar")
+		}
+	}
+	r.step(now, []any{[]traffic.Restraint{{Kind: traffic.HeldOut, Member: "m2", At: now}}})
+	if len(o.health) != 0 {
+		t.Errorf("told on what others said: %v", o.health)
+	}
+	for end := now.Add(20 * time.Second); now.Before(end) && len(o.health) == 0; {
+		now = now.Add(100 * time.Millisecond)
+		try(traffic.Delivered)
+	}
+	if !slices.Equal(o.health, []string{"back m2"}) {
+		t.Errorf("after an answer of a member that others held out: %v", o.health)
+	}
+	r.step(now, []any{bans{set: map[string]bool{"m2": true}, done: make(chan struct{})}, known})
+	if !o.bans["m2"] || o.pools == 0 {
+		t.Errorf("bans %v, %d lists told", o.bans, o.pools)
+	}
+	r.step(now, []any{[]traffic.Bar{}}) // both were shut; what others bar no more is listed again
+	if r.shut["m1"] || !r.shut["m2"] {
+		t.Errorf("shut: %v", r.shut)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,7 +37,6 @@
 type Flows interface {
 	Start(traffic.Flow)
 	Cancel(id string, attempt int)
-	Release(member string)
 	Pool(traffic.PoolNews)
 }
 
@@ -93,6 +92,7 @@
 	Ahead     Ahead           // nil for nobody
 	Lessons   Lessons         // nil for nobody
 	Heir      Heir            // nil for nobody
+	Fleet     Fleet           // nil for a relay alone
 	Banned    map[string]bool // members that operators had taken down at the start
 }
 
@@ -146,6 +146,10 @@
 	learned map[int]float64 // limits that an earlier process had learned, of destinations that no list has named yet
 	adopted time.Time       // when the Heir was last asked
 	bans    map[string]bool // members that operators took down
+	bars    map[string]bool // members that other relays bar, and whether operators took them down there
+	shut    map[string]bool // both
+	outs    map[string]bool // members that the fleet was told to be out
+	heard   map[string]bool // members that the fleet holds to be out
 	tally   tally
 	// dispatches counts transactions written whole to members.
 	dispatches int64
@@ -199,7 +203,7 @@
 	r := &Relay{cfg: cfg, squeeze: squeeze{messages: cfg.Settings.MaxOpen, byteScale: 1}, sender: sender, origin: time.Now(), classes: map[string]*wrenford.Class{},
 		apart: map[string]bool{}, waiting: map[int]int{}, pool: newRoster(), open: map[string]*held{}, tally: newTally(),
 		signal: make(chan struct{}, 1)}
-	r.bans = maps.Clone(cfg.Banned)
+	r.bans, r.shut, r.outs, r.heard = maps.Clone(cfg.Banned), maps.Clone(cfg.Banned), map[string]bool{}, map[string]bool{}
 	for i := range cfg.Settings.Classes {
 		r.classes[cfg.Settings.Classes[i].Name] = &cfg.Settings.Classes[i]
 	}
@@ -216,6 +220,7 @@
 	r.pool.take(known, now)
 	r.knownChanged()
 	r.learned = maps.Clone(limits)
+	r.poolToFleet(known.Seq)
 	events := append([]wrenford.Event{r.members(known)}, r.recalled(known)...)
 	r.decide(now, r.takeUp(open, notices, now, events), nil)
 }
@@ -440,14 +445,19 @@
 		case traffic.FlowEnd:
 			events, changes = r.flowEnd(in, events, changes)
 		case traffic.PoolNews:
-			r.cfg.Flows.Pool(r.overlay(in, r.bans))
+			r.cfg.Flows.Pool(r.overlay(in, r.shut))
 			r.pool.take(in, now)
 			r.pool.told = true
+			r.poolToFleet(in.Seq)
 			events = append(append(events, r.members(in)), r.recalled(in)...)
 			r.knownChanged()
 		case bans:
 			events = append(events, r.banned(in))
 			defer close(in.done) // once the module has stepped with it
+		case []traffic.Restraint:
+			events = append(events, r.restrained(in, now)...)
+		case []traffic.Bar:
+			events = append(events, r.barred(in))
 		case limit:
 			r.cfg.MostBytes = int64(in)
 		case squeeze:
@@ -461,6 +471,7 @@
 		}
 	}
 	r.decide(now, events, changes)
+	r.healthToFleet(batch)
 }
 
 // admit holds a hand-in that the relay has room for; others it answers.
@@ -566,7 +577,7 @@
 	r.count.Steps++
 	var actions []wrenford.Action
 	r.cfg.Meters.Section(func() { actions = r.sender.Step(now.Sub(r.origin), events) })
-	var after []deed // in the module's order: a released connection is not one that an earlier send took
+	var after []deed // in the module's order
 	ended := map[string]bool{}
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -598,8 +609,6 @@
 			after = append(after, deed{flow: &f})
 		case wrenford.Cancel:
 			after = append(after, deed{do: func() { r.cfg.Flows.Cancel(a.ID, a.Attempt) }})
-		case wrenford.Release:
-			after = append(after, deed{do: func() { r.cfg.Flows.Release(a.Endpoint) }})
 		case wrenford.Refuse:
 			changes = r.end(traffic.Notice{ID: a.ID, Outcome: traffic.HandedBack, RetryIn: a.RetryAfter}, changes, &after)
 		case wrenford.Fail:
--- a/internal/relay/translate.go
+++ b/internal/relay/translate.go
@@ -13,11 +13,11 @@
 var states = map[traffic.Health]wrenford.State{traffic.Active: wrenford.Listed,
 	traffic.Leaving: wrenford.Draining, traffic.Left: wrenford.Gone}
 
-// members tells the module of the pool. A member that operators took down drains, whatever discovery says.
+// members tells the module of the pool. A member that operators took down, or other relays know to leave, drains, whatever discovery says.
 func (r *Relay) members(news traffic.PoolNews) wrenford.Members {
 	ev := wrenford.Members{Whole: news.Whole}
 	for _, m := range news.Members {
-		ev.Endpoints = append(ev.Endpoints, r.member(m, r.bans))
+		ev.Endpoints = append(ev.Endpoints, r.member(m, r.shut))
 	}
 	return ev
 }
@@ -108,3 +108,19 @@
 	}
 	return g
 }
+
+// told is what other relays' word means to the module.
+func (r *Relay) told(x traffic.Restraint, now time.Time) wrenford.Told {
+	ev := wrenford.Told{Endpoint: x.Member, Age: max(now.Sub(x.At), 0)}
+	switch x.Kind {
+	case traffic.Held:
+		ev.Kind, ev.Destination, ev.Endpoint, ev.For = wrenford.ToldWait, x.Group.Destination, x.Group.Member, max(x.At.Sub(now), 0)
+	case traffic.HeldOut:
+		ev.Kind = wrenford.ToldOut
+	case traffic.HeldBack:
+		ev.Kind = wrenford.ToldBack
+	default:
+		ev.Kind = wrenford.ToldNothing
+	}
+	return ev
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -236,9 +236,6 @@
 	case wrenford.Probe:
 		s.open("test", sender)
 		s.text("endpoint", a.Endpoint)
-	case wrenford.Release:
-		s.open("release", sender)
-		s.text("endpoint", a.Endpoint)
 	case wrenford.Watch:
 		s.open("tail", sender)
 		s.out.WriteString(`,"active":true`)
--- a/sender.go
+++ b/sender.go
@@ -46,11 +46,6 @@
 	startCalls, queueing, bestDrift = 2, 2.0, 0.005
 	// shrink is what a refusal or a time-out leaves of the calls out at an endpoint without limit.
 	shrink = 0.7
-	// againShare is how many calls after a refusal a success earns, kept up to againMost.
-	againShare, againMost = 0.2, 3.0
-	// A kind is short of connections for tightFor cold times, where more than fewSenders fill its endpoints
-	// with idle ones, and one that is up had no room for a call.
-	tightFor, fewSenders = 4, 16
 	// timeoutAim is the least time-out of a repeatable call, and paceCost the price of the usual latency
 	// against other prices, both in aims.
 	// Endpoints that are alike cost up to leanMost more or less, by chance: many senders, each of which keeps
@@ -82,9 +77,8 @@
 	queue                  []*message // held and without an attempt out, earliest deadline first
 	flying                 []*message // with an attempt out
 	lanes                  map[int64]*lane
-	idled                  []*endpoint // whose idle connections are to be closed unless used in this step
-	out                    int         // calls out
-	every                  float64     // smoothed share of missed calls over all endpoints that are not out
+	out                    int     // calls out
+	every                  float64 // smoothed share of missed calls over all endpoints that are not out
 	seq                    int64
 	wakeAt, logAt, watchAt time.Duration // 0: no wake pending
 	acts                   []Action
@@ -107,7 +101,7 @@
 	flight                       *flight
 	firstSent                    time.Duration // of the first attempt that may have run
 	zone                         string        // where that attempt went
-	mayHave, refused, closed     bool          // an attempt may have run; the newest was turned away
+	mayHave, closed              bool          // an attempt may have run
 }
 
 // flight is one attempt that is out.
@@ -132,11 +126,8 @@
 
 // kind holds what is learned over all destinations of a kind, for one alone is met too seldom.
 type kind struct {
-	apart bool          // endpoints are routes apart
-	span  float64       // seconds of the limit that a full allowance holds
-	again float64       // calls after a refusal that its successes have earned
-	alone float64       // share of connections refused at once where the destination's others answered
-	tight time.Duration // until then, its endpoints are taken to be short of connections
+	apart bool    // endpoints are routes apart
+	span  float64 // seconds of the limit that a full allowance holds
 }
 
 // destination groups the endpoints that a message may go to.
@@ -163,7 +154,7 @@
 		s.classes[set.Classes[i].Name] = &set.Classes[i]
 	}
 	for _, k := range set.Kinds {
-		s.kinds[k.Name] = &kind{apart: k.OwnLimits, alone: 1}
+		s.kinds[k.Name] = &kind{apart: k.OwnLimits}
 	}
 	for _, z := range set.Zones {
 		s.fees[z.Name] = z.Fee
@@ -187,6 +178,8 @@
 			s.watchAt = s.now + watchEvery
 		case Recalled:
 			s.recall(ev)
+		case Told:
+			s.told(ev)
 		case Request:
 			s.request(ev)
 		case Outcome:
@@ -207,10 +200,6 @@
 	s.shed()
 	s.dispatch()
 	s.reclaim()
-	for _, e := range s.idled {
-		s.release(e)
-	}
-	s.idled = nil
 	if s.wakeAt <= s.now && len(s.messages) > 0 { // one wake is pending while anything is open
 		s.wakeAt = s.now + s.poll()
 		s.act(Wake{At: s.wakeAt})
@@ -275,6 +264,31 @@
 	l.part, l.left = l.share(), 2*s.leaning.Float64()
 }
 
+// told takes in what other senders found out. All hear it at one time, so chance spreads what they do.
+// An outage that others alone met ends by their word; one of its own it tries no sooner than alone.
+func (s *Sender) told(ev Told) {
+	e, from, d := s.endpoints[ev.Endpoint], s.now-ev.Age, s.dests[ev.Destination]
+	switch {
+	case ev.Kind == ToldWait && d != nil:
+		for _, o := range d.eps {
+			if ev.Endpoint == "" || o == e {
+				o.ledger.heldUntil = s.now + ev.For
+			}
+		}
+	case e == nil || ev.Kind == ToldOut && e.lastGood >= from:
+	case ev.Kind == ToldOut:
+		heard, own := e.hearsay || !e.outage, e.ledger.ownTry
+		s.takeOut(e)
+		e.hearsay, e.ledger.ownTry = heard, own
+	case e.outage && e.hearsay:
+		e.outage, e.hearsay, e.ramp, e.rampFrom = false, false, ev.Kind == ToldBack, from
+		e.lastSend = s.now - time.Duration(s.rng.Float64()*float64(s.coldGap(e, s.now)))
+	case e.outage && ev.Kind == ToldBack:
+		soon := s.now + time.Duration(s.rng.Float64()*float64(s.coldGap(e, s.now)))
+		e.ledger.nextTry = min(e.ledger.nextTry, max(e.ledger.ownTry, soon))
+	}
+}
+
 // forget ends what is kept of an endpoint that is gone, once no call is out there: what it was like says
 // nothing of another at its destination. A destination's log lasts while anybody is listed or waits there.
 func (s *Sender) forget(e *endpoint) {
@@ -354,7 +368,8 @@
 	at, since       time.Duration // since: when the attempt was sent that brought the figure
 	spends          []time.Duration
 	waitUntil       time.Duration
-	nextTry         time.Duration // at an endpoint that is out
+	heldUntil       time.Duration // as other senders were told to wait
+	nextTry, ownTry time.Duration // at an endpoint that is out; the same but for what other senders told
 	refusals        int           // in a row
 	seen            Report        // the newest
 	bold            float64       // how many even shares may be taken: from 1 up to peers, as if alone
@@ -456,7 +471,6 @@
 	}
 	l.okCount++
 	l.okAt, l.refusals = now, 0
-	l.kind.again = min(l.kind.again+againShare, againMost)
 	l.kind.span = min(l.kind.span*spanGrow, budgetWindow)
 }
 
@@ -476,11 +490,11 @@
 	window          float64         // calls that may be out while no limit is known
 	lean            float64         // decides where all else is equal
 	lastSend        time.Duration
-	noRoom          time.Duration // when a connection failed, until the next answer tells whether it was down
 	lastGood        time.Duration // sending time of the newest call that was answered well
 	fails, refusals int           // in a row
 	failing         float64       // smoothed share of failures
 	outage, ramp    bool
+	hearsay         bool          // the outage is known from other senders alone
 	failFrom        time.Duration // sending time of the first failure in a row
 	outFrom         time.Duration // when the outage was first seen
 	rampFrom        time.Duration
@@ -572,18 +586,17 @@
 	if missed && !e.outage {
 		s.every += everyWeight * (1 - s.every)
 	}
-	second, k := e.otherOut(), e.ledger.kind
+	second := e.otherOut()
 	if second {
 		if len(e.flights) == 0 { // else those that are out will soon tell
 			streak--
 		}
-		k.alone *= 1 - failWeight
 	}
 	if e.outage || e.fails >= streak || e.failing > failMost+s.every/2 {
 		s.takeOut(e)
 		// Most outages take all endpoints: those that have not answered since are out, unless this may be
-		// the only one: a connection dropped unseen, or no room for one, as has been seen of the kind.
-		full := ev.Status == ConnectFailed && 2*ev.Latency < s.set.ConnectTimeout && k.alone > 0.5 && !second
+		// the only one: a connection dropped unseen, or no room for one.
+		full := ev.Status == ConnectFailed && 2*ev.Latency < s.set.ConnectTimeout && !second
 		alone := full || f.idle > 0 && ev.Status != Errored || e.ledger.rarely() == 0
 		for _, o := range e.ledger.eps {
 			if !alone && !o.outage && !o.ramp && o.lastGood < e.failFrom {
@@ -609,7 +622,7 @@
 	if !e.outage {
 		s.log("out: " + e.id)
 	}
-	e.outage, e.ramp = true, false
+	e.outage, e.ramp, e.hearsay = true, false, false
 	opens, most := max(s.now, e.ledger.waitUntil), time.Duration(tryMost*float64(s.set.Safety.Cold))
 	gap := max(min((opens-e.outFrom)/2, most), s.coldGap(e, opens))
 	chance := s.rng.Float64()
@@ -617,6 +630,7 @@
 		chance = 1 + (0.5+e.ledger.rarely())*(chance-0.5)
 	}
 	e.ledger.nextTry = opens + time.Duration(chance*float64(gap))
+	e.ledger.ownTry = e.ledger.nextTry
 }
 
 // rare says that no call of ours went well there of late: a second failure is long in coming.
@@ -627,16 +641,9 @@
 // answered notes a success. After an outage the endpoint is cold: it ramps up.
 func (s *Sender) answered(e *endpoint, sent, latency time.Duration) {
 	e.fails, e.refusals = 0, 0
-	if e.noRoom > 0 && !e.outage && s.now-e.noRoom < s.set.Safety.TipAfter && s.set.Peers > fewSenders {
-		e.ledger.kind.tight = s.now + tightFor*s.set.Safety.Cold // it was up and had no room
-	}
-	e.noRoom = 0
 	s.every -= everyWeight * s.every
 	e.failing -= failWeight * e.failing
 	e.lastGood = max(e.lastGood, sent)
-	if k := e.ledger.kind; e.otherOut() {
-		k.alone += failWeight * (1 - k.alone)
-	}
 	e.ledger.succeeded(s.now, max(s.set.Safety.TipAfter, time.Second))
 	e.took(latency)
 	e.adapt(float64(s.set.MaxCalls))
@@ -697,13 +704,11 @@
 func (s *Sender) usable(m *message, e *endpoint) bool {
 	switch {
 	case e.state != Listed,
-		s.now < e.ledger.waitUntil+s.set.Resolution && e.ledger.waitUntil > 0,
+		s.now < e.ledger.waitUntil+s.set.Resolution && e.ledger.waitUntil > 0, s.now < e.ledger.heldUntil,
 		e.ledger.estimate(s.now) < 1:
 		return false
 	case m.mayHave && m.class.Effect == Keyed && m.class.ZoneScope && e.zone != m.zone:
 		return false
-	case m.refused && e.ledger.kind.again < e.ledger.rarely():
-		return false // many senders' calls after a refusal would keep a limit used up that refused calls use
 	}
 	out := len(e.flights)
 	if e.outage {
@@ -735,13 +740,6 @@
 	return len(e.idle)
 }
 
-func (s *Sender) release(e *endpoint) {
-	if len(e.idle) > 0 {
-		s.act(Release{Endpoint: e.id})
-		e.idle = e.idle[:0]
-	}
-}
-
 // cost compares endpoints: prices, and how long a message is likely to take.
 func (s *Sender) cost(m *message, e *endpoint) float64 {
 	cost := e.lean + paceCost*e.mean*float64(len(e.flights)+1)/m.class.Aim.Seconds()
@@ -805,9 +803,6 @@
 
 func (s *Sender) send(m *message, e *endpoint) {
 	m.flight = &flight{ep: e, sent: s.now}
-	if m.refused {
-		e.ledger.kind.again -= e.ledger.rarely()
-	}
 	m.attempts++
 	m.dest.held, m.dest.out, s.out = m.dest.held-1, m.dest.out+1, s.out+1
 	if n := e.idleConns(s); n > 0 {
@@ -876,9 +871,6 @@
 	case Full:
 		s.refused(e, ev.Wait)
 	case ConnectFailed, Errored, Reset:
-		if ev.Status == ConnectFailed {
-			e.noRoom = s.now
-		}
 		// An idle connection that broke says nothing of the endpoint: if that is down, the next call fails.
 		if ev.Status != Reset || f.idle == 0 {
 			s.failed(e, f, ev)
@@ -893,9 +885,6 @@
 
 	if ev.Status == OK || ev.Status == Full || ev.Status == Errored {
 		e.idle = append(e.idle, s.now)
-		if s.now < e.ledger.kind.tight {
-			s.idled = append(s.idled, e)
-		}
 	}
 	if m.lane != nil && (ev.Status == TimedOut || ev.Status == Reset || ev.Status == Cancelled) {
 		m.lane.rest = s.now + s.set.Safety.OrderPause
@@ -907,7 +896,6 @@
 	if ev.Status != Full && ev.Status != ConnectFailed && ev.Status != Moot && !m.mayHave {
 		m.mayHave, m.firstSent, m.zone = true, f.sent, e.zone
 	}
-	m.refused = ev.Status == Full
 	m.notBefore = s.now + m.class.Aim*time.Duration(m.attempts)/16
 	s.enqueue(m) // expire ends it in this step if it may not go again
 }
@@ -954,7 +942,7 @@
 func (s *Sender) opens(d *destination, ahead int) time.Duration {
 	first, rate := time.Duration(math.MaxInt64), 0.0
 	for i, e := range d.eps {
-		at := max(e.ledger.waitUntil, s.now)
+		at := max(e.ledger.waitUntil, e.ledger.heldUntil, s.now)
 		if e.outage && len(e.flights) == 0 {
 			at = max(at, e.ledger.nextTry)
 		}
--- /dev/null
+++ b/told_test.go
@@ -0,0 +1,134 @@
+package wrenford
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wrenford/internal/cuts"
+)
+
+// met returns a sender that has met two destinations with one endpoint each, at 10 s.
+func met(t *testing.T, set Settings) *Sender {
+	s := newSender(t, set, ep("e", 1), ep("f", 2))
+	s.Step(9900*ms, []Event{req("w", "safe", 1), req("x", "safe", 2)})
+	s.Step(10*time.Second, []Event{answer("w", 0, "e", OK), answer("x", 0, "f", OK)})
+	return s
+}
+
+// What others were told to wait for holds here too, one destination alone, and ends when it is said to.
+func TestToldToWait(t *testing.T) {
+	s := met(t, testSettings())
+	acts := s.Step(10005*ms, []Event{Told{Kind: ToldWait, Destination: 1, For: 400 * ms}, req("a", "safe", 1), req("b", "safe", 2)})
+	if got := sends(acts); !slices.Equal(got, []string{"b"}) {
+		t.Errorf("sent %v", got)
+	}
+	if got := sends(run(s, 10010*ms, 10400*ms)); len(got) != 0 {
+		t.Errorf("sent %v into the wait", got)
+	}
+	if got := sends(run(s, 10405*ms, 10450*ms)); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("sent %v when it was over", got)
+	}
+	s.Step(10500*ms, []Event{Told{Kind: ToldWait, Destination: 2, Endpoint: "f", For: 5 * time.Second}, req("c", "safe", 2)})
+	if got := sends(s.Step(10510*ms, []Event{Told{Kind: ToldWait, Destination: 2, Endpoint: "f"}})); !slices.Equal(got, []string{"c"}) {
+		t.Errorf("sent %v after the wait was taken back", got)
+	}
+	// What cannot go before its time is up is refused at once, as in a wait of one's own.
+	acts = s.Step(10600*ms, []Event{Told{Kind: ToldWait, Destination: 1, For: time.Minute}, req("d", "safe", 1)})
+	if ends(acts)["d"] != "refused" {
+		t.Error("held for a wait that outlasts it")
+	}
+}
+
+// An endpoint that others hold to be out gets single tries; theirs put ours off; what they say is over is over, and a
+// success of our own that is newer stands against them.
+func TestToldOut(t *testing.T) {
+	out := Told{Kind: ToldOut, Endpoint: "e", Age: 2 * time.Second}
+	s := met(t, testSettings())
+	s.Step(10005*ms, []Event{out})
+	if s.endpoints["e"].outage {
+		t.Error("out, though a call that was begun in that outage went well here")
+	}
+	out.Age = 10 * ms
+	s.Step(10020*ms, []Event{out})
+	e := s.endpoints["e"]
+	if !e.outage || !e.hearsay || s.endpoints["f"].outage {
+		t.Fatal("not taken out, or another was")
+	}
+	tell := func() (since time.Duration) {
+		s.Health(1, func(_ string, at time.Duration) { since = at })
+		return since
+	}
+	if tell() >= 0 {
+		t.Error("what others alone have met is told as met here")
+	}
+	first := e.ledger.nextTry
+	now := first - 5*ms
+	out.Age = now - 10010*ms
+	s.Step(now, []Event{out})
+	if e.ledger.nextTry <= first {
+		t.Error("another's failed try did not put ours off")
+	}
+	s.Step(now+5*ms, []Event{Told{Kind: ToldNothing, Endpoint: "e"}, req("a", "safe", 1), req("b", "safe", 1)})
+	if e.outage || e.ramp {
+		t.Error("what has lapsed still restrains")
+	}
+
+	s, out.Age = met(t, testSettings()), 10*ms
+	s.Step(10020*ms, []Event{out, Told{Kind: ToldOut, Endpoint: "nobody"}})
+	s.Step(10100*ms, []Event{Told{Kind: ToldBack, Endpoint: "e", Age: 50 * ms}})
+	if e = s.endpoints["e"]; e.outage || !e.ramp || e.rampFrom != 10050*ms {
+		t.Errorf("back, and not ramping from when it came back: %+v", e)
+	}
+}
+
+// In an outage that a sender has met itself the others' word that it is over makes its next try due no sooner than its own
+// schedule has it, and ends nothing.
+func TestToldBackInAnOutageOfOurOwn(t *testing.T) {
+	s := met(t, testSettings())
+	e := s.endpoints["e"]
+	s.takeOut(e)
+	own := e.ledger.nextTry
+	s.Step(10005*ms, []Event{Told{Kind: ToldOut, Endpoint: "e"}})
+	if e.hearsay || e.ledger.ownTry != own {
+		t.Error("our own outage has become hearsay")
+	}
+	s.Step(10010*ms, []Event{Told{Kind: ToldBack, Endpoint: "e"}})
+	if !e.outage || e.ledger.nextTry < own {
+		t.Errorf("the next try is due at %v, by itself at %v; out %v", e.ledger.nextTry, own, e.outage)
+	}
+}
+
+// Whatever is told, and in whatever order, a sender sends no message that it would not have sent by then alone, and none
+// to an endpoint that it does not know.
+func TestToldOnlyRestrains(t *testing.T) {
+	cuts.Check(t, func(t *rapid.T) {
+		play := func(told map[int]Event) (sent []string) {
+			s, err := New(testSettings(), 4)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Step(0, []Event{Members{Whole: true, Endpoints: []Endpoint{ep("e", 1), ep("f", 2)}}})
+			for i := 1; i <= 40; i++ {
+				events := []Event{req(string(rune('A'+i)), "safe", 1+i%2)}
+				if told[i] != nil {
+					events = append(events, told[i])
+				}
+				sent = append(sent, sends(s.Step(time.Duration(i)*50*ms, events))...)
+			}
+			return sent
+		}
+		told := map[int]Event{}
+		for range rapid.IntRange(1, 12).Draw(t, "told") {
+			told[rapid.IntRange(1, 40).Draw(t, "at")] = Told{Kind: Tidings(rapid.IntRange(0, 3).Draw(t, "kind")), Destination: rapid.IntRange(0, 3).Draw(t, "dest"),
+				Endpoint: rapid.SampledFrom([]string{"", "e", "f", "g"}).Draw(t, "endpoint"), For: time.Duration(rapid.IntRange(0, 3000).Draw(t, "for")) * ms,
+				Age: time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * ms}
+		}
+		alone, restrained := play(nil), play(told)
+		if len(restrained) > len(alone) {
+			t.Errorf("%v sent, alone %v", restrained, alone)
+		}
+	})
+}
--- a/wrenford.go
+++ b/wrenford.go
@@ -196,7 +196,7 @@
 	Cold        bool    // listed again after operators had it out: it was restarted meanwhile
 }
 
-// Event is something that happened: [Members], [MembersLost], [Recalled], [Request], [Outcome], [Hangup], [HoldCap],
+// Event is something that happened: [Members], [MembersLost], [Recalled], [Told], [Request], [Outcome], [Hangup], [HoldCap],
 // [Woken] or [ProbeResult].
 type Event interface{ event() }
 
@@ -213,6 +213,27 @@
 	Limit       float64
 }
 
+// Told is what other senders of the fleet have found out. It only restrains: no message goes out for it, and what this sender
+// has met itself stands.
+type Told struct {
+	Kind        Tidings
+	Destination int           // ToldWait: of all its endpoints, or of the one that is named
+	Endpoint    string        // ToldOut, ToldBack and ToldNothing: what is out or back
+	For         time.Duration // ToldWait: nothing goes there for so long from now; 0 ends what was told before
+	Age         time.Duration // ToldOut: how long it has been out; ToldBack: how long it has been coming back
+}
+
+// Tidings are the kinds of what is told.
+type Tidings int
+
+// The tidings.
+const (
+	ToldWait    Tidings = iota // the destination told another sender to wait
+	ToldOut                    // enough others hold the endpoint to be out, or another's try there has failed just now
+	ToldBack                   // another's call there went well after that
+	ToldNothing                // what was told has lapsed
+)
+
 // MembersLost says that a Watch failed or that the subscription broke.
 type MembersLost struct{}
 
@@ -269,6 +290,7 @@
 func (Members) event()     {}
 func (MembersLost) event() {}
 func (Recalled) event()    {}
+func (Told) event()        {}
 func (Request) event()     {}
 func (Outcome) event()     {}
 func (Hangup) event()      {}
@@ -277,7 +299,7 @@
 func (ProbeResult) event() {}
 
 // Action is something for the caller to do: [Send], [Cancel], [Refuse], [Fail], [Wake], [Probe],
-// [Release], [Watch] or [Log].
+// [Watch] or [Log].
 type Action interface{ action() }
 
 // Send starts an attempt. A TimeOut of 0 leaves it running until the message's time is up.
@@ -308,24 +330,38 @@
 // Probe sends a check, which the destination counts as a call.
 type Probe struct{ Endpoint string }
 
-// Release closes the idle connections to an endpoint.
-type Release struct{ Endpoint string }
-
 // Watch asks for membership changes from now on.
 type Watch struct{}
 
 // Log is a line for the operator.
 type Log struct{ Text string }
 
-func (Send) action()    {}
-func (Cancel) action()  {}
-func (Refuse) action()  {}
-func (Fail) action()    {}
-func (Wake) action()    {}
-func (Probe) action()   {}
-func (Release) action() {}
-func (Watch) action()   {}
-func (Log) action()     {}
+func (Send) action()   {}
+func (Cancel) action() {}
+func (Refuse) action() {}
+func (Fail) action()   {}
+func (Wake) action()   {}
+func (Probe) action()  {}
+func (Watch) action()  {}
+func (Log) action()    {}
+
+// Health tells of each listed endpoint of a destination since when it is out, by calls that this sender has met failing;
+// since is negative for one that is not, or that only others have spoken of. It decides nothing. Call it between steps, from the
+// goroutine that steps; now is the time of the last one.
+func (s *Sender) Health(destination int, tell func(endpoint string, since time.Duration)) {
+	d := s.dests[destination]
+	if d == nil {
+		return
+	}
+	for _, e := range d.eps {
+		if since := time.Duration(-1); e.state == Listed {
+			if e.outage && !e.hearsay {
+				since = max(e.outFrom, 0)
+			}
+			tell(e.id, since)
+		}
+	}
+}
 
 // Avoided counts the listed endpoints that the sender keeps from use by its own choice, for it holds them to be
 // in an outage. It decides nothing: operators are shown it. Call it between steps, from the goroutine that steps.
