A relay's part in its fleet: memberlist, sealed packets, settings, figures, slatemux fleet

Change: internal/fleet drives internal/verdicts and internal/spread on hashicorp/memberlist over a transport of our own (bounded packets and streams, one source address); keys in a file of its owner's, read again at SIGHUP; fleet {} in the gateway's file, off by default; errors of that file name the line; /ops/fleet/members and verdicts, slatemux fleet members|verdicts.

--- /dev/null
+++ b/cmd/slatelab/faults.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"wrenford/internal/lab/fleets"
+)
+
+// faultsCommand plays a scenario of many real relays with faults between them.
+func faultsCommand() *cobra.Command {
+	var binary string
+	var alone, quiet, tries bool
+	var relays int
+	var seed uint64
+	c := &cobra.Command{
+		Use:   "fleet-faults SCENARIO",
+		Short: "Run a fleet of real relays with faults on the links between them",
+		Long: `Start the relays of a scenario (protobuf text format, proto/slatemux/lab/v1/fleet.proto) round stand-in partners, with a
+fault injector on every link between processes, let its timeline of faults happen under its load, and judge every message
+over the whole fleet. Each second a line tells what relays hold of each other's word, beside what is so. Exit code 1 if a
+rule was broken. Nothing leaves the loopback addresses.`,
+		Example: "  slatelab fleet-faults example/faults/outage.textproto --binary bin/slatemux",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			sc, err := fleets.Load(args[0])
+			if err != nil {
+				return err
+			}
+			if relays > 0 {
+				sc.Relays = int32(relays)
+			}
+			if sc.WithoutFleet = min(sc.WithoutFleet, sc.Relays); alone {
+				sc.WithoutFleet = sc.Relays
+			}
+			if seed > 0 {
+				sc.Seed = seed
+			}
+			dir, err := os.MkdirTemp("", "fleet-faults")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(dir)
+			out := cmd.OutOrStdout()
+			f, err := fleets.Put(dir, binary, sc, func(line string) {
+				if !quiet {
+					fmt.Fprintln(out, line)
+				}
+			})
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			if err := f.Start(); err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "%s: %d relays serve, %d of them in the fleet\n", sc.Name, sc.Relays, sc.Relays-sc.WithoutFleet)
+			over := make(chan struct{})
+			told := make(chan struct{})
+			go func() {
+				defer close(told)
+				tick := time.NewTicker(time.Second)
+				defer tick.Stop()
+				for {
+					select {
+					case <-over:
+						return
+					case <-tick.C:
+						if !quiet && !f.Began.IsZero() {
+							f.Beliefs(out)
+						}
+					}
+				}
+			}()
+			err = f.Play(cmd.Context())
+			close(over)
+			<-told
+			if err != nil {
+				return err
+			}
+			if err := f.Settle(time.Now().Add(60 * time.Second)); err != nil {
+				return err
+			}
+			r := f.Judge()
+			if err := r.Print(out); err != nil {
+				return err
+			}
+			if tries {
+				for _, p := range sc.Partner {
+					fmt.Fprintf(out, "connections to %s, by relay and quarter of a second:\n", p.Name)
+					r.Tried(out, p, 0, sc.LengthS)
+				}
+			}
+			if n := len(r.Verdict.Breaches); n > 0 {
+				return fmt.Errorf("%d rules broken", n)
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&binary, "binary", "bin/slatemux", "the relay that is run")
+	c.Flags().BoolVar(&alone, "alone", false, "run every relay without its fleet part, to compare")
+	c.Flags().BoolVar(&quiet, "quiet", false, "print the report alone")
+	c.Flags().BoolVar(&tries, "tries", false, "also print the connections that relays asked for, on a time line")
+	c.Flags().IntVar(&relays, "relays", 0, "how many relays, instead of the scenario's")
+	c.Flags().Uint64Var(&seed, "seed", 0, "the seed, instead of the scenario's")
+	return c
+}
--- a/cmd/slatemux/cli.go
+++ b/cmd/slatemux/cli.go
@@ -18,6 +18,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/term"
 
+	"wrenford/internal/fleet"
 	"wrenford/internal/gateway"
 	"wrenford/internal/governor"
 	"wrenford/internal/secure"
@@ -99,6 +100,11 @@
 					return fmt.Errorf("%s: %w", cfg.gatewayPath, err)
 				}
 			}
+			if f := cfg.gateway.Fleet; f.Enabled {
+				if _, err := fleet.ReadKeys(f.KeyFile); err != nil {
+					return fmt.Errorf("%s: fleet.%w", cfg.gatewayPath, err)
+				}
+			}
 			if _, err := secure.New(cfg.gateway.TLS.Policies); err != nil {
 				return fmt.Errorf("%s: %w", cfg.gatewayPath, err)
 			}
@@ -130,7 +136,7 @@
 			return signalRelay("connections", args[0], syscall.SIGUSR2)
 		},
 	}
-	root.AddCommand(serve, check, version, counters, connections, tlsCommand(getenv, &path))
+	root.AddCommand(serve, check, version, counters, connections, fleetCommand(), tlsCommand(getenv, &path))
 	return root
 }
 
@@ -216,6 +222,11 @@
 	} else {
 		fmt.Fprintf(t, "overload\toff\n")
 	}
+	if f := cfg.gateway.Fleet; f.Enabled {
+		fmt.Fprintf(t, "fleet\t%s: hears others on %v, looks for them at %v, %d must agree\n", f.Name, f.Bind, f.Join, f.Agree)
+	} else {
+		fmt.Fprintf(t, "fleet\toff\n")
+	}
 	for _, p := range cfg.gateway.TLS.Policies {
 		fmt.Fprintf(t, "tls policy %s\tdestinations %v, host %q, plain %v, client certificate %v, %d pins\n", p.Name, p.Destinations, p.Hosts, p.Plain,
 			p.Certificate != "", len(p.Pins))
--- a/cmd/slatemux/config.go
+++ b/cmd/slatemux/config.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net/netip"
 	"os"
 	"reflect"
 	"strconv"
@@ -84,6 +85,19 @@
 	c = config{gateway: own, gatewayPath: gatewayPath, cores: f.Limits.Cores, name: or("NODE_NAME", f.Name), listen: or("NODE_LISTEN", f.Listen),
 		discovery: or("NODE_DISCOVERY", f.Discovery), ops: or("NODE_OPS", f.Ops), written: f.Discovery, state: getenv("NODE_STATE"), sockets: f.Limits.Sockets,
 		serveOn: serveOn, exitAfter: exitAfter}
+	for _, o := range []struct {
+		name string
+		to   *netip.AddrPort
+	}{{"SLATEMUX_FLEET_BIND", &c.gateway.Fleet.Bind}, {"SLATEMUX_FLEET_ADVERTISE", &c.gateway.Fleet.Advertise}} {
+		if text := getenv(o.name); text != "" {
+			if *o.to, err = netip.ParseAddrPort(text); err != nil {
+				return c, fmt.Errorf("%s: %w", o.name, err)
+			}
+		}
+	}
+	if c.gateway.Fleet.Enabled && c.name == "" {
+		return c, errors.New("name is missing: the relays of a fleet know each other by it")
+	}
 	if c.listen == "" || c.discovery == "" || c.state == "" {
 		return c, errors.New("listen, discovery or NODE_STATE is missing")
 	}
--- a/cmd/slatemux/desk.go
+++ b/cmd/slatemux/desk.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"wrenford/internal/fleet"
 	"wrenford/internal/maint"
 	"wrenford/internal/ops"
 	"wrenford/internal/relay"
@@ -21,6 +22,7 @@
 	ready  atomic.Bool
 	relay  *relay.Relay // set before ready
 	front  interface{ ShedByClass() map[string]int64 }
+	fleet  *fleet.Fleet // nil for a relay alone
 }
 
 func (d *opsDesk) Ready() bool { return d.ready.Load() }
@@ -39,8 +41,26 @@
 			overload[class] += n
 		}
 	}
-	return ops.Stats{Success: orEmpty(f.Success), Overload: overload, Error: orEmpty(f.Error), Dispatches: f.Dispatches,
+	s := ops.Stats{Success: orEmpty(f.Success), Overload: overload, Error: orEmpty(f.Error), Dispatches: f.Dispatches,
 		Concurrent: f.Concurrent, Targets: f.Members, TargetsDisabled: f.Banned + f.Avoided}
+	if d.fleet != nil {
+		s.Fleet = d.fleet.Figures()
+	}
+	return s
+}
+
+// Fleet answers what this relay knows of its fleet.
+func (d *opsDesk) Fleet(what string) any {
+	if !d.ready.Load() || d.fleet == nil {
+		return nil
+	}
+	switch what {
+	case "members":
+		return d.fleet.Members()
+	case "verdicts":
+		return d.fleet.Verdicts()
+	}
+	return nil
 }
 
 func orEmpty(m map[string]int64) map[string]int64 {
--- /dev/null
+++ b/cmd/slatemux/fleet.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"wrenford/internal/fleet"
+	"wrenford/internal/relay"
+	"wrenford/internal/traffic"
+)
+
+// told hands the fleet's word to the relay, which is made after the relay's part in the fleet.
+type told func() *relay.Relay
+
+func (t told) Restrain(list []traffic.Restraint) { t().Restrain(list) }
+func (t told) Bar(bars []traffic.Bar)            { t().Bar(bars) }
+
+// join makes the relay's part in its fleet; nil where there is none.
+func join(cfg *config, r told) (*fleet.Fleet, error) {
+	own := cfg.gateway.Fleet
+	if !own.Enabled {
+		return nil, nil
+	}
+	return fleet.New(fleet.Config{Name: own.Name, Self: cfg.name, Bind: own.Bind, Advertise: own.Advertise, Join: own.Join, KeyFile: own.KeyFile,
+		State: cfg.state, Seed: uint64(cfg.seed), Agree: own.Agree, Exchange: own.Exchange, Bytes: own.Bytes}, r)
+}
+
+// fleetCommand asks a relay's operators' address what it knows of its fleet.
+func fleetCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "fleet",
+		Short: "Ask a relay what it knows of its fleet",
+		Long: `Ask the operators' address of a running relay for its fleet's members, or for what they have told each other.
+docs/operate-fleet.md explains what is shown.`,
+	}
+	var addr string
+	var raw bool
+	root.PersistentFlags().StringVar(&addr, "ops", "", "the relay's operators' address, host:port")
+	root.PersistentFlags().BoolVar(&raw, "json", false, "print JSON")
+	_ = root.MarkPersistentFlagRequired("ops")
+	show := func(what, short string, table func(w io.Writer, body []byte) error) *cobra.Command {
+		return &cobra.Command{
+			Use: what, Short: short, Args: cobra.NoArgs,
+			Example: "  slatemux fleet " + what + " --ops 127.0.0.1:8600",
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				body, err := askOps(cmd.Context(), addr, "/ops/fleet/"+what)
+				if err != nil {
+					return fmt.Errorf("fleet: %w", err)
+				}
+				if raw {
+					_, err = cmd.OutOrStdout().Write(body)
+					return err
+				}
+				t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
+				if err := table(t, body); err != nil {
+					return fmt.Errorf("fleet: %w", err)
+				}
+				return t.Flush()
+			},
+		}
+	}
+	root.AddCommand(show("members", "List the fleet's members", membersTable), show("verdicts", "List what relays have told each other and still holds", verdictsTable))
+	return root
+}
+
+// askOps makes one call to an operators' address.
+func askOps(ctx context.Context, addr, path string) ([]byte, error) {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(5*time.Second))
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s answered %d: %s", addr, resp.StatusCode, strings.TrimSpace(string(body)))
+	}
+	return body, nil
+}
+
+func membersTable(w io.Writer, body []byte) error {
+	var list []fleet.MemberState
+	if err := json.Unmarshal(body, &list); err != nil {
+		return err
+	}
+	fmt.Fprintln(w, "NAME\tADDRESS\tSTATE\tFOR\tPROBE")
+	for _, m := range list {
+		name, probe := m.Name, "-"
+		if m.Self {
+			name += " (this one)"
+		} else if m.RTTMS > 0 {
+			probe = fmt.Sprintf("%.1f ms", m.RTTMS)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%s\n", name, m.Addr, m.State, time.Since(m.Since).Round(time.Second), probe)
+	}
+	return nil
+}
+
+func verdictsTable(w io.Writer, body []byte) error {
+	var list []fleet.Verdict
+	if err := json.Unmarshal(body, &list); err != nil {
+		return err
+	}
+	span := func(ms float64) time.Duration {
+		return (time.Duration(ms * float64(time.Millisecond))).Round(time.Millisecond)
+	}
+	fmt.Fprintln(w, "FROM\tWHAT\tDESTINATION\tMEMBER\tAGE\tLAPSES IN")
+	for _, v := range list {
+		what, member := v.Kind, v.Member
+		if v.Over {
+			what += " is over"
+		} else if v.LengthMS > 0 {
+			what += fmt.Sprintf(" (%v)", span(v.LengthMS))
+		}
+		if member == "" {
+			member = "all"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%v\t%v\n", v.Origin, what, v.Destination, member, span(v.AgeMS), span(v.LeftMS))
+	}
+	return nil
+}
--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -124,6 +124,15 @@
 		shared = table
 	}
 	var r *relay.Relay
+	part, err := join(&cfg, func() *relay.Relay { return r })
+	if err != nil {
+		return err
+	}
+	var amongFlows flow.Fleet // nil interfaces for a relay alone
+	var amongRelays relay.Fleet
+	if part != nil {
+		amongFlows, amongRelays = part, part
+	}
 	keep := cfg.gateway.Conns.Keep
 	keep.Most, keep.IdleMost, keep.Seed = most.members, cfg.settings.KeepAlive, uint64(cfg.seed)
 	var names flow.Resolver // a nil interface where none are looked up
@@ -132,7 +141,7 @@
 	}
 	flows, err := flow.New(flow.Config{Names: names, Secure: overTLS, Gate: cfg.gateway.TLS.Gate, Busy: busy, ConnectWithin: cfg.settings.ConnectTimeout,
 		MostFlows: most.flows, Settle: settle, Conns: keep, HeldMost: cfg.gateway.Conns.HeldMost, StuckAfter: cfg.gateway.Conns.StuckAfter,
-		OwnDelay: meters.Wait, Shared: shared}, func(end traffic.FlowEnd) { r.FlowEnded(end) })
+		OwnDelay: meters.Wait, Shared: shared, Fleet: amongFlows}, func(end traffic.FlowEnd) { r.FlowEnded(end) })
 	if err != nil {
 		return err
 	}
@@ -144,7 +153,7 @@
 	learned := recall.Open(cfg.state, most.learned, time.Now())
 	notices := notice.New(discovery, func(ids []string) { r.NoticesAnswered(ids) })
 	r, err = relay.New(relay.Config{Meters: meters, Settings: cfg.settings, Seed: cfg.seed, MostBytes: most.openBytes, Store: store,
-		Flows: flows, Notices: notices, Ahead: ahead, Lessons: learned, Heir: store, Banned: bans})
+		Flows: flows, Notices: notices, Ahead: ahead, Lessons: learned, Heir: store, Fleet: amongRelays, Banned: bans})
 	if err != nil {
 		return err
 	}
@@ -164,6 +173,11 @@
 	parts.Go(func() { learned.Run(ctx) })
 	watch := pool.NewWatcher(discovery, pool.NewPace(cfg.settings.Peers, cfg.seed), cfg.known.Seq, r.PoolChanged)
 	parts.Go(func() { watch.Run(ctx) })
+	apart, leave := context.WithCancel(ctx)
+	defer leave()
+	if part != nil {
+		parts.Go(func() { part.Run(apart) })
+	}
 
 	// Clients are let in last: a PING that is answered says that all before has been taken up.
 	server, err := front.Listen(cfg.listen, most.clients, cfg.settings.Classes, r, admission)
@@ -185,7 +199,7 @@
 	go func() { served <- server.Serve() }()
 	slog.Info("ready", "listen", server.Addr())
 	if desk != nil {
-		desk.relay, desk.front = r, server
+		desk.relay, desk.front, desk.fleet = r, server, part
 		desk.ready.Store(true)
 		parts.Go(func() { desk.follow(ctx) })
 	}
@@ -197,6 +211,11 @@
 		if secured != nil {
 			secured.Reload()
 		}
+		if part != nil {
+			if err := part.Reload(); err != nil {
+				slog.Error("fleet keys not taken over: the old ones serve on", "err", err)
+			}
+		}
 		newer, err := reread()
 		if err != nil {
 			badReloads++
@@ -231,6 +250,9 @@
 			slog.Log(ctx, level, "tls counters", "why", why, "tls", secured.Counters(), "asked", gate.Asked, "begun", gate.Begun, "carried", gate.Carried,
 				"out_of_time", gate.Expired, "waiting", waiting)
 		}
+		if part != nil {
+			slog.Log(ctx, level, "fleet counters", "why", why, "fleet", part.Figures())
+		}
 		slog.Log(ctx, level, "counters", "why", why, "relay", r.Counters(), "front", server.Counters(), "connections", flows.Counters(), "pool", watch.Counters(), "notices", notices.Counters(),
 			"journal", size, "owed", live, "compacted", compacted, "reloads", reloads, "bad_reloads", badReloads,
 			"vitals", meters.Totals())
@@ -266,6 +288,7 @@
 				desk.ready.Store(false)
 			}
 			server.Drain()
+			leave() // the others hear it from this relay and need not find out
 		case <-end:
 			running = false
 		case err := <-served:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -28,6 +29,19 @@
 	Log      Log
 	TLS      TLS
 	Conns    Conns
+	Fleet    Fleet
+}
+
+// Fleet holds the settings of this relay's part in its fleet.
+type Fleet struct {
+	Enabled         bool
+	Name            string
+	Bind, Advertise netip.AddrPort
+	Join            []netip.AddrPort
+	KeyFile         string
+	Agree           int
+	Exchange        time.Duration
+	Bytes           float64 // a second
 }
 
 // Conns holds the settings of connections to pool members.
@@ -72,7 +86,8 @@
 // Default is the configuration without a file.
 func Default() Config {
 	return Config{Overload: Overload{Brownout: true, Tick: 50 * time.Millisecond, Control: overload.Defaults()},
-		Log: Log{LinesPerSecond: 5}, TLS: TLS{Watch: true, Gate: trust.GateDefaults()}, Conns: Conns{Keep: conns.Defaults(), HeldMost: 250 * time.Millisecond}}
+		Log: Log{LinesPerSecond: 5}, TLS: TLS{Watch: true, Gate: trust.GateDefaults()}, Conns: Conns{Keep: conns.Defaults(), HeldMost: 250 * time.Millisecond},
+		Fleet: Fleet{Agree: 2, Exchange: time.Second, Bytes: 4096}}
 }
 
 // Load reads a file. An empty path is no file.
@@ -94,8 +109,9 @@
 		return Config{}, fmt.Errorf("%s: %s", path, syntax(err))
 	}
 	c := Default()
-	if err := errors.Join(c.Overload.take(g.GetOverload()), c.Log.take(g.GetLog()), c.TLS.take(g.GetTls()), c.Conns.take(g.GetConnections())); err != nil {
-		return Config{}, fmt.Errorf("%s: %s", path, strings.ReplaceAll(err.Error(), "\n", "; "))
+	if err := errors.Join(c.Overload.take(g.GetOverload()), c.Log.take(g.GetLog()), c.TLS.take(g.GetTls()), c.Conns.take(g.GetConnections()),
+		c.Fleet.take(g.GetFleet())); err != nil {
+		return Config{}, placed(path, raw, err)
 	}
 	return c, nil
 }
@@ -260,6 +276,44 @@
 	return out, nil
 }
 
+func (f *Fleet) take(p *gatewayv1.Fleet) error {
+	if p == nil {
+		return nil
+	}
+	f.Enabled, f.Name, f.KeyFile = p.GetEnabled(), p.GetName(), p.GetKeyFile()
+	errs := numbers("fleet", []number{
+		{"agree", float(p.Agree), 1, 64, func(x float64) { f.Agree = int(x) }},
+		{"exchange_ms", p.ExchangeMs, 100, 60_000, func(x float64) { f.Exchange = time.Duration(x * float64(time.Millisecond)) }},
+		{"bytes_per_s", p.BytesPerS, 256, 1e9, func(x float64) { f.Bytes = x }},
+	})
+	address := func(field, text string, to *netip.AddrPort) {
+		a, err := netip.ParseAddrPort(text)
+		if err == nil && (a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast()) {
+			err = errors.New("an address that others could reach is wanted, with its port")
+		}
+		if *to = a; err != nil {
+			errs = append(errs, fmt.Errorf("fleet.%s: %q: %w", field, text, err))
+		}
+	}
+	if p.GetAdvertise() != "" {
+		address("advertise", p.GetAdvertise(), &f.Advertise)
+	}
+	for i, text := range p.GetJoin() {
+		f.Join = append(f.Join, netip.AddrPort{})
+		address(fmt.Sprintf("join[%d]", i), text, &f.Join[i])
+	}
+	if p.GetBind() != "" || f.Enabled {
+		address("bind", p.GetBind(), &f.Bind)
+	}
+	if f.Enabled && (f.Name == "" || len(f.Name) > 64) {
+		errs = append(errs, fmt.Errorf("fleet.name: %q: 1 to 64 bytes are wanted", f.Name))
+	}
+	if f.Enabled && f.KeyFile == "" {
+		errs = append(errs, errors.New("fleet.key_file: missing; what relays tell each other is sealed"))
+	}
+	return errors.Join(errs...)
+}
+
 // numbers takes over fields that are present and within their ranges.
 func numbers(message string, list []number) (errs []error) {
 	for _, n := range list {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -121,6 +121,9 @@
 	if err != nil || !c.Overload.Enabled {
 		t.Errorf("%+v, %v", c, err)
 	}
+	if c.Fleet.Enabled { // relays of the platform may not talk to each other
+		t.Error("the deployed file switches the fleet on")
+	}
 }
 
 // A bad file is one line that names the file and the place or the field.
@@ -160,6 +163,27 @@
 	}
 }
 
+// A value that makes no sense is told with its file, line and field, also of the second of several, in any way of writing.
+func TestErrorsNameTheLine(t *testing.T) {
+	for text, want := range map[string]string{
+		"overload {\n # target_busy: 9\n target_busy: 7\n}":                                                                      "gw:3: overload.target_busy: ",
+		"log { format: TEXT } fleet {\n\n bind: 'here' }":                                                                        "gw:3: fleet.bind: ",
+		"fleet: <\nenabled: true\nname: \"a}b#\"\nbind: \"127.0.0.1:1\"\nkey_file: \"k\"\njoin: \"127.0.0.1:2\"\njoin: \"x\"\n>": "gw:7: fleet.join[1]: ",
+		"fleet {\n bind: \"127.0.0.1:7946\"\n enabled: true name: \"a\" }":                                                       "gw:1: fleet.key_file: ",
+		"fleet { join: \"0.0.0.0:7946\" }":                                                                                       "gw:1: fleet.join[0]: ",
+		"\nfleet { agree: 0 }":                                                                                                   "gw:2: fleet.agree: ",
+		"tls {\n policy { name: 'a' system_roots: true }\n policy { name: 'b'\n } }":                                             "gw:3: tls.policy[1]: ",
+	} {
+		if _, err := Parse("gw", []byte(text)); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%q: %v, not %q", text, err, want)
+		}
+	}
+	c, err := Parse("gw", []byte(`fleet { enabled: true name: "tbilisi" bind: "127.0.0.1:7946" join: "127.0.0.1:7947" key_file: "k" }`))
+	if f := c.Fleet; err != nil || !f.Enabled || f.Bind.Port() != 7946 || len(f.Join) != 1 || f.Agree != 2 || f.Exchange != time.Second {
+		t.Errorf("%+v, %v", f, err)
+	}
+}
+
 func TestGarbageIsSurvived(t *testing.T) {
 	cuts.Check(t, func(t *rapid.T) {
 		text := cuts.Garbage(t, []byte(whole))
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -30,6 +30,7 @@
 	Concurrent      int              `json:"concurrent"`
 	Targets         int              `json:"targets"`
 	TargetsDisabled int              `json:"targets_disabled"`
+	Fleet           any              `json:"fleet,omitempty"` // of a relay that takes part in one
 }
 
 // ErrUnknown is what Maintenance returns for an endpoint that the pool does not name.
@@ -39,6 +40,8 @@
 type Relay interface {
 	Ready() bool
 	Stats() Stats
+	// Fleet is what is known of the fleet, by name: members or verdicts; nil where there is no such thing.
+	Fleet(what string) any
 	// Maintain takes an endpoint down (no more new sending) or brings it up, and returns once that holds.
 	Maintain(ctx context.Context, id string, down bool) error
 }
@@ -63,14 +66,13 @@
 			answer(w, http.StatusServiceUnavailable, "not ready\n")
 		}
 	})
-	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
-		body, err := json.Marshal(relay.Stats())
-		if err != nil {
-			answer(w, http.StatusInternalServerError, err.Error()+"\n")
-			return
+	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) { inJSON(w, relay.Stats()) })
+	mux.HandleFunc("GET /ops/fleet/{what}", func(w http.ResponseWriter, r *http.Request) {
+		if known := relay.Fleet(r.PathValue("what")); known != nil {
+			inJSON(w, known)
+		} else {
+			answer(w, http.StatusNotFound, "this relay takes no part in a fleet, or there is nothing of that name\n")
 		}
-		w.Header().Set("Content-Type", "application/json")
-		answer(w, http.StatusOK, string(body)+"\n")
 	})
 	maintain := func(down bool) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
@@ -102,6 +104,16 @@
 	return s, nil
 }
 
+func inJSON(w http.ResponseWriter, x any) {
+	body, err := json.Marshal(x)
+	if err != nil {
+		answer(w, http.StatusInternalServerError, err.Error()+"\n")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	answer(w, http.StatusOK, string(body)+"\n")
+}
+
 func answer(w http.ResponseWriter, code int, body string) {
 	w.Header().Set("Connection", "close")
 	w.WriteHeader(code)
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -21,6 +21,13 @@
 }
 
 func (f *fakeRelay) Ready() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.ready }
+func (f *fakeRelay) Fleet(what string) any {
+	if what != "members" {
+		return nil
+	}
+	return []string{"n1"}
+}
+
 func (f *fakeRelay) Stats() Stats {
 	return Stats{Success: map[string]int64{"order-payment": 812}, Overload: map[string]int64{}, Error: map[string]int64{},
 		Dispatches: 900, Concurrent: 14, Targets: 3, TargetsDisabled: 1}
@@ -93,6 +100,9 @@
 			t.Errorf("stats lack %s: %s", name, body)
 		}
 	}
+	if _, ok := got["fleet"]; ok {
+		t.Error("a relay alone tells of a fleet")
+	}
 	for _, c := range []struct {
 		method, path string
 		want         int
@@ -100,6 +110,8 @@
 		{"POST", "/ops/endpoints/down/s-1", 200},
 		{"POST", "/ops/endpoints/down/s-1", 200},
 		{"POST", "/ops/endpoints/down/nobody", 404},
+		{"GET", "/ops/fleet/members", 200},
+		{"GET", "/ops/fleet/secrets", 404},
 		{"GET", "/ops/endpoints/down/s-1", 405},
 		{"POST", "/ops/endpoints/sideways/s-1", 404},
 		{"POST", "/ops/endpoints/down/", 404},
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -185,6 +185,12 @@
 // Due is when Tick has something to do.
 func (s *Spread) Due() time.Duration { return min(s.next, s.looked+lookEvery) }
 
+// Hurry has a comparison begun soon: members have come, and may know what this relay does not. Soon is spread, for where all
+// start at one moment all see all others come.
+func (s *Spread) Hurry(now time.Duration) {
+	s.next = min(s.next, now+time.Duration(s.rng.Float64()*jitter*float64(s.cfg.Exchange)))
+}
+
 // look notes that this relay runs, and whether it has not for a while.
 func (s *Spread) look(now time.Duration) {
 	if gap := now - s.looked; gap > deafAfter {
--- a/internal/verdicts/book.go
+++ b/internal/verdicts/book.go
@@ -20,7 +20,6 @@
 // total orders, so Merge is commutative, associative and idempotent, as long as no origin has more than MostOf.
 type Book struct {
 	origins map[string]map[Subject]*entry
-	swept   time.Duration
 }
 
 type entry struct {
