--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -3,6 +3,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -55,22 +56,31 @@
 	MaxCalls  int
 	KeepAlive time.Duration
 	Seed      uint64
+	Relays    int // how many share the partners; 0 for one
 }
 
-// Deployment is everything around one relay.
+// Deployment is everything around one relay, or around the seats of several.
 type Deployment struct {
 	Place    Place
 	Ledger   *ledger.Ledger
 	Platform *platform.Server
 	Partners []*partner.Server
-	Listen   string
-	Dir      string // configuration, state
 	Classes  []ledger.Class
+	*Seat    // of the one relay
+}
+
+// Seat is where one relay works: its addresses, and the folder with its configuration and its state.
+type Seat struct {
+	Name      string
+	Number    int // among Place.Relays
+	Listen    string
+	Discovery string
+	Dir       string
 }
 
 // Put puts a deployment up in a folder. Close ends it.
 func Put(dir string, p Place) (*Deployment, error) {
-	d := &Deployment{Place: p, Ledger: &ledger.Ledger{}, Dir: dir}
+	d := &Deployment{Place: p, Ledger: &ledger.Ledger{}, Seat: &Seat{Name: "lab", Dir: dir}}
 	for _, c := range p.Classes {
 		effect := map[string]ledger.Effect{"safe": ledger.Safe, "keyed": ledger.Keyed, "unsafe": ledger.Unsafe}[c.Repeat]
 		d.Classes = append(d.Classes, ledger.Class{Name: c.Name, Effect: effect, Memory: c.Memory, Worth: c.Worth, Aim: c.Aim})
@@ -88,18 +98,15 @@
 		}
 		d.Partners = append(d.Partners, s)
 		hosts = append(hosts, platform.Host{Host: cfg.Name, Dial: s.Addr(), Site: "here", Class: "partner", Block: cfg.Dest,
-			Health: "active", Share: max(cfg.Life[0].Rate, 20)})
+			Health: "active", Share: cmp.Or(cfg.Share, max(cfg.Life[0].Rate, 20))})
 	}
 	var err error
 	if d.Platform, err = platform.Start("127.0.0.1:0", d.Ledger, hosts); err != nil {
 		d.Close()
 		return nil, err
 	}
-	if d.Listen, err = FreePort(); err != nil {
-		d.Close()
-		return nil, err
-	}
-	if err := d.write(); err != nil {
+	d.Discovery = d.Platform.Addr()
+	if err := d.Furnish(d.Seat, d.Platform.Known()); err != nil {
 		d.Close()
 		return nil, err
 	}
@@ -119,14 +126,19 @@
 }
 
 // Config and State are the platform's configuration file and the folder that lasts.
-func (d *Deployment) Config() string { return filepath.Join(d.Dir, "config.json") }
+func (s *Seat) Config() string { return filepath.Join(s.Dir, "config.json") }
 
 // State is the folder that outlives a relay.
-func (d *Deployment) State() string { return filepath.Join(d.Dir, "state") }
+func (s *Seat) State() string { return filepath.Join(s.Dir, "state") }
 
-// write writes the configuration of the relay.
-func (d *Deployment) write() error {
+// Furnish finds a relay its address and writes its configuration, with the pool as it last knew it.
+func (d *Deployment) Furnish(s *Seat, known json.RawMessage) (err error) {
 	p := d.Place
+	if s.Listen == "" {
+		if s.Listen, err = FreePort(); err != nil {
+			return err
+		}
+	}
 	ms := func(t time.Duration) float64 { return float64(t) / float64(time.Millisecond) }
 	var classes, orgs []map[string]any
 	for _, c := range p.Classes {
@@ -137,12 +149,12 @@
 		orgs = append(orgs, map[string]any{"name": t.Name, "allowance-per-s": t.Allowance, "portion": t.Share})
 	}
 	file := map[string]any{
-		"name": "lab", "listen": d.Listen, "discovery": d.Platform.Addr(), "seed": fmt.Sprintf("%x", p.Seed),
+		"name": s.Name, "listen": s.Listen, "discovery": s.Discovery, "seed": fmt.Sprintf("%x", p.Seed+uint64(s.Number)<<32),
 		"limits": map[string]any{"cores": 1, "memory_mb": p.MemoryMB, "sockets": p.Sockets, "disk_mb": p.DiskMB},
-		"known":  d.Platform.Known(),
+		"known":  known,
 		"settings": map[string]any{
 			"classes": classes, "kinds": []string{"partner"}, "localities": []string{"here"}, "zone": "here", "orgs": orgs,
-			"over-share-worth": 0.1, "peers-total": 1, "self-index": 0, "resolution-ms": 5, "membership-mode": "pushed", "weights": "rough",
+			"over-share-worth": 0.1, "peers-total": max(p.Relays, 1), "self-index": s.Number, "resolution-ms": 5, "membership-mode": "pushed", "weights": "rough",
 			"family-info": map[string]any{"max-calls": p.MaxCalls, "late": "halves", "own-limits": []bool{false}, "carriage": []float64{0}},
 			"limits": map[string]any{"connect-timeout-ms": 1000, "keepalive-ms": ms(p.KeepAlive), "max-attempts": 8, "max-open": p.MaxOpen,
 				"max-retry-after-ms": 3000, "retry-after": true, "cancel": true, "streams-per-conn": 1},
@@ -154,10 +166,10 @@
 	if err != nil {
 		return fmt.Errorf("lab: %w", err)
 	}
-	if err := os.MkdirAll(d.State(), 0o700); err != nil {
+	if err := os.MkdirAll(s.State(), 0o700); err != nil {
 		return fmt.Errorf("lab: %w", err)
 	}
-	if err := os.WriteFile(d.Config(), raw, 0o600); err != nil {
+	if err := os.WriteFile(s.Config(), raw, 0o600); err != nil {
 		return fmt.Errorf("lab: %w", err)
 	}
 	return nil
@@ -165,22 +177,22 @@
 
 // Relay starts a relay on processors and waits until it is ready. gateway is the text of its own settings; empty
 // for none.
-func (d *Deployment) Relay(binary string, cpus []int, gateway string, flags ...string) (*Process, error) {
-	return d.RelayWith(binary, cpus, nil, gateway, flags...)
+func (s *Seat) Relay(binary string, cpus []int, gateway string, flags ...string) (*Process, error) {
+	return s.RelayWith(binary, cpus, nil, gateway, flags...)
 }
 
 // RelayWith starts a relay as Relay does, with more of the environment: a second process beside the first
 // gets an operators' address of its own, and the first one's TMPDIR.
-func (d *Deployment) RelayWith(binary string, cpus []int, env []string, gateway string, flags ...string) (*Process, error) {
+func (s *Seat) RelayWith(binary string, cpus []int, env []string, gateway string, flags ...string) (*Process, error) {
 	args := append([]string{"--log-format", "json"}, flags...)
 	if gateway != "" {
-		path := filepath.Join(d.Dir, "gateway.textproto")
+		path := filepath.Join(s.Dir, "gateway.textproto")
 		if err := os.WriteFile(path, []byte(gateway), 0o600); err != nil {
 			return nil, fmt.Errorf("lab: %w", err)
 		}
 		args = append(args, "--config", path)
 	}
-	p, err := Run(cpus, append([]string{"NODE_CONFIG=" + d.Config(), "NODE_STATE=" + d.State()}, env...), binary, args...)
+	p, err := Run(cpus, append([]string{"NODE_CONFIG=" + s.Config(), "NODE_STATE=" + s.State()}, env...), binary, args...)
 	if err != nil {
 		return nil, err
 	}
@@ -193,7 +205,12 @@
 
 // Load runs a load against the relay. Address, classes and ledger are filled in.
 func (d *Deployment) Load(ctx context.Context, cfg load.Config) error {
-	cfg.Addr, cfg.Classes, cfg.Ledger = d.Listen, d.Classes, d.Ledger
+	return d.LoadOn(ctx, d.Seat, cfg)
+}
+
+// LoadOn runs one against one of several relays.
+func (d *Deployment) LoadOn(ctx context.Context, s *Seat, cfg load.Config) error {
+	cfg.Addr, cfg.Classes, cfg.Ledger, cfg.Relay = s.Listen, d.Classes, d.Ledger, s.Number
 	return load.Run(ctx, cfg)
 }
 
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -55,6 +55,7 @@
 	Answer   Answer
 	RetryIn  time.Duration
 	Again    bool // the same message was refused before
+	Relay    int  // which it was handed to; rules that bind one relay are judged by it
 }
 
 // Call is one call that a partner's endpoint read.
@@ -78,14 +79,18 @@
 	RetryIn time.Duration
 }
 
-// Leave says that a member's draining was told.
+// Leave says that a member's draining was told to a relay.
 type Leave struct {
 	Member string
 	At     time.Time
+	Relay  int
 }
 
-// Kill says that the relay was away, and since when it was ready again.
-type Kill struct{ From, Ready time.Time }
+// Kill says that a relay was away, and since when it was ready again.
+type Kill struct {
+	From, Ready time.Time
+	Relay       int
+}
 
 // Book is what one recorder wrote. It belongs to one goroutine until its Ledger is closed.
 type Book struct {
@@ -190,6 +195,12 @@
 		v.Classes[i].Class = c.Name
 	}
 	var calls []*Call
+	relays := map[uint64]int{} // who called, by message
+	for _, b := range l.books {
+		for i := range b.HandIns {
+			relays[b.HandIns[i].ID] = b.HandIns[i].Relay
+		}
+	}
 	for _, b := range l.books {
 		for i := range b.Calls {
 			f := at(b.Calls[i].ID)
@@ -216,8 +227,8 @@
 			v.Classes[h.Class].count(&r.Classes[h.Class], h, f)
 		}
 	}
-	v.Breaches = append(v.Breaches, l.waits(r, calls)...)
-	v.Breaches = append(v.Breaches, l.drains(r, calls)...)
+	v.Breaches = append(v.Breaches, l.waits(r, calls, relays)...)
+	v.Breaches = append(v.Breaches, l.drains(r, calls, relays)...)
 	for i := range v.Classes {
 		c := &v.Classes[i]
 		for _, list := range [][]time.Duration{c.ToAccept, c.ToRefuse, c.ToDeliver, c.RefuseFromSent} {
@@ -260,7 +271,7 @@
 			ended = n.At
 		}
 	}
-	due := l.excused(h.Deadline.Add(r.EndSlack), r.ReadyGrace)
+	due := l.excused(h.Relay, h.Deadline.Add(r.EndSlack), r.ReadyGrace)
 	switch h.Answer {
 	case Accepted:
 		if ended.IsZero() && due.Before(end) {
@@ -296,7 +307,7 @@
 				a, b = b, a
 			}
 			// The connection of a process that was killed is closed, whatever its partner still writes to it.
-			if !a.Answered.IsZero() && b.Arrived.Before(a.Answered) && !l.between(a.Arrived, b.Arrived) {
+			if !a.Answered.IsZero() && b.Arrived.Before(a.Answered) && !l.between(h.Relay, a.Arrived, b.Arrived) {
 				breach("one copy", "a second call while the first was out")
 			}
 		}
@@ -308,65 +319,120 @@
 }
 
 // excused moves a time at which something is due behind the restart in which it falls.
-func (l *Ledger) excused(due time.Time, grace time.Duration) time.Time {
+func (l *Ledger) excused(relay int, due time.Time, grace time.Duration) time.Time {
 	for _, k := range l.kills {
-		if !due.Before(k.From) && due.Before(k.Ready.Add(grace)) {
+		if k.Relay == relay && !due.Before(k.From) && due.Before(k.Ready.Add(grace)) {
 			due = k.Ready.Add(grace)
 		}
 	}
 	return due
 }
 
-// waits finds calls that began in a wait that had been told to their destination.
-func (l *Ledger) waits(r Rules, calls []*Call) (out []Breach) {
-	byDest := map[int][]*Call{}
+// waits finds calls that a relay began in a wait that it had been told. What other relays were told binds it by no rule.
+func (l *Ledger) waits(r Rules, calls []*Call, relays map[uint64]int) (out []Breach) {
+	type bound struct{ dest, relay int }
+	byDest := map[bound][]*Call{}
 	for _, c := range calls {
-		byDest[c.Dest] = append(byDest[c.Dest], c)
+		b := bound{c.Dest, relays[c.ID]}
+		byDest[b] = append(byDest[b], c)
 	}
-	for dest, list := range byDest {
-		var told []*Call
-		for _, c := range list {
-			if c.Wait > 0 {
-				told = append(told, c)
+	for b, list := range byDest {
+		inside(list, list, r.WaitSlack, func(c, w *Call) {
+			if !l.between(b.relay, w.Answered, c.Arrived) {
+				out = append(out, Breach{"waits", c.ID, fmt.Sprintf("called destination %d %v into a wait of %v", b.dest,
+					c.Arrived.Sub(w.Answered), w.Wait)})
 			}
+		})
+	}
+	return out
+}
+
+// inside finds the calls of a list that arrived in a wait that one of others was told, more than slack after it was told; once
+// for each call, with the first such wait.
+func inside(list, others []*Call, slack time.Duration, found func(call, told *Call)) {
+	var told []*Call
+	for _, c := range others {
+		if c.Wait > 0 {
+			told = append(told, c)
+		}
+	}
+	slices.SortFunc(told, func(a, b *Call) int { return a.Answered.Compare(b.Answered) })
+	for _, c := range list {
+		for _, w := range told {
+			if w.Answered.Add(slack).After(c.Arrived) {
+				break
+			}
+			if c.Arrived.Before(w.Answered.Add(w.Wait)) {
+				found(c, w)
+				break
+			}
+		}
+	}
+}
+
+// Unheard is a call of a relay inside a wait that others had been told, and it had not.
+type Unheard struct {
+	Relay, Dest int
+	After       time.Duration // since the first of the waits that it lay in was told
+}
+
+// Unheard finds the calls inside others' waits. No rule forbids them; relays that tell each other make few.
+func (l *Ledger) Unheard() (out []Unheard) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	relays := map[uint64]int{}
+	byDest := map[int][]*Call{}
+	for _, b := range l.books {
+		for i := range b.HandIns {
+			relays[b.HandIns[i].ID] = b.HandIns[i].Relay
 		}
-		if len(told) == 0 {
-			continue
+		for i := range b.Calls {
+			byDest[b.Calls[i].Dest] = append(byDest[b.Calls[i].Dest], &b.Calls[i])
 		}
-		slices.SortFunc(told, func(a, b *Call) int { return a.Answered.Compare(b.Answered) })
+	}
+	for dest, list := range byDest {
+		// A wait that begins inside another's is the same one: who is told it has not heard the first.
+		var first []*Call
+		slices.SortFunc(list, func(a, b *Call) int { return a.Answered.Compare(b.Answered) })
+		var end time.Time
 		for _, c := range list {
-			for _, w := range told {
-				if w.Answered.Add(r.WaitSlack).After(c.Arrived) {
-					break
-				}
-				if c.Arrived.Before(w.Answered.Add(w.Wait)) && !l.between(w.Answered, c.Arrived) {
-					out = append(out, Breach{"waits", c.ID, fmt.Sprintf("called destination %d %v into a wait of %v", dest,
-						c.Arrived.Sub(w.Answered), w.Wait)})
-					break
-				}
+			if c.Wait > 0 && !c.Answered.Before(end) {
+				first = append(first, c)
+				end = c.Answered.Add(c.Wait)
 			}
 		}
+		inside(list, first, 0, func(c, w *Call) {
+			if relays[c.ID] != relays[w.ID] {
+				out = append(out, Unheard{relays[c.ID], dest, c.Arrived.Sub(w.Answered)})
+			}
+		})
 	}
 	return out
 }
 
-// between says that the relay was started anew between two times: that ends its waits.
-func (l *Ledger) between(from, to time.Time) bool {
+// between says that a relay was started anew between two times: that ends its waits.
+func (l *Ledger) between(relay int, from, to time.Time) bool {
 	for _, k := range l.kills {
-		if k.From.After(from) && k.From.Before(to) {
+		if k.Relay == relay && k.From.After(from) && k.From.Before(to) {
 			return true
 		}
 	}
 	return false
 }
 
-func (l *Ledger) drains(r Rules, calls []*Call) (out []Breach) {
-	left := map[string]time.Time{}
+func (l *Ledger) drains(r Rules, calls []*Call, relays map[uint64]int) (out []Breach) {
+	type told struct {
+		member string
+		relay  int
+	}
+	left := map[told]time.Time{}
 	for _, v := range l.leaves {
-		left[v.Member] = v.At
+		if t := (told{v.Member, v.Relay}); left[t].IsZero() {
+			left[t] = v.At
+		}
 	}
 	for _, c := range calls {
-		if at, ok := left[c.Member]; ok && c.First.After(at.Add(r.DrainGrace)) {
+		if at, ok := left[told{c.Member, relays[c.ID]}]; ok && c.First.After(at.Add(r.DrainGrace)) {
 			out = append(out, Breach{"drains", c.ID, fmt.Sprintf("sent to %s %v after its drain", c.Member, c.First.Sub(at))})
 		}
 		if c.Cold {
@@ -447,3 +513,22 @@
 	}
 	return counts
 }
+
+// Calls returns what partners' endpoints recorded, in order of arrival, with the relay that called. Nothing may be recorded any
+// more.
+func (l *Ledger) Calls() (calls []Call, relays []int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	of := map[uint64]int{}
+	for _, b := range l.books {
+		for i := range b.HandIns {
+			of[b.HandIns[i].ID] = b.HandIns[i].Relay
+		}
+		calls = append(calls, b.Calls...)
+	}
+	slices.SortFunc(calls, func(a, b Call) int { return a.Arrived.Compare(b.Arrived) })
+	for i := range calls {
+		relays = append(relays, of[calls[i].ID])
+	}
+	return calls, relays
+}
--- /dev/null
+++ b/internal/lab/links/links_test.go
@@ -0,0 +1,153 @@
+package links
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// two parties that take packets, and what came at the second.
+func two(t *testing.T) (n *Net, a, b *net.UDPConn, reach netip.AddrPort) {
+	t.Helper()
+	n = New(7)
+	t.Cleanup(n.Close)
+	var places [2]Place
+	var conns [2]*net.UDPConn
+	for i, name := range []string{"a", "b"} {
+		p, err := n.Party(name, 300+i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(p.Bind))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		places[i], conns[i] = p, c
+	}
+	return n, conns[0], conns[1], places[1].Reach
+}
+
+func drain(c *net.UDPConn, quiet time.Duration) (got [][]byte) {
+	buf := make([]byte, 2048)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(quiet))
+		size, err := c.Read(buf)
+		if err != nil {
+			return got
+		}
+		got = append(got, append([]byte(nil), buf[:size]...))
+	}
+}
+
+func TestPackets(t *testing.T) {
+	const sent = 160
+	for _, c := range []struct {
+		name  string
+		fault Fault
+		ok    func(got [][]byte, spoilt int, first time.Duration) bool
+	}{
+		{"good", Fault{}, func(got [][]byte, spoilt int, _ time.Duration) bool { return len(got) == sent && spoilt == 0 }},
+		{"loss", Fault{Loss: 0.5}, func(got [][]byte, _ int, _ time.Duration) bool { return len(got) > sent/4 && len(got) < 3*sent/4 }},
+		{"duplicates", Fault{Duplicate: 0.5}, func(got [][]byte, _ int, _ time.Duration) bool { return len(got) > sent+sent/4 }},
+		{"corruption", Fault{Corrupt: 0.5}, func(got [][]byte, spoilt int, _ time.Duration) bool { return len(got) == sent && spoilt > sent/4 }},
+		{"delay", Fault{Delay: 80 * time.Millisecond}, func(got [][]byte, _ int, first time.Duration) bool {
+			return len(got) == sent && first >= 80*time.Millisecond
+		}},
+		{"bandwidth", Fault{Bandwidth: 100_000}, func(got [][]byte, _ int, _ time.Duration) bool { return len(got) == sent }},
+		{"cut", Fault{Cut: true}, func(got [][]byte, _ int, _ time.Duration) bool { return len(got) == 0 }},
+	} {
+		n, a, b, reach := two(t)
+		n.Set("a", "b", c.fault)
+		n.Set("b", "a", Fault{Cut: true}) // the other direction is another link
+		from := time.Now()
+		text := bytes.Repeat([]byte("x"), 50)
+		for range sent {
+			if _, err := a.WriteToUDPAddrPort(text, reach); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Microsecond)
+		}
+		_ = b.SetReadDeadline(time.Now().Add(time.Second))
+		buf := make([]byte, 100)
+		_, err := b.Read(buf)
+		first := time.Since(from)
+		got := drain(b, 300*time.Millisecond)
+		if err == nil {
+			got = append(got, buf[:50])
+		}
+		spoilt := 0
+		for _, g := range got {
+			if !bytes.Equal(g, text) {
+				spoilt++
+			}
+		}
+		if !c.ok(got, spoilt, first) {
+			t.Errorf("%s: %d came of %d, %d spoilt, the first after %v", c.name, len(got), sent, spoilt, first)
+		}
+	}
+}
+
+// A cut stream stands still and goes on; a target that is away refuses the caller, and one that resets resets it.
+func TestStreams(t *testing.T) {
+	n := New(3)
+	t.Cleanup(n.Close)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); c.Close() }()
+		}
+	}()
+	source := netip.MustParseAddr("127.79.0.9")
+	addr, err := n.Forward("a", "b", ln.Addr().String(), source)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	say := func(text string, within time.Duration) bool {
+		_, _ = io.WriteString(c, text)
+		_ = c.SetReadDeadline(time.Now().Add(within))
+		buf := make([]byte, 64)
+		size, err := c.Read(buf)
+		return err == nil && string(buf[:size]) == text
+	}
+	if !say("hello", 5*time.Second) {
+		t.Fatal("no echo")
+	}
+	n.Set("b", "a", Fault{Cut: true})
+	if say("held", 100*time.Millisecond) {
+		t.Error("an echo came through the cut")
+	}
+	n.Set("b", "a", Fault{})
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	buf := make([]byte, 64)
+	if size, err := c.Read(buf); err != nil || string(buf[:size]) != "held" {
+		t.Errorf("after the cut: %q, %v", buf[:size], err)
+	}
+	if n.Opened("a", "b", time.Time{}, time.Now()) != 1 {
+		t.Error("the connection was not counted")
+	}
+	ln.Close()
+	c.Close()
+	if c, err = net.Dial("tcp", addr); err == nil {
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err = c.Read(buf); err == nil || err == io.EOF {
+			t.Errorf("a target that is away: %v", err)
+		}
+		c.Close()
+	}
+}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -48,6 +48,7 @@
 	Seed     uint64
 	Ledger   *ledger.Ledger
 	Poisson  bool // gaps are exponential; else even
+	Relay    int  // which relay Addr is, for the ledger
 }
 
 // message is one hand-in to be.
@@ -148,7 +149,7 @@
 
 func (l *Load) record(m message, a ledger.Answer) ledger.HandIn {
 	return ledger.HandIn{ID: l.seq.Add(1), Class: l.cfg.Streams[m.stream].Class, Dest: m.dest, Due: m.due, Deadline: m.end,
-		Answer: a, Again: m.tries > 0}
+		Answer: a, Again: m.tries > 0, Relay: l.cfg.Relay}
 }
 
 // client is one connection that hands in one message at a time.
--- a/internal/lab/partner/partner.go
+++ b/internal/lab/partner/partner.go
@@ -65,7 +65,8 @@
 	Life   []Phase
 	Ledger *ledger.Ledger
 	Seed   uint64
-	Report string // of X-Backend-Load; empty for a report of the present limit
+	Share  float64 // the rate that the list gives; 0 for that of the first phase, 20 at least
+	Report string  // of X-Backend-Load; empty for a report of the present limit
 
 	TLS *tls.Config // of a server; nil for plain
 
@@ -92,6 +93,7 @@
 	calls   int64
 	shook   [2]int64 // handshakes in full, and resumed
 	changed chan struct{}
+	begun   chan struct{} // closed when the life begins anew
 	wg      sync.WaitGroup
 }
 
@@ -100,7 +102,7 @@
 	if len(cfg.Life) == 0 {
 		return nil, errors.New("partner: a life needs a phase")
 	}
-	s := &Server{cfg: cfg, start: time.Now(), conns: map[net.Conn]bool{}, changed: make(chan struct{})}
+	s := &Server{cfg: cfg, start: time.Now(), conns: map[net.Conn]bool{}, changed: make(chan struct{}), begun: make(chan struct{})}
 	ln, err := net.Listen("tcp", cfg.Addr)
 	if err != nil {
 		return nil, fmt.Errorf("partner %s: %w", cfg.Name, err)
@@ -108,10 +110,26 @@
 	s.addr, s.ln = ln.Addr().String(), ln
 	s.enter(cfg.Life[0])
 	s.wg.Go(func() { s.accept(ln) })
-	s.wg.Go(s.live)
+	s.wg.Go(func() { s.live(s.begun) })
 	return s, nil
 }
 
+// Restart begins the life anew from now.
+func (s *Server) Restart() {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	close(s.begun)
+	s.begun = make(chan struct{})
+	s.start = time.Now()
+	again := s.begun
+	s.mu.Unlock()
+	s.enter(s.cfg.Life[0])
+	s.wg.Go(func() { s.live(again) })
+}
+
 // Addr is where the endpoint listens, or will again.
 func (s *Server) Addr() string { return s.addr }
 
@@ -156,12 +174,17 @@
 }
 
 // live goes through the phases.
-func (s *Server) live() {
+func (s *Server) live(again chan struct{}) {
+	s.mu.Lock()
+	start := s.start
+	s.mu.Unlock()
 	for _, p := range s.cfg.Life[1:] {
 		select {
 		case <-s.changed:
 			return
-		case <-time.After(time.Until(s.start.Add(p.From))):
+		case <-again:
+			return
+		case <-time.After(time.Until(start.Add(p.From))):
 		}
 		s.enter(p)
 	}
--- a/internal/lab/platform/platform.go
+++ b/internal/lab/platform/platform.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -50,10 +51,40 @@
 	changed chan struct{} // closed at each change
 	silent  bool
 	onHook  func(ledger.Notice)
+	relays  map[netip.Addr]relay // by the address that it calls from; one alone needs none
 	stop    chan struct{}
 	once    sync.Once
 }
 
+// relay is one that is told apart from the others: its drains count from when they were written to it, and what it reads as a
+// member's address is its own way there.
+type relay struct {
+	number int
+	dial   func(Host) string
+}
+
+// Relay tells a relay apart by the address that it calls from.
+func (s *Server) Relay(from netip.Addr, number int, dial func(Host) string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.relays == nil {
+		s.relays = map[netip.Addr]relay{}
+	}
+	s.relays[from] = relay{number, dial}
+}
+
+// as is a list as a relay reads it.
+func as(hosts []Host, r relay) []Host {
+	if r.dial == nil {
+		return hosts
+	}
+	hosts = slices.Clone(hosts)
+	for i := range hosts {
+		hosts[i].Dial = r.dial(hosts[i])
+	}
+	return hosts
+}
+
 type change struct {
 	seq  int64
 	host Host
@@ -91,10 +122,13 @@
 }
 
 // Known is the list as it stands, in the form that a relay's configuration holds.
-func (s *Server) Known() json.RawMessage {
+func (s *Server) Known() json.RawMessage { return s.KnownTo(netip.Addr{}) }
+
+// KnownTo is the same for a relay that calls from an address of its own.
+func (s *Server) KnownTo(from netip.Addr) json.RawMessage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	raw, _ := json.Marshal(list{s.seq, true, s.hosts}) // it never fails
+	raw, _ := json.Marshal(list{s.seq, true, as(s.hosts, s.relays[from])}) // it never fails
 	return raw
 }
 
@@ -108,7 +142,7 @@
 		s.hosts = append(s.hosts, h)
 	}
 	s.changes = append(s.changes, change{s.seq, h})
-	if h.Health == "leaving" {
+	if h.Health == "leaving" && s.relays == nil {
 		s.ledger.Leave(ledger.Leave{Member: h.Host, At: time.Now()})
 	}
 	close(s.changed)
@@ -128,6 +162,10 @@
 	from, _ := strconv.ParseInt(req.FormValue("from"), 10, 64)
 	hold, _ := strconv.Atoi(req.FormValue("hold_ms"))
 	until := time.After(time.Duration(min(hold, 60_000)) * time.Millisecond)
+	at, _ := netip.ParseAddrPort(req.RemoteAddr)
+	s.mu.Lock()
+	caller, apart := s.relays[at.Addr().Unmap()]
+	s.mu.Unlock()
 	for over := hold == 0 || from == 0; ; {
 		s.mu.Lock()
 		changed, silent := s.changed, s.silent
@@ -141,11 +179,17 @@
 				}
 			}
 		}
+		answer.Hosts = as(answer.Hosts, caller)
 		raw, _ := json.Marshal(answer)
 		s.mu.Unlock()
 		if !silent && (over || answer.Whole || len(answer.Hosts) > 0) {
 			w.Header().Set("Content-Type", "application/json")
 			_, _ = w.Write(raw)
+			for _, h := range answer.Hosts {
+				if h.Health == "leaving" && apart {
+					s.ledger.Leave(ledger.Leave{Member: h.Host, At: time.Now(), Relay: caller.number})
+				}
+			}
 			return
 		}
 		select {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -205,8 +205,11 @@
 
 // FreePort asks the system for a port on loopback. Another may take it before it is used again; the caller
 // notices, for its program then does not start.
-func FreePort() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func FreePort() (string, error) { return FreePortOn("127.0.0.1") }
+
+// FreePortOn asks for one on another address of the loopback: where nobody else opens connections from, nobody takes it.
+func FreePortOn(ip string) (string, error) {
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return "", fmt.Errorf("lab: %w", err)
 	}
