--- a/internal/lab/fleets/fleets.go
+++ b/internal/lab/fleets/fleets.go
@@ -52,6 +52,7 @@
 	proc    *lab.Process
 	killed  time.Time // since when it is away by our doing
 	stopped bool
+	halted  time.Time
 	cpu     time.Duration // used up to the beginning of the load
 	used    time.Duration // by processes that were killed
 }
@@ -332,8 +333,7 @@
 		return f.each(all(sc, names), func(s *seat) error {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.stopped = stopped
-			return s.proc.Signal(sig)
+			return f.halt(s, sig, stopped)
 		})
 	}
 	switch w := e.What.(type) {
@@ -380,6 +380,10 @@
 			}
 			return s.proc.Signal(syscall.SIGHUP)
 		})
+	case *labv1.Event_Listen:
+		f.Net.Listen(w.Listen.From, w.Listen.To)
+	case *labv1.Event_Replay:
+		f.note(fmt.Sprintf("          %d packets", f.Net.Replay(w.Replay.From, w.Replay.To)))
 	case *labv1.Event_Lies:
 		l, err := f.lie(w.Lies)
 		f.liar = l
@@ -388,6 +392,17 @@
 	return nil
 }
 
+// halt stops a process, or lets it go on: its deadlines are excused for that long. It needs the seat's lock.
+func (f *Fleet) halt(s *seat, sig syscall.Signal, stopped bool) error {
+	if stopped {
+		s.halted = time.Now()
+	} else if s.stopped {
+		f.D.Ledger.Kill(ledger.Kill{From: s.halted, Ready: time.Now(), Relay: s.Number, Stopped: true})
+	}
+	s.stopped = stopped
+	return s.proc.Signal(sig)
+}
+
 func (f *Fleet) drain(endpoint string) error {
 	for i, p := range f.D.Place.Partners {
 		if p.Name == endpoint {
@@ -422,8 +437,7 @@
 	for _, s := range f.seats {
 		s.mu.Lock()
 		if s.stopped {
-			_ = s.proc.Signal(syscall.SIGCONT)
-			s.stopped = false
+			_ = f.halt(s, syscall.SIGCONT, false)
 		}
 		s.mu.Unlock()
 	}
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -90,6 +90,7 @@
 type Kill struct {
 	From, Ready time.Time
 	Relay       int
+	Stopped     bool // and went on with all that it knew: nothing but its deadlines is excused
 }
 
 // Book is what one recorder wrote. It belongs to one goroutine until its Ledger is closed.
@@ -413,7 +414,7 @@
 // between says that a relay was started anew between two times: that ends its waits.
 func (l *Ledger) between(relay int, from, to time.Time) bool {
 	for _, k := range l.kills {
-		if k.Relay == relay && k.From.After(from) && k.From.Before(to) {
+		if k.Relay == relay && !k.Stopped && k.From.After(from) && k.From.Before(to) {
 			return true
 		}
 	}
--- a/internal/lab/links/links.go
+++ b/internal/lab/links/links.go
@@ -49,6 +49,8 @@
 	links  map[pair]*link
 	names  map[netip.Addr]string // who calls from an address
 	opened map[pair][]time.Time  // connections that were asked for
+	kept   map[pair][][]byte     // packets of links that are listened to, to be sent again
+	send   map[string]func([]byte)
 	closes []func()
 	moved  chan struct{} // closed at each change of a fault
 	done   chan struct{}
@@ -59,7 +61,7 @@
 
 // New returns an injector whose chances come from the seed.
 func New(seed uint64) *Net {
-	return &Net{seed: seed, links: map[pair]*link{}, names: map[netip.Addr]string{}, opened: map[pair][]time.Time{}, moved: make(chan struct{}),
+	return &Net{seed: seed, links: map[pair]*link{}, names: map[netip.Addr]string{}, opened: map[pair][]time.Time{}, kept: map[pair][][]byte{}, send: map[string]func([]byte){}, moved: make(chan struct{}),
 		done: make(chan struct{})}
 }
 
@@ -100,6 +102,25 @@
 	n.moved = make(chan struct{})
 }
 
+// Listen keeps the packets that pass from one party to another, up to a thousand, as one does who means to send them again.
+func (n *Net) Listen(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.kept[pair{from, to}] = [][]byte{}
+}
+
+// Replay sends what was kept once more, and says how many packets that were.
+func (n *Net) Replay(from, to string) int {
+	n.mu.Lock()
+	kept, send := n.kept[pair{from, to}], n.send[to]
+	delete(n.kept, pair{from, to})
+	n.mu.Unlock()
+	for _, b := range kept {
+		send(b)
+	}
+	return len(kept)
+}
+
 // Know tells who calls from an address that no party was given.
 func (n *Net) Know(ip net.IP, name string) {
 	n.mu.Lock()
@@ -199,6 +220,7 @@
 	p = Place{Bind: bind, Reach: tcp.Addr().(*net.TCPAddr).AddrPort()}
 	n.mu.Lock()
 	n.names[bind.Addr()] = name
+	n.send[name] = func(b []byte) { _, _ = udp.WriteToUDPAddrPort(b, bind) }
 	n.closes = append(n.closes, func() { tcp.Close() }, func() { udp.Close() })
 	n.mu.Unlock()
 	n.wg.Go(func() { n.packets(udp, name, bind) })
@@ -260,6 +282,11 @@
 		if !ok {
 			continue
 		}
+		n.mu.Lock()
+		if kept, ok := n.kept[pair{name, to}]; ok && len(kept) < 1000 {
+			n.kept[pair{name, to}] = append(kept, append([]byte(nil), buf[:size]...))
+		}
+		n.mu.Unlock()
 		after, spoil := n.plan(name, to, size)
 		for _, d := range after {
 			b := append([]byte(nil), buf[:size]...)
