Senders that held for another's wait come back one by one

Change: what was told to others holds here for a share, by chance, of the time that the destination needs for a call of each sender longer; a relay that is missed as a member is looked for when it speaks; the rig counts calls by wait, and bytes from the load's beginning.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,6 +61,8 @@
 	// joinFirst to joinMost is the pause between two tries to find the fleet; rejoinEvery that between two tries to reach
 	// somebody who is none of it at present.
 	joinFirst, joinMost, rejoinEvery = 250 * time.Millisecond, 8 * time.Second, 10 * time.Second
+	// meetEvery is the least time between two comparisons of members with a known one, where somebody has spoken who is none here.
+	meetEvery = 3 * time.Second
 	// bindEvery is how often a taken address is tried: a predecessor at a hand-over holds it until its end.
 	bindEvery = 200 * time.Millisecond
 	// leaveWithin bounds the farewell.
@@ -76,6 +78,8 @@
 	origin time.Time
 	ring   *memberlist.Keyring
 	drops  drops
+	// stranger says that somebody has spoken, or was spoken of, who is no member here: a member too few is known.
+	stranger chan struct{}
 
 	mu      sync.Mutex
 	inbox   []any
@@ -149,7 +153,7 @@
 	if err != nil {
 		slog.Warn("fleet: starts not counted; the others' memory of this name is asked instead", "err", err)
 	}
-	f := &Fleet{cfg: cfg, relay: relay, origin: time.Now(), ring: ring, signal: make(chan struct{}, 1), holds: map[traffic.Group]time.Time{},
+	f := &Fleet{cfg: cfg, relay: relay, origin: time.Now(), ring: ring, signal: make(chan struct{}, 1), stranger: make(chan struct{}, 1), holds: map[traffic.Group]time.Time{},
 		members: map[string]*MemberState{}, book: verdicts.NewBook(), teller: verdicts.NewTeller(cfg.Self, incarnation),
 		nodes: map[string]*memberlist.Node{}, pool: map[string]traffic.Member{}, drained: map[string]saying{}, bans: map[string]bool{},
 		rng: rand.New(rand.NewPCG(cfg.Seed, 0xf1ee7))}
@@ -290,12 +294,21 @@
 		if alone {
 			wait, pause = pause, min(2*pause, joinMost)
 		}
+		to := ""
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(time.Duration((0.5 + rng.Float64()) * float64(wait))):
+			to = f.absent(list, rng)
+		case <-f.stranger: // a known one is asked who that is; not at once, for all may have heard it
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(time.Duration((0.5 + rng.Float64()) * float64(meetEvery))):
+			}
+			to = present(list, rng)
 		}
-		if to := f.absent(list, rng); to != "" {
+		if to != "" {
 			_, err := list.Join([]string{to})
 			slog.Debug("fleet: looked for a member", "addr", to, "err", err)
 		}
@@ -303,6 +316,16 @@
 	}
 }
 
+// present picks the address of a live member.
+func present(list *memberlist.Memberlist, rng *rand.Rand) string {
+	self := list.LocalNode().Name
+	others := slices.DeleteFunc(list.Members(), func(n *memberlist.Node) bool { return n.Name == self })
+	if len(others) == 0 {
+		return ""
+	}
+	return others[rng.IntN(len(others))].Address()
+}
+
 // listen opens the address, as soon as it is free.
 func (f *Fleet) listen(ctx context.Context) (*memberlist.Memberlist, error) {
 	for waited := false; ; waited = true {
@@ -420,7 +443,7 @@
 			f.spread.Clock(now, in.from, in.incarnation, in.uptime)
 			f.heardFrom(in)
 		case changed:
-			f.membersChanged(now)
+			f.membersChanged(now, &t)
 		case poolNow:
 			f.poolChanged(now, in)
 			t.look = true
@@ -460,7 +483,14 @@
 		}
 		return
 	}
+	strangers := f.spread.Counters().Strangers
 	news, own, out := f.spread.Receive(now, p)
+	if f.spread.Counters().Strangers > strangers {
+		select {
+		case f.stranger <- struct{}{}:
+		default:
+		}
+	}
 	for _, s := range own {
 		if f.teller.Above(s.Version) {
 			slog.Warn("fleet: another start under this name is known", "incarnation", f.teller.Incarnation())
@@ -503,7 +533,7 @@
 	return n
 }
 
-func (f *Fleet) membersChanged(now time.Duration) {
+func (f *Fleet) membersChanged(now time.Duration, t *turn) {
 	f.mu.Lock()
 	list := f.list
 	f.mu.Unlock()
@@ -519,6 +549,8 @@
 	for name := range f.nodes {
 		if live[name] == nil {
 			f.judge.Forget(name)
+			t.come = append(t.come, f.judge.Lost(now, f.book.Forget(name))...)
+			t.look = true
 		}
 	}
 	if len(live) > len(f.nodes) {
--- a/internal/lab/fleets/fleets.go
+++ b/internal/lab/fleets/fleets.go
@@ -54,6 +54,7 @@
 	stopped bool
 	halted  time.Time
 	cpu     time.Duration // used up to the beginning of the load
+	sent    int64         // bytes to other relays, up to then
 	used    time.Duration // by processes that were killed
 }
 
@@ -269,6 +270,9 @@
 	sc := f.Scenario
 	for _, s := range f.seats {
 		s.cpu = s.proc.Usage().CPU
+		if g, err := f.figures(s); err == nil {
+			s.sent = g.SentBytes
+		}
 	}
 	f.Began = time.Now()
 	for _, p := range f.D.Partners {
@@ -363,7 +367,7 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.used += s.proc.Usage().CPU - s.cpu
-			s.killed, s.stopped, s.cpu = time.Now(), false, 0
+			s.killed, s.stopped, s.cpu, s.sent = time.Now(), false, 0, 0
 			s.proc.Kill()
 			return nil
 		})
--- a/internal/lab/fleets/report.go
+++ b/internal/lab/fleets/report.go
@@ -20,6 +20,7 @@
 	Worth float64
 	// Unheard are calls inside waits that other relays had been told.
 	Unheard []ledger.Unheard
+	Waits   int // that were told, those inside others not counted
 	Calls   []ledger.Call
 	Relays  []int // that made them
 	// Of each relay: what it used, and its part in the fleet.
@@ -41,6 +42,7 @@
 			r.CPU[s.Number], r.RSS[s.Number] = (s.used+u.CPU-s.cpu).Seconds()/r.Span.Seconds(), u.RSS
 		}
 		if g, err := f.figures(s); err == nil {
+			g.SentBytes -= s.sent
 			r.Figures[s.Number] = g
 		}
 		return nil
@@ -48,7 +50,7 @@
 	f.Close()
 	rules := ledger.Usual(f.D.Classes)
 	r.Verdict = f.D.Ledger.Judge(rules, time.Now())
-	r.Unheard = f.D.Ledger.Unheard()
+	r.Unheard, r.Waits = f.D.Ledger.Unheard()
 	r.Calls, r.Relays = f.D.Ledger.Calls()
 	worth, asked := 0.0, 0.0
 	for i, c := range r.Verdict.Classes {
@@ -140,11 +142,14 @@
 			}
 		}
 	}
-	late := time.Duration(0)
+	late, worst, each := time.Duration(0), 0, map[time.Time]int{}
 	for _, u := range r.Unheard {
 		late = max(late, u.After)
+		each[u.Told]++
+		worst = max(worst, each[u.Told])
 	}
-	fmt.Fprintf(t, "in others' waits\t%d calls, the latest %v after the wait was told\n", len(r.Unheard), late.Round(time.Millisecond))
+	fmt.Fprintf(t, "in others' waits\t%d calls in %d waits (%d in one), the latest %v after the wait was told\n", len(r.Unheard), r.Waits, worst,
+		late.Round(time.Millisecond))
 	var sent, cpu, rss float64
 	var most float64
 	drops := fleet.Drops{}
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -374,11 +374,13 @@
 // Unheard is a call of a relay inside a wait that others had been told, and it had not.
 type Unheard struct {
 	Relay, Dest int
-	After       time.Duration // since the first of the waits that it lay in was told
+	Told        time.Time     // the first of the waits that it lay in
+	After       time.Duration // since then
 }
 
-// Unheard finds the calls inside others' waits. No rule forbids them; relays that tell each other make few.
-func (l *Ledger) Unheard() (out []Unheard) {
+// Unheard finds the calls inside others' waits, and counts the waits: one that is told inside another is the same. No rule
+// forbids such calls; relays that tell each other make few.
+func (l *Ledger) Unheard() (out []Unheard, waits int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	relays := map[uint64]int{}
@@ -392,7 +394,6 @@
 		}
 	}
 	for dest, list := range byDest {
-		// A wait that begins inside another's is the same one: who is told it has not heard the first.
 		var first []*Call
 		slices.SortFunc(list, func(a, b *Call) int { return a.Answered.Compare(b.Answered) })
 		var end time.Time
@@ -402,13 +403,14 @@
 				end = c.Answered.Add(c.Wait)
 			}
 		}
+		waits += len(first)
 		inside(list, first, 0, func(c, w *Call) {
 			if relays[c.ID] != relays[w.ID] {
-				out = append(out, Unheard{relays[c.ID], dest, c.Arrived.Sub(w.Answered)})
+				out = append(out, Unheard{relays[c.ID], dest, w.Answered, c.Arrived.Sub(w.Answered)})
 			}
 		})
 	}
-	return out
+	return out, waits
 }
 
 // between says that a relay was started anew between two times: that ends its waits.
--- a/internal/lab/partner/partner.go
+++ b/internal/lab/partner/partner.go
@@ -267,7 +267,7 @@
 	s.filled = now
 	switch {
 	case p.Mode == Shut:
-		v.status, v.after = 503, 0
+		v.status, v.after, v.wait = 503, 0, p.Wait
 	case p.Rate > 0 && s.bucket < 1:
 		v.status, v.after, v.wait = 429, 0, p.Wait
 	case p.Rate > 0:
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -79,7 +79,8 @@
 type Counters struct {
 	Sent, SentBytes       int64
 	Received, News        int64 // packets taken in; statements in them that were new
-	Strangers, Replayed   int64 // dropped: from no member; seen before, or of an earlier incarnation
+	Strangers, Replayed   int64 // packets dropped: from no member; seen before, or of an earlier incarnation
+	Gone                  int64 // statements dropped, for their origin is no member
 	Short                 int64 // packets not sent for want of bytes
 	Asked, Answered, Late int64 // comparisons begun and answered; packets that came more than a second late
 }
@@ -279,7 +280,7 @@
 		case st.Origin == s.cfg.Self:
 			own = append(own, st)
 		case !s.Member(st.Origin): // what the dead said ends with them
-			s.count.Strangers++
+			s.count.Gone++
 		case s.book.Merge(now, st):
 			news = append(news, st)
 		}
--- a/sender.go
+++ b/sender.go
@@ -271,8 +271,11 @@
 	switch {
 	case ev.Kind == ToldWait && d != nil:
 		for _, o := range d.eps {
-			if ev.Endpoint == "" || o == e {
-				o.ledger.heldUntil = s.now + ev.For
+			if l := o.ledger; ev.Endpoint == "" || o == e {
+				l.heldUntil = s.now + ev.For
+				if ev.For > 0 { // all that held at once would be as many calls as there are senders
+					l.heldUntil += time.Duration(s.rng.Float64() * l.peers / l.capacity() * 1e9)
+				}
 			}
 		}
 	case e == nil || ev.Kind == ToldOut && e.lastGood >= from:
--- a/told_test.go
+++ b/told_test.go
@@ -21,6 +21,9 @@
 // What others were told to wait for holds here too, one destination alone, and ends when it is said to.
 func TestToldToWait(t *testing.T) {
 	s := met(t, testSettings())
+	for _, d := range s.dests {
+		d.shared.weight = 1e6 // senders come back one by one at the destination's limit: at this one all at once
+	}
 	acts := s.Step(10005*ms, []Event{Told{Kind: ToldWait, Destination: 1, For: 400 * ms}, req("a", "safe", 1), req("b", "safe", 2)})
 	if got := sends(acts); !slices.Equal(got, []string{"b"}) {
 		t.Errorf("sent %v", got)
