--- a/cmd/slatemux/fleet.go
+++ b/cmd/slatemux/fleet.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -45,12 +48,14 @@
 	var raw bool
 	root.PersistentFlags().StringVar(&addr, "ops", "", "the relay's operators' address, host:port")
 	root.PersistentFlags().BoolVar(&raw, "json", false, "print JSON")
-	_ = root.MarkPersistentFlagRequired("ops")
 	show := func(what, short string, table func(w io.Writer, body []byte) error) *cobra.Command {
 		return &cobra.Command{
 			Use: what, Short: short, Args: cobra.NoArgs,
 			Example: "  slatemux fleet " + what + " --ops 127.0.0.1:8600",
 			RunE: func(cmd *cobra.Command, _ []string) error {
+				if addr == "" {
+					return errors.New("fleet: --ops is missing: the relay's operators' address")
+				}
 				body, err := askOps(cmd.Context(), addr, "/ops/fleet/"+what)
 				if err != nil {
 					return fmt.Errorf("fleet: %w", err)
@@ -67,7 +72,16 @@
 			},
 		}
 	}
-	root.AddCommand(show("members", "List the fleet's members", membersTable), show("verdicts", "List what relays have told each other and still holds", verdictsTable))
+	root.AddCommand(&cobra.Command{
+		Use: "key", Short: "Print a new key for the fleet's key file", Args: cobra.NoArgs,
+		Example: "  (umask 077; slatemux fleet key > fleet.key)",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			key := make([]byte, 32)
+			_, _ = rand.Read(key) // it never fails
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), base64.StdEncoding.EncodeToString(key))
+			return err
+		},
+	}, show("members", "List the fleet's members", membersTable), show("verdicts", "List what relays have told each other and still holds", verdictsTable))
 	return root
 }
 
--- a/internal/fleet/figures.go
+++ b/internal/fleet/figures.go
@@ -48,14 +48,14 @@
 
 // Figures are what operators are shown.
 type Figures struct {
-	Members       int     `json:"members"` // that live, this one included
-	StalenessMS   float64 `json:"staleness_ms"`
-	Verdicts      int     `json:"verdicts"` // statements that hold
-	SentBytes     int64   `json:"sent_bytes"`
-	ReceivedBytes int64   `json:"received_bytes"`
-	Drops         Drops   `json:"drops"`
-	Spread        spread.Counters
-	Judged        verdicts.Counters
+	Members       int               `json:"members"` // that live, this one included
+	StalenessMS   float64           `json:"staleness_ms"`
+	Verdicts      int               `json:"verdicts"` // statements that hold
+	SentBytes     int64             `json:"sent_bytes"`
+	ReceivedBytes int64             `json:"received_bytes"`
+	Drops         Drops             `json:"drops"`
+	Spread        spread.Counters   `json:"spread"`
+	Judged        verdicts.Counters `json:"judged"`
 }
 
 // Drops count what was not believed or not taken in.
--- a/internal/lab/fleets/fleets.go
+++ b/internal/lab/fleets/fleets.go
@@ -71,8 +71,9 @@
 	p := lab.Place{Classes: lab.Usual(), Tenants: []lab.Tenant{{Name: "acme", Share: 1}}, MemoryMB: 64, DiskMB: 16, Sockets: 512, MaxOpen: 2000, MaxCalls: 60,
 		KeepAlive: 5 * time.Second, Seed: sc.Seed, Relays: int(sc.Relays)}
 	for i, pt := range sc.Partner {
+		gate := &partner.Gate{}
 		for j, name := range endpoints(pt) {
-			p.Partners = append(p.Partners, partner.Config{Name: name, Dest: int(pt.Destination), Life: life(pt), Seed: sc.Seed ^ uint64(i<<8|j), Share: pt.Phase[0].Rate})
+			p.Partners = append(p.Partners, partner.Config{Gate: gate, Name: name, Dest: int(pt.Destination), Life: life(pt), Seed: sc.Seed ^ uint64(i<<8|j), Share: pt.Phase[0].Rate})
 		}
 	}
 	var err error
@@ -389,6 +390,9 @@
 	case *labv1.Event_Replay:
 		f.note(fmt.Sprintf("          %d packets", f.Net.Replay(w.Replay.From, w.Replay.To)))
 	case *labv1.Event_Lies:
+		if !f.seats[0].fleet {
+			return nil // nobody to lie to
+		}
 		l, err := f.lie(w.Lies)
 		f.liar = l
 		return err
--- a/internal/lab/fleets/scenario.go
+++ b/internal/lab/fleets/scenario.go
@@ -164,7 +164,7 @@
 func life(p *labv1.Partner) (list []partner.Phase) {
 	for _, ph := range p.Phase {
 		list = append(list, partner.Phase{From: seconds(ph.FromS), Mode: partner.Mode(ph.Mode), Latency: partner.Latency{Mean: millis(ph.LatencyMs), CV: ph.Cv},
-			Rate: ph.Rate / float64(max(p.Endpoints, 1)), Wait: millis(ph.WaitMs), ErrorRate: ph.ErrorRate, Cold: seconds(ph.ColdS), ColdFrom: ph.ColdFrom})
+			Rate: ph.Rate, Wait: millis(ph.WaitMs), ErrorRate: ph.ErrorRate, Cold: seconds(ph.ColdS), ColdFrom: ph.ColdFrom})
 	}
 	return list
 }
--- a/internal/lab/partner/partner.go
+++ b/internal/lab/partner/partner.go
@@ -57,8 +57,49 @@
 	ColdFrom  float64       // share of Rate that it has at once; it falls where twice that arrives
 }
 
+// Gate is the limit of a partner, over all its endpoints.
+type Gate struct {
+	mu     sync.Mutex
+	bucket float64
+	filled time.Time
+	recent []time.Time // arrivals in the last second, while cold
+}
+
+// begin fills it at the beginning of a phase.
+func (g *Gate) begin(p *Phase, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.bucket, g.filled, g.recent = p.Rate, now, nil
+}
+
+// take lets a call in, or not; it says what the rate is just now, what share of it is left, and whether a cold partner is pushed
+// over.
+func (g *Gate) take(p *Phase, age time.Duration, now time.Time) (in bool, rate, left float64, over bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if rate = p.Rate; p.Cold > 0 && age < p.Cold {
+		rate *= p.ColdFrom + (1-p.ColdFrom)*float64(age)/float64(p.Cold)
+		g.recent = append(g.recent, now)
+		for len(g.recent) > 0 && now.Sub(g.recent[0]) > time.Second {
+			g.recent = g.recent[1:]
+		}
+		over = float64(len(g.recent)) > 2*rate+4
+	}
+	if p.Rate <= 0 {
+		return true, 0, 1, over
+	}
+	g.bucket = min(g.bucket+rate*now.Sub(g.filled).Seconds(), max(rate, 1))
+	g.filled = now
+	if in = g.bucket >= 1 && p.Mode != Shut; in {
+		g.bucket--
+	}
+	return in, rate, max(g.bucket, 0) / max(rate, 1), over
+}
+
 // Config says what an endpoint is.
 type Config struct {
+	Gate *Gate // shared with the partner's other endpoints; nil for one of its own
+
 	Name   string
 	Dest   int
 	Addr   string // "127.0.0.1:0" for a port that the system chooses
@@ -86,9 +127,6 @@
 	gen     int               // of connections
 	phase   Phase
 	since   time.Time // of the phase
-	bucket  float64
-	filled  time.Time
-	recent  []time.Time // arrivals in the last second, while cold
 	closed  bool
 	calls   int64
 	shook   [2]int64 // handshakes in full, and resumed
@@ -102,6 +140,9 @@
 	if len(cfg.Life) == 0 {
 		return nil, errors.New("partner: a life needs a phase")
 	}
+	if cfg.Gate == nil {
+		cfg.Gate = &Gate{}
+	}
 	s := &Server{cfg: cfg, start: time.Now(), conns: map[net.Conn]bool{}, changed: make(chan struct{}), begun: make(chan struct{})}
 	ln, err := net.Listen("tcp", cfg.Addr)
 	if err != nil {
@@ -199,7 +240,8 @@
 	if s.closed {
 		return
 	}
-	s.phase, s.since, s.bucket, s.filled, s.recent = p, time.Now(), p.Rate, time.Now(), nil
+	s.phase, s.since = p, time.Now()
+	s.cfg.Gate.begin(&p, s.since)
 	if p.Mode == Refusing {
 		s.hush()
 		return
@@ -254,33 +296,18 @@
 	s.calls++
 	p, now := s.phase, time.Now()
 	v := verdict{mode: p.Mode, status: 200, after: p.Latency.draw(rng), report: s.cfg.Report}
-	rate := p.Rate
-	if age := now.Sub(s.since); p.Cold > 0 && age < p.Cold {
-		rate *= p.ColdFrom + (1-p.ColdFrom)*float64(age)/float64(p.Cold)
-		s.recent = append(s.recent, now)
-		for len(s.recent) > 0 && now.Sub(s.recent[0]) > time.Second {
-			s.recent = s.recent[1:]
-		}
-		v.cold = float64(len(s.recent)) > 2*rate+4
-	}
-	s.bucket = min(s.bucket+rate*now.Sub(s.filled).Seconds(), max(rate, 1))
-	s.filled = now
+	in, rate, left, over := s.cfg.Gate.take(&p, now.Sub(s.since), now)
+	v.cold = over
 	switch {
 	case p.Mode == Shut:
 		v.status, v.after, v.wait = 503, 0, p.Wait
-	case p.Rate > 0 && s.bucket < 1:
+	case !in:
 		v.status, v.after, v.wait = 429, 0, p.Wait
-	case p.Rate > 0:
-		s.bucket--
 	}
 	if v.status == 200 && rng.Float64() < p.ErrorRate {
 		v.status = 500
 	}
 	if v.report == "" {
-		left := 1.0
-		if p.Rate > 0 {
-			left = max(s.bucket, 0) / max(rate, 1)
-		}
 		v.report = fmt.Sprintf("x0=%.3f,x1=%.3f", left, rate)
 	}
 	return v
--- a/internal/lab/world/model/limit.go
+++ b/internal/lab/world/model/limit.go
@@ -24,6 +24,14 @@
 	started     bool
 }
 
+// Left is the share of the burst that is there.
+func (b *Bucket) Left(now world.Time) float64 {
+	if !b.started {
+		return 1
+	}
+	return max(min(b.tokens+(now-b.at).Duration().Seconds()*b.Rate, b.Burst), 0) / b.Burst
+}
+
 // Take implements Limit.
 func (b *Bucket) Take(now world.Time) (bool, time.Duration) {
 	if !b.started {
--- /dev/null
+++ b/internal/lab/world/play/fleet.go
@@ -0,0 +1,135 @@
+package play
+
+import (
+	"fmt"
+	"time"
+
+	"wrenford"
+	"wrenford/internal/lab/world"
+	"wrenford/internal/lab/world/gossip"
+	"wrenford/internal/verdicts"
+)
+
+// Fleet lets a day's relays tell each other what they find out, over modelled links.
+type Fleet struct {
+	Links    gossip.Links
+	Exchange time.Duration
+	Bytes    float64
+	Agree    int
+	// Cut says whether nothing passes between two relays at a time; nil for never.
+	Cut func(from, to int, now world.Time) bool
+}
+
+// Told is how a day's news travelled.
+type Told struct {
+	Spread []time.Duration // from a statement until a relay knew it, for each relay and statement
+	Bytes  int64           // sent by all relays
+	Said   int             // statements
+}
+
+// statement names one.
+type statement struct {
+	origin string
+	seq    uint64
+}
+
+// part is a relay's in the fleet: it does what internal/fleet and the relay's seam do in the program, with the same decisions.
+type part struct {
+	node   *gossip.Node
+	sender *wrenford.Sender
+	post   func(wrenford.Event)
+	said   map[statement]world.Time
+	now    func() world.Time
+	outs   map[string]bool
+	heard  map[string]bool
+}
+
+// parts joins all relays of a day.
+func parts(sim *world.Sim, f *Fleet, relays []*relay, senders []*wrenford.Sender, post func(*relay, wrenford.Event), told *Told) ([]*part, error) {
+	net, err := gossip.New(sim, gossip.Config{Relays: len(relays), Links: f.Links, Exchange: f.Exchange, Bytes: f.Bytes, Agree: f.Agree})
+	if err != nil {
+		return nil, err
+	}
+	if f.Cut != nil {
+		net.Cut = func(from, to int) bool { return f.Cut(from, to, sim.Now()) }
+	}
+	list, said := make([]*part, len(relays)), map[statement]world.Time{}
+	for i, r := range relays {
+		p := &part{node: net.Nodes[i], sender: senders[i], post: func(ev wrenford.Event) { post(r, ev) }, outs: map[string]bool{}, heard: map[string]bool{}}
+		p.said, p.now = said, sim.Now
+		p.node.Heard = func(now time.Duration, news []verdicts.Statement, come []verdicts.Restraint) {
+			for _, s := range news {
+				told.Spread = append(told.Spread, (sim.Now() - said[statement{s.Origin, s.Seq}]).Duration())
+			}
+			p.restrain(now, come)
+		}
+		list[i] = p
+	}
+	return list, nil
+}
+
+// restrain hands the module what the others' word comes to.
+func (p *part) restrain(now time.Duration, come []verdicts.Restraint) {
+	for _, c := range come {
+		ev := wrenford.Told{Destination: c.Destination, Endpoint: c.Member, Age: max(now-c.At, 0)}
+		switch c.Order {
+		case verdicts.Hold:
+			ev.Kind, ev.For = wrenford.ToldWait, max(c.At-now, 0)
+		case verdicts.Out:
+			ev.Kind = wrenford.ToldOut
+			p.heard[c.Member] = true
+		case verdicts.Back:
+			ev.Kind = wrenford.ToldBack
+			delete(p.heard, c.Member)
+		case verdicts.Free:
+			ev.Kind = wrenford.ToldNothing
+			delete(p.heard, c.Member)
+		}
+		p.post(ev)
+	}
+}
+
+// met takes in the outcomes of a step, by the destinations of their messages.
+func (p *part) met(outcomes []wrenford.Outcome, dest func(id string) int, told *Told) {
+	now := p.node.Now()
+	say := func(s verdicts.Statement) {
+		told.Said++
+		p.said[statement{s.Origin, s.Seq}] = p.now()
+		p.node.Say(s)
+	}
+	for _, o := range outcomes {
+		d := dest(o.ID)
+		s := verdicts.Sight{Destination: d, Member: o.Endpoint, Begun: now - o.Latency}
+		switch o.Status {
+		case wrenford.OK:
+			s.Sighted = verdicts.WentWell
+		case wrenford.Full:
+			s.Sighted, s.Wait = verdicts.Refused, o.Wait
+		default:
+			s.Sighted = verdicts.Failed
+		}
+		p.restrain(now, p.node.Judge.Met(now, s))
+		if st, ok := p.node.Teller.Waits(now, p.node.Book, s); ok {
+			say(st)
+		}
+		p.sender.Health(d, func(id string, since time.Duration) {
+			was, out := p.outs[id], since >= 0
+			switch {
+			case out && (!was || o.Status != wrenford.OK):
+				p.restrain(now, p.node.Judge.Holds(now, d, id, true, since))
+				say(p.node.Teller.IsOut(d, id, now-since))
+			case !out && (was || o.Status == wrenford.OK && p.heard[id]):
+				p.restrain(now, p.node.Judge.Holds(now, d, id, false, 0))
+				if st, ok := p.node.Teller.IsBack(now, p.node.Book, d, id); ok {
+					say(st)
+				}
+				delete(p.heard, id)
+			}
+			if p.outs[id] = true; !out {
+				delete(p.outs, id)
+			}
+		})
+	}
+}
+
+func endpoint(i int) string { return fmt.Sprint("e", i) }
--- a/internal/lab/world/play/play.go
+++ b/internal/lab/world/play/play.go
@@ -40,6 +40,11 @@
 	Class        string        // of every message
 	TimeLeft     time.Duration
 	Drains       []Drain // discovery tells every relay that an endpoint drains
+	Fleet        *Fleet  // nil for relays that are each alone
+	// Hot is the share of all messages that the first relay is handed; 0 for an even share.
+	Hot float64
+	// Reports have answers tell what is left of the limit, and lists its rate.
+	Reports bool
 }
 
 // Drain is a destination's endpoint told as draining, at a time: nothing new may go to it after the grace.
@@ -62,12 +67,35 @@
 	SentAfterRun       bool // a send came after that, where the class must never take effect twice
 	Delivered          bool
 	EndedAt, Due       world.Time
+	Aim                world.Time // an end by then earns the full worth
 }
 
 // Result is the day's record, by message id.
 type Result struct {
 	Messages map[string]*Record
 	Events   uint64
+	Calls    []Call
+	Told     Told
+}
+
+// Worth is the share of the worth that was earned: all of it within the aim, half of it later.
+func (r *Result) Worth() float64 {
+	earned := 0.0
+	for _, m := range r.Messages {
+		if m.Delivered && m.EndedAt <= m.Aim {
+			earned++
+		} else if m.Delivered && m.EndedAt <= m.Due {
+			earned += 0.5
+		}
+	}
+	return earned / max(float64(len(r.Messages)), 1)
+}
+
+// Call is one that a relay made.
+type Call struct {
+	At                 world.Time
+	Relay, Destination int
+	Refused, Failed    bool // turned away; met a machine that is down or silent
 }
 
 const (
@@ -94,14 +122,21 @@
 	set.Peers = d.Relays
 	var eps []wrenford.Endpoint
 	for i := range d.Destinations {
-		eps = append(eps, wrenford.Endpoint{ID: fmt.Sprint("e", i), Destination: i, Kind: set.Kinds[0].Name, Zone: set.Zone})
+		e := wrenford.Endpoint{ID: endpoint(i), Destination: i, Kind: set.Kinds[0].Name, Zone: set.Zone}
+		if d.Reports {
+			e.Weight = d.Destinations[i].Limit.Rate
+		}
+		eps = append(eps, e)
 	}
 	relays := make([]*relay, d.Relays)
+	senders := make([]*wrenford.Sender, d.Relays)
+	var fleet []*part
 	for i := range relays {
 		s, err := wrenford.New(set, int64(sim.Stream(fmt.Sprint("relay seed ", i)).Uint64()>>1))
 		if err != nil {
 			return res, fmt.Errorf("play: %w", err)
 		}
+		senders[i] = s
 		var decider Decider = s
 		if d.Mutate != nil {
 			decider = d.Mutate(s)
@@ -120,6 +155,19 @@
 		r.stepAt = max(sim.Now(), r.last+world.Time(set.Resolution))
 		sim.At(r.stepAt, kindStep, func() { step(r) })
 	}
+	if d.Fleet != nil {
+		var err error
+		if fleet, err = parts(sim, d.Fleet, relays, senders, post, &res.Told); err != nil {
+			return res, fmt.Errorf("play: %w", err)
+		}
+	}
+	report := func(dest int) *wrenford.Report {
+		if !d.Reports {
+			return nil
+		}
+		b := &d.Destinations[dest].Limit
+		return &wrenford.Report{Left: b.Left(sim.Now()), Limit: b.Rate}
+	}
 	type call struct {
 		r       *relay
 		id      string
@@ -129,8 +177,11 @@
 	}
 	calls := map[int]call{}
 	drained := map[int]world.Time{} // by destination: when its endpoint's drain was told
-	unsafe := false
+	unsafe, aim := false, world.Time(d.TimeLeft)
 	for _, c := range set.Classes {
+		if c.Name == d.Class {
+			aim = world.Time(c.Aim)
+		}
 		unsafe = unsafe || c.Name == d.Class && c.Effect == wrenford.Unsafe
 	}
 	nextCall := 0
@@ -165,14 +216,17 @@
 					o.ID, o.Attempt, o.Endpoint, o.Latency = a.ID, attempt, a.Endpoint, after
 					sim.After(after, kindServer, func() { post(r, o) })
 				}
-				switch ok, wait := d.Destinations[dest].Limit.Take(sim.Now()); {
+				ok, wait := d.Destinations[dest].Limit.Take(sim.Now())
+				down := state == model.Down || state == model.Silent
+				res.Calls = append(res.Calls, Call{sim.Now(), r.i, dest, !down && !ok, down})
+				switch {
 				case state == model.Down:
 					answer(time.Millisecond, wrenford.Outcome{Status: wrenford.ConnectFailed})
 				case state == model.Silent: // the call reached a machine that says nothing: it may have run
 					rec.MayHaveRun = true
 					answer(max(a.TimeOut, time.Millisecond), wrenford.Outcome{Status: wrenford.TimedOut})
 				case !ok:
-					answer(time.Millisecond, wrenford.Outcome{Status: wrenford.Full, Wait: wait})
+					answer(time.Millisecond, wrenford.Outcome{Status: wrenford.Full, Wait: wait, Report: report(dest)})
 				default:
 					n := nextCall
 					nextCall++
@@ -212,6 +266,15 @@
 				sim.At(at, kindStep, func() { post(r, wrenford.Woken{}) })
 			}
 		}
+		if fleet != nil {
+			var ended []wrenford.Outcome
+			for _, ev := range events {
+				if o, ok := ev.(wrenford.Outcome); ok {
+					ended = append(ended, o)
+				}
+			}
+			fleet[r.i].met(ended, func(id string) int { return res.Messages[id].Destination }, &res.Told)
+		}
 		// A wait runs from the step that brought it; what that step sent is excused.
 		for _, ev := range events {
 			if o, ok := ev.(wrenford.Outcome); ok && o.Status == wrenford.Full && o.Wait > 0 {
@@ -231,7 +294,7 @@
 			*c.over = true
 			o := wrenford.Outcome{ID: c.id, Attempt: c.attempt, Endpoint: fmt.Sprint("e", i), Latency: (sim.Now() - c.sent).Duration()}
 			if served {
-				o.Status, o.Settled = wrenford.OK, true
+				o.Status, o.Settled, o.Report = wrenford.OK, true, report(i)
 				if rec := res.Messages[c.id]; !rec.Delivered && rec.Ends == 0 {
 					rec.Delivered, rec.Ends, rec.EndedAt = true, rec.Ends+1, sim.Now()
 				}
@@ -249,8 +312,14 @@
 			}
 			seq++
 			id := fmt.Sprintf("%04x%012x", i, seq)
-			r := relays[pick.IntN(len(relays))]
-			res.Messages[id] = &Record{Relay: r.i, Destination: i, Due: sim.Now() + world.Time(d.TimeLeft)}
+			n := pick.IntN(len(relays))
+			if d.Hot > 0 && len(relays) > 1 {
+				if n = 0; pick.Float64() >= d.Hot {
+					n = 1 + pick.IntN(len(relays)-1)
+				}
+			}
+			r := relays[n]
+			res.Messages[id] = &Record{Relay: r.i, Destination: i, Due: sim.Now() + world.Time(d.TimeLeft), Aim: sim.Now() + aim}
 			post(r, wrenford.Request{ID: id, Destination: i, Class: d.Class, TimeLeft: d.TimeLeft, Size: 100})
 			sim.After(time.Duration(arrivals.ExpFloat64()/dest.Rate*1e9), world.Any, next)
 		}
@@ -272,6 +341,9 @@
 		post(r, wrenford.Woken{})
 	}
 	sim.Run(world.Time(d.Length + 10*d.TimeLeft))
+	for _, p := range fleet {
+		res.Told.Bytes += p.node.Bytes
+	}
 	res.Events = sim.Events()
 	return res, nil
 }
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -77,7 +77,7 @@
 		r.sender.Health(destination, func(id string, since time.Duration) {
 			told, out := r.outs[id], since >= 0
 			if out && (!told || tried[id]) {
-				r.cfg.Fleet.Health(id, destination, true, told, r.origin.Add(since))
+				r.cfg.Fleet.Health(id, destination, true, told || r.heard[id], r.origin.Add(since))
 			} else if !out && (told || well[id] && r.heard[id]) {
 				r.cfg.Fleet.Health(id, destination, false, false, time.Time{})
 				delete(r.heard, id)
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -77,12 +77,17 @@
 
 // Counters count since the start.
 type Counters struct {
-	Sent, SentBytes       int64
-	Received, News        int64 // packets taken in; statements in them that were new
-	Strangers, Replayed   int64 // packets dropped: from no member; seen before, or of an earlier incarnation
-	Gone                  int64 // statements dropped, for their origin is no member
-	Short                 int64 // packets not sent for want of bytes
-	Asked, Answered, Late int64 // comparisons begun and answered; packets that came more than a second late
+	Sent      int64 `json:"sent"` // packets
+	SentBytes int64 `json:"sent_bytes"`
+	Received  int64 `json:"received"`  // packets taken in
+	News      int64 `json:"news"`      // statements in them that were new
+	Strangers int64 `json:"strangers"` // packets dropped: from no member
+	Replayed  int64 `json:"replayed"`  // packets dropped: seen before, or of an earlier incarnation
+	Gone      int64 `json:"gone"`      // statements dropped, for their origin is no member
+	Short     int64 `json:"short"`     // packets not sent for want of bytes
+	Asked     int64 `json:"asked"`     // comparisons begun
+	Answered  int64 `json:"answered"`  // of them, those that were answered
+	Late      int64 `json:"late"`      // packets that came more than a second late
 }
 
 // Spread decides for one relay.
--- a/internal/verdicts/judge.go
+++ b/internal/verdicts/judge.go
@@ -88,10 +88,10 @@
 
 // Counters count since the start.
 type Counters struct {
-	Heeded    int64 // restraints that were handed on
-	Overruled int64 // words that this relay's own calls spoke against
-	Overdrawn int64 // waits of a single origin that its account did not cover
-	Unagreed  int64 // outages that fewer than Agree origins speak of
+	Heeded    int64 `json:"heeded"`    // restraints that were handed on
+	Overruled int64 `json:"overruled"` // words that this relay's own calls spoke against
+	Overdrawn int64 `json:"overdrawn"` // waits of a single origin that its account did not cover
+	Unagreed  int64 `json:"unagreed"`  // outages that fewer than Agree origins speak of
 }
 
 // held is what is kept of a wait's group.
--- a/internal/verdicts/teller.go
+++ b/internal/verdicts/teller.go
@@ -14,7 +14,7 @@
 }
 
 // sameWait is how much longer than what holds already a wait must be to be worth telling: a partner that is at its
-// limit tells many at one moment.
+// limit tells many at one moment, and a wait that is over before it is known holds nobody.
 const sameWait = 50 * time.Millisecond
 
 // NewTeller returns one for a relay's incarnation.
@@ -46,7 +46,7 @@
 
 // Waits words a wait that this relay was told, unless the others hold as long already.
 func (t *Teller) Waits(now time.Duration, b *Book, s Sight) (Statement, bool) {
-	if s.Sighted != Refused || s.Wait <= 0 {
+	if s.Sighted != Refused || s.Wait < sameWait {
 		return Statement{}, false
 	}
 	for _, o := range b.Of(now, s.group()) {
--- a/sender.go
+++ b/sender.go
@@ -39,8 +39,9 @@
 	failStreak, failChance, refusalStreak, failMost = 2, 0.01, 3, 0.55
 	// rampDoubt is the share of failures that an endpoint starts its ramp with: a second one takes it out.
 	rampDoubt = 0.45
-	// Tries in an outage come half its age apart, up to tryMost of the cold time, or as coldGap says.
-	tryMost, sparseTries = 0.2, 5.0
+	// Tries in an outage come half its age apart, up to tryMost of the cold time, or as coldGap says. Where
+	// senders hear of each other's they come fleetTry of it apart, up to fleetMost.
+	tryMost, sparseTries, fleetTry, fleetMost = 0.2, 5.0, 0.25, 0.05
 	// startCalls may be out at an endpoint that has not answered yet. Calls queue up where the usual latency
 	// is queueing times the best; bestDrift lets the best follow a lasting change (share a success).
 	startCalls, queueing, bestDrift = 2, 2.0, 0.005
@@ -273,16 +274,22 @@
 		for _, o := range d.eps {
 			if l := o.ledger; ev.Endpoint == "" || o == e {
 				l.heldUntil = s.now + ev.For
-				if ev.For > 0 { // all that held at once would be as many calls as there are senders
-					l.heldUntil += time.Duration(s.rng.Float64() * l.peers / l.capacity() * 1e9)
-				}
+				// All that held at once would be as many calls as there are senders.
+				l.heldUntil += time.Duration(s.rng.Float64() * min(1e9*l.peers/l.capacity(), float64(ev.For)))
 			}
 		}
 	case e == nil || ev.Kind == ToldOut && e.lastGood >= from:
-	case ev.Kind == ToldOut:
-		heard, own := e.hearsay || !e.outage, e.ledger.ownTry
-		s.takeOut(e)
-		e.hearsay, e.ledger.ownTry = heard, own
+	case ev.Kind == ToldOut: // all try as one: a while after the last failed, and so that all hear of each
+		if !e.outage {
+			e.outage, e.ramp, e.hearsay, e.outFrom = true, false, true, from
+		}
+		gap := min(float64(s.now-e.outFrom)*fleetTry, fleetMost*float64(s.set.Safety.Cold))
+		gap = max(gap, float64(s.coldGap(e, s.now))/e.ledger.peers)
+		apart := min(e.ledger.peers, e.ledger.capacity()) * float64(s.poll())
+		e.ledger.nextTry = s.now + time.Duration(gap+s.rng.Float64()*max(gap, apart))
+		if !e.hearsay {
+			e.ledger.nextTry = max(e.ledger.nextTry, e.ledger.ownTry)
+		}
 	case e.outage && e.hearsay:
 		e.outage, e.hearsay, e.ramp, e.rampFrom = false, false, ev.Kind == ToldBack, from
 		e.lastSend = s.now - time.Duration(s.rng.Float64()*float64(s.coldGap(e, s.now)))
