--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -163,6 +163,26 @@
 	until(t, "it is heard", func() bool { return c.Held(traffic.Group{Destination: 9}, time.Now()) })
 }
 
+// An address that one relay leaves serves another; a name that is used twice is noticed, and the first keeps it.
+func TestReuse(t *testing.T) {
+	a := join(t, "a", nil)
+	b := join(t, "bb", nil, a)
+	until(t, "both are members", func() bool { return a.Figures().Members == 2 && b.Figures().Members == 2 })
+	b.end()
+	c := join(t, "ccc", func(cfg *Config) { cfg.Bind = b.cfg.Bind }, a)
+	until(t, "another has its address", func() bool { return a.Figures().Members == 2 && c.Figures().Members == 2 })
+	for _, m := range a.Members() {
+		if m.Name == "ccc" && (m.State != "alive" || m.Addr != b.cfg.Bind.String()) || m.Name == "bb" && m.State == "alive" {
+			t.Errorf("%+v", m)
+		}
+	}
+	join(t, "ccc", nil, a) // the same name at another address
+	until(t, "a name that is used twice is noticed", func() bool { return a.Figures().Drops.Conflict > 0 })
+	if got := a.Figures().Members; got != 2 {
+		t.Errorf("%d members", got)
+	}
+}
+
 // A key changes relay by relay: first all open with the new one, then all seal with it, then the old one goes. At no
 // moment is anything dropped as forged.
 func TestKeyChange(t *testing.T) {
