--- a/sender.go
+++ b/sender.go
@@ -43,8 +43,8 @@
 	// senders hear of each other's they come fleetTry of it apart, up to fleetMost.
 	tryMost, sparseTries, fleetTry, fleetMost = 0.2, 5.0, 0.25, 0.05
 	// startCalls may be out at an endpoint that has not answered yet. Calls queue up where the usual latency
-	// is queueing times the best; bestDrift lets the best follow a lasting change (share a success).
-	startCalls, queueing, bestDrift = 2, 2.0, 0.005
+	// is queueing times the best.
+	startCalls, queueing = 2, 2.0
 	// shrink is what a refusal or a time-out leaves of the calls out at an endpoint without limit.
 	shrink = 0.7
 	// timeoutAim is the least time-out of a repeatable call, and paceCost the price of the usual latency
@@ -278,6 +278,9 @@
 				l.heldUntil += time.Duration(s.rng.Float64() * min(1e9*l.peers/l.capacity(), float64(ev.For)))
 			}
 		}
+	case ev.Kind == ToldShare && d != nil && d.shared != nil && !d.shared.kind.apart:
+		d.shared.estimate(s.now)
+		d.shared.grant, d.shared.grantEnds = ev.Rate, s.now+ev.For
 	case e == nil || ev.Kind == ToldOut && e.lastGood >= from:
 	case ev.Kind == ToldOut: // all try as one: a while after the last failed, and so that all hear of each
 		if !e.outage {
@@ -371,6 +374,8 @@
 // ledger is the log of a destination, or of a route where routes are apart: spends, reports and told waits.
 type ledger struct {
 	limit, weight   float64 // calls a second: as reported, 0 where none is; as listed
+	grant           float64 // ours of it, as the fleet deals it until grantEnds, and what it was after that
+	grantEnds       time.Duration
 	kind            *kind
 	eps             []*endpoint
 	peers           float64
@@ -408,7 +413,7 @@
 	if l.limit += limitWeight * (r.Limit - l.limit); math.Abs(r.Limit-l.limit) > limitStep*l.limit {
 		l.limit = r.Limit // it has changed, and who calls seldom must not take many calls to believe it
 	}
-	if sent < l.since || *r == l.seen {
+	if sent < l.since || *r == l.seen || now < l.grantEnds {
 		return // an older attempt tells nothing new, nor do reports that are refreshed now and then
 	}
 	l.seen = *r
@@ -462,28 +467,19 @@
 // estimate is the newest finalized figure, less the spends since, plus what the limit has refilled since
 // (our part of it, for other senders draw on it too), never above a full allowance.
 func (l *ledger) estimate(now time.Duration) float64 {
-	if l.limit == 0 && (l.refusals == 0 || l.rarely() == 0) {
+	granted := now < l.grantEnds
+	if !granted && l.limit == 0 && (l.refusals == 0 || l.rarely() == 0) {
 		return math.Inf(1)
 	}
-	limit := l.capacity()
-	l.left = min(l.left+limit*l.part*max(now-l.at, 0).Seconds(), max(limit*l.kind.span, 1))
+	rate, most := l.capacity()*l.part, max(l.capacity()*l.kind.span, 1)
+	if granted { // little of a grant is saved: others have what is not used
+		rate, most = l.grant, math.Ceil(l.grant*spanLeast)
+	}
+	l.left = min(l.left+rate*max(now-l.at, 0).Seconds(), most)
 	l.at = max(now, l.at)
 	return l.left
 }
 
-// succeeded counts a success for the rate that this sender has seen go through.
-func (l *ledger) succeeded(now, span time.Duration) {
-	if now-l.okFrom >= span {
-		if l.okFrom > 0 {
-			l.okRate = max(l.okRate*0.9, (l.okCount-l.rarely()*math.Sqrt(l.okCount))/(now-l.okFrom).Seconds())
-		}
-		l.okCount, l.okFrom = 0, now
-	}
-	l.okCount++
-	l.okAt, l.refusals = now, 0
-	l.kind.span = min(l.kind.span*spanGrow, budgetWindow)
-}
-
 // capacity is what the destination takes from all senders when warm, at least, as far as can be told.
 func (l *ledger) capacity() float64 { return cmp.Or(l.limit, l.weight, max(l.okRate*l.peers, 1)) }
 
@@ -496,7 +492,7 @@
 	flights         []*flight       // out, in order of sending
 	idle            []time.Duration // idle connections, by the time they fell idle
 	mean, spread    float64         // usual latency in seconds; 0 = unmet
-	best            float64         // lowest usual latency, drifting towards the present one
+	best            float64         // lowest usual latency
 	window          float64         // calls that may be out while no limit is known
 	lean            float64         // decides where all else is equal
 	lastSend        time.Duration
@@ -548,6 +544,9 @@
 	f, peers, warm := s.set.Safety, float64(s.set.Peers), s.set.Safety.StartCapacity
 	if e.ramp && f.Cold > 0 {
 		warm = min(1, warm+(1-warm)*float64(at-e.rampFrom)/float64(f.Cold))
+		if s.now < e.ledger.grantEnds { // all divide what it bears
+			return time.Duration(1e9 / max(e.ledger.grant*warm, 1e-3))
+		}
 		at = e.rampFrom
 	}
 	age, rate, tip := max(at-e.outFrom, f.Cold/4).Seconds(), e.ledger.capacity(), f.TipAfter.Seconds()
@@ -654,7 +653,15 @@
 	s.every -= everyWeight * s.every
 	e.failing -= failWeight * e.failing
 	e.lastGood = max(e.lastGood, sent)
-	e.ledger.succeeded(s.now, max(s.set.Safety.TipAfter, time.Second))
+	l, now, span := e.ledger, s.now, max(s.set.Safety.TipAfter, time.Second)
+	if now-l.okFrom >= span {
+		if l.okFrom > 0 {
+			l.okRate = max(l.okRate*0.9, (l.okCount-l.rarely()*math.Sqrt(l.okCount))/(now-l.okFrom).Seconds())
+		}
+		l.okCount, l.okFrom = 0, now
+	}
+	l.okCount++
+	l.okAt, l.refusals, l.kind.span = s.now, 0, min(l.kind.span*spanGrow, budgetWindow)
 	e.took(latency)
 	e.adapt(float64(s.set.MaxCalls))
 	if e.outage {
@@ -670,7 +677,6 @@
 	if e.best == 0 || e.mean < e.best {
 		e.best = e.mean
 	}
-	e.best += bestDrift * (e.mean - e.best)
 	switch {
 	case e.mean > queueing*e.best:
 		e.window = max(e.window-1/e.window, 1)
@@ -731,9 +737,6 @@
 	}
 	if s.silent(e) {
 		gap := s.patience(e)
-		if m.class.Effect == Unsafe {
-			gap *= timesLate
-		}
 		return s.now-e.lastSend >= gap && m.dest.out < startCalls
 	}
 	if e.ledger.limit == 0 {
@@ -849,9 +852,6 @@
 	for _, m := range s.flying {
 		e := m.flight.ep
 		late := float64(s.now-m.flight.sent) / float64(s.patience(e))
-		if m.class.Effect == Unsafe && m.flight.sent >= e.lastGood {
-			late /= timesLate // no later call was answered: slow rather than lost
-		}
 		if late > 1 && late > most && !m.flight.off {
 			worst, most = m, late
 		}
@@ -962,7 +962,7 @@
 		if l := e.ledger; l.limit == 0 {
 			rate = math.Inf(1) // unmet, or without a limit
 		} else if i == 0 || l.kind.apart {
-			rate += l.limit * l.share()
+			rate += max(l.grant, l.limit*l.share())
 		}
 	}
 	if first == math.MaxInt64 { // none is listed: the next news may bring one
--- a/told_test.go
+++ b/told_test.go
@@ -135,3 +135,49 @@
 		}
 	})
 }
+
+// A part of a limit that the fleet deals takes the place of what a sender estimates: calls go at its rate, little is saved, and
+// in a ramp at as much of it as the destination has capacity by then. When it has lapsed the sender decides alone.
+func TestToldShare(t *testing.T) {
+	count := func(s *Sender, from, to time.Duration, reported Report) (n int) {
+		var back []Event
+		for now := from; now < to; now += 5 * ms {
+			acts := s.Step(now, append(back, req(now.String(), "safe", 1)))
+			back = nil
+			for _, a := range acts {
+				if a, ok := a.(Send); ok {
+					back = append(back, Outcome{ID: a.ID, Endpoint: "e", Settled: true, Latency: ms, Report: &reported})
+				}
+			}
+			n += len(back)
+		}
+		s.Step(to, back)
+		return n
+	}
+	set := testSettings()
+	set.MaxOpen, set.MaxCalls, set.Peers = 4000, 100, 20
+	share := func(rate float64, d time.Duration) Told {
+		return Told{Kind: ToldShare, Destination: 1, Rate: rate, For: d}
+	}
+	s := met(t, set)
+	s.Step(10005*ms, []Event{share(50, 2*time.Second)})
+	if n := count(s, 10010*ms, 12*time.Second, Report{Left: 1, Limit: 100}); n < 95 || n > 106 {
+		t.Errorf("%d calls in 2 s at 50 a second, and 5 saved", n)
+	}
+	alone := count(s, 12010*ms, 14*time.Second, Report{Left: 1, Limit: 100})
+	if alone > 60 {
+		t.Errorf("%d calls in 2 s of a limit of 100 that 20 share", alone)
+	}
+	s.Step(14005*ms, []Event{share(0, time.Second)})
+	if n := count(s, 14010*ms, 15*time.Second, Report{Left: 1, Limit: 100}); n != 0 {
+		t.Errorf("%d calls at no rate", n)
+	}
+	e := s.endpoints["e"]
+	e.ramp, e.rampFrom = true, 15*time.Second
+	s.Step(15005*ms, []Event{share(50, 2*time.Second)})
+	f := set.Safety
+	warm := f.StartCapacity + (1-f.StartCapacity)*float64(time.Second)/float64(f.Cold) // in the middle of the two seconds
+	if n := float64(count(s, 15010*ms, 17*time.Second, Report{Left: 1, Limit: 100})); n < 80*warm || n > 110*warm {
+		t.Errorf("%v calls in 2 s at 50 a second of a destination that has %.2f of its capacity", n, warm)
+	}
+}
--- a/wrenford.go
+++ b/wrenford.go
@@ -213,13 +213,14 @@
 	Limit       float64
 }
 
-// Told is what other senders of the fleet have found out. It only restrains: no message goes out for it, and what this sender
-// has met itself stands.
+// Told is what other senders of the fleet have found out, or the part of a limit that the fleet deals this one. No message goes
+// out for it, and what this sender has met itself stands.
 type Told struct {
 	Kind        Tidings
 	Destination int           // ToldWait: of all its endpoints, or of the one that is named
 	Endpoint    string        // ToldOut, ToldBack and ToldNothing: what is out or back
-	For         time.Duration // ToldWait: nothing goes there for so long from now; 0 ends what was told before
+	For         time.Duration // ToldWait: nothing goes there for so long from now; 0 ends what was told before. ToldShare: it holds so long
+	Rate        float64       // ToldShare: calls a second, in place of what this sender would estimate, and of nothing else
 	Age         time.Duration // ToldOut: how long it has been out; ToldBack: how long it has been coming back
 }
 
@@ -232,6 +233,7 @@
 	ToldOut                    // enough others hold the endpoint to be out, or another's try there has failed just now
 	ToldBack                   // another's call there went well after that
 	ToldNothing                // what was told has lapsed
+	ToldShare                  // of the destination's limit, this sender has a part
 )
 
 // MembersLost says that a Watch failed or that the subscription broke.
