--- /dev/null
+++ b/internal/allowance/explore_test.go
@@ -0,0 +1,97 @@
+package allowance_test
+
+import (
+	"testing"
+	"time"
+
+	"wrenford/internal/allowance"
+	"wrenford/internal/lab/explore"
+)
+
+// small are terms of few ticks, so that a short path goes through leases and loans that run out.
+func small(c explore.Config) explore.Config {
+	c.Terms = allowance.Terms{Relays: c.Relays, Lease: 2 * explore.Tick, Loan: 5 * explore.Tick, Every: explore.Tick, Agree: 1}
+	return c
+}
+
+// searches are what every interleaving of is gone through: from the start, and from a fleet that is at work.
+var searches = []explore.Config{
+	{Relays: 2, Owners: 2, Steps: 8, Losses: 1, Restarts: 1, Flight: 3},
+	{Relays: 2, Owners: 1, Steps: 9, Jumps: 1, Restarts: 1, Flight: 3, Rounds: 4},
+	{Relays: 2, Owners: 2, Steps: 10, Jumps: 1, Flight: 3, Rounds: 4},
+	{Relays: 2, Owners: 1, Steps: 11, Jumps: 1, Flight: 2, Rounds: 4, Often: true},
+	{Relays: 3, Owners: 1, Steps: 9, Jumps: 1, Restarts: 1, Flight: 1, Rounds: 4, Often: true},
+	{Relays: 3, Owners: 2, Steps: 7, Losses: 1, Jumps: 1, Flight: 3, Rounds: 4},
+	{Relays: 3, Owners: 1, Steps: 8, Jumps: 1, Pushes: 1, Flight: 3, Rounds: 4},
+}
+
+// walks are paths of chance of a larger fleet, over many leases and loans.
+var walks = explore.Config{Relays: 4, Owners: 3, Steps: 100, Losses: 5, Restarts: 3, Jumps: 8, Pushes: 8, Flight: 6, Rounds: 4}
+
+// No interleaving lets the relays use more than the limit.
+func TestNoInterleavingGoesOverTheLimit(t *testing.T) {
+	for _, c := range searches {
+		from := time.Now()
+		r := explore.Run(explore.Real(small(c)))
+		t.Logf("%d relays, %d owners, %d steps: %d states, %d steps, at most %.3f of the limit in %v", c.Relays, c.Owners, c.Steps, r.States, r.Steps, r.Most, time.Since(from))
+		if r.Breach != nil || r.Most < 0.9 || r.States < 10000 {
+			t.Errorf("%+v after %q", r, r.Breach)
+		}
+	}
+	r := explore.Walk(explore.Real(small(walks)), 20000, 1)
+	t.Logf("walks: %d steps, at most %.3f", r.Steps, r.Most)
+	if r.Breach != nil || r.Most < 0.9 {
+		t.Errorf("%.3f of the limit after %q", r.Most, r.Breach)
+	}
+}
+
+// Each rule is needed: without it the search finds a way over the limit.
+func TestEachRuleIsNeeded(t *testing.T) {
+	type (
+		holder = allowance.FlawedHolder
+		owner  = allowance.FlawedOwner
+	)
+	for flaw, search := range map[string]int{"lends twice": 2, "takes older grants": 3, "lease from its receipt": 1, "its own share while it is lent": 1,
+		"loan from its receipt": 2, "what it granted before counts no more": 1, "leases that outlast the loans": 3, "what others have is not asked": 1,
+		"starts without a wait for its loans": 1, "starts without a wait for its leases": 4} {
+		t.Run(flaw, func(t *testing.T) {
+			c := explore.Config{}
+			c.NewHolder = func(terms *allowance.Terms, quiet time.Duration) explore.Holder {
+				if flaw == "starts without a wait for its loans" {
+					quiet = 0
+				}
+				return copiedHolder{holder{Holder: allowance.NewHolder(terms, quiet), Flaw: flaw}}
+			}
+			c.NewOwner = func(terms *allowance.Terms, first uint64, quiet time.Duration) explore.Owner {
+				if flaw == "starts without a wait for its leases" {
+					quiet = 0
+				}
+				return copiedOwner{owner{Owner: allowance.NewOwner(terms, first, quiet), Flaw: flaw}}
+			}
+			with := func(s explore.Config) explore.Config {
+				s = small(s)
+				s.NewHolder, s.NewOwner = c.NewHolder, c.NewOwner
+				return s
+			}
+			r := explore.Run(with(searches[search]))
+			if r.Breach == nil {
+				t.Fatalf("not found in %d states", r.States)
+			}
+			t.Logf("%.2f of the limit after %q", r.Most, r.Breach)
+		})
+	}
+}
+
+type copiedHolder struct{ allowance.FlawedHolder }
+
+func (h copiedHolder) Copy() explore.Holder {
+	h.Holder = h.Clone()
+	return h
+}
+
+type copiedOwner struct{ allowance.FlawedOwner }
+
+func (o copiedOwner) Copy() explore.Owner {
+	o.Owner = o.Clone()
+	return o
+}
--- /dev/null
+++ b/internal/allowance/holder.go
@@ -0,0 +1,98 @@
+package allowance
+
+import "time"
+
+// Holder is a relay's side of one shard: what it has lent, and what it was granted.
+type Holder struct {
+	terms *Terms
+	// lentTo has the relay's shares until lent, by its own clock; what a process before has lent, nobody knows to whom, is lent to "".
+	lentTo string
+	lent   time.Duration
+	asked  string          // the owner that the newest claim went to
+	echoes map[string]echo // the newest grant that was seen of each owner
+	sent   [8]claimed
+	next   int
+	leases map[int]lease
+	limits map[int]float64 // as grants told them
+}
+
+type echo struct {
+	number uint64
+	at     time.Duration
+}
+
+type claimed struct {
+	number uint64
+	at     time.Duration
+}
+
+type lease struct {
+	rate  float64
+	until time.Duration
+}
+
+// NewHolder returns one. What a process before may have lent is over after quiet.
+func NewHolder(t *Terms, quiet time.Duration) *Holder {
+	return &Holder{terms: t, lent: quiet, echoes: map[string]echo{}, leases: map[int]lease{}, limits: map[int]float64{}}
+}
+
+// Claim makes a claim to an owner. The relay's shares are lent with it unless another still has them.
+func (h *Holder) Claim(now time.Duration, shard int, owner string, number uint64, wants []Want, readings []Reading) Claim {
+	h.asked = owner
+	c := Claim{Shard: shard, Number: number, Echo: h.echoes[owner].number, Wants: wants, Readings: readings}
+	if now >= h.lent || h.lentTo == owner {
+		c.Lend = h.terms.Loan
+		h.lentTo, h.lent = owner, now+c.Lend
+	}
+	h.sent[h.next] = claimed{number, now}
+	h.next = (h.next + 1) % len(h.sent)
+	return c
+}
+
+// Granted takes a grant in, and says whether it counts. A lease runs from when the claim was sent that it answers: the owner
+// counts from later.
+func (h *Holder) Granted(now time.Duration, from string, g Grant) bool {
+	if from != h.asked || g.Number <= h.echoes[from].number {
+		return false // an owner that was told of a newer one counts on this one no more
+	}
+	h.echoes[from] = echo{g.Number, now}
+	for owner, e := range h.echoes { // no grant is under way for so long
+		if now-e.at > 10*h.terms.Loan {
+			delete(h.echoes, owner)
+		}
+	}
+	var until time.Duration
+	for _, c := range h.sent {
+		if c.number == g.Answer && g.Answer > 0 {
+			until = c.at + h.terms.short(min(g.For, h.terms.Lease))
+		}
+	}
+	clear(h.leases)
+	for _, s := range g.Shares {
+		if s.Rate >= 0 && s.Limit >= s.Rate {
+			h.limits[s.Destination] = s.Limit
+			if until > now && s.Rate > 0 {
+				h.leases[s.Destination] = lease{s.Rate, until}
+			}
+		}
+	}
+	return true
+}
+
+// Rate is what this relay may send to a destination of a limit just now, and until when that is sure. Own says that it is its
+// own share, which nobody has.
+func (h *Holder) Rate(now time.Duration, destination int, limit float64) (rate float64, until time.Duration, own bool) {
+	if l := h.leases[destination]; now < l.until {
+		return l.rate, l.until, false
+	}
+	if now < h.lent {
+		return 0, h.lent, false
+	}
+	return limit / float64(h.terms.Relays), 0, true
+}
+
+// Lent says whether another has this relay's shares.
+func (h *Holder) Lent(now time.Duration) bool { return now < h.lent }
+
+// Asked is the owner that was asked last.
+func (h *Holder) Asked() string { return h.asked }
