--- a/cmd/slatemux/desk.go
+++ b/cmd/slatemux/desk.go
@@ -59,6 +59,8 @@
 		return d.fleet.Members()
 	case "verdicts":
 		return d.fleet.Verdicts()
+	case "limits":
+		return d.fleet.Limits()
 	}
 	return nil
 }
--- a/cmd/slatemux/fleet.go
+++ b/cmd/slatemux/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/spf13/cobra"
 
+	"wrenford/internal/allowance"
 	"wrenford/internal/fleet"
 	"wrenford/internal/relay"
 	"wrenford/internal/traffic"
@@ -24,6 +25,7 @@
 type told func() *relay.Relay
 
 func (t told) Restrain(list []traffic.Restraint) { t().Restrain(list) }
+func (t told) Allow(list []traffic.Allowance)    { t().Allow(list) }
 func (t told) Bar(bars []traffic.Bar)            { t().Bar(bars) }
 
 // join makes the relay's part in its fleet; nil where there is none.
@@ -33,7 +35,8 @@
 		return nil, nil
 	}
 	return fleet.New(fleet.Config{Name: own.Name, Self: cfg.name, Bind: own.Bind, Advertise: own.Advertise, Join: own.Join, KeyFile: own.KeyFile,
-		State: cfg.state, Seed: uint64(cfg.seed), Agree: own.Agree, Exchange: own.Exchange, Bytes: own.Bytes}, r)
+		State: cfg.state, Seed: uint64(cfg.seed), Agree: own.Agree, Exchange: own.Exchange, Bytes: own.Bytes,
+		Divide: own.DivideLimits, Relays: cfg.settings.Peers}, r)
 }
 
 // fleetCommand asks a relay's operators' address what it knows of its fleet.
@@ -81,7 +84,8 @@
 			_, err := fmt.Fprintln(cmd.OutOrStdout(), base64.StdEncoding.EncodeToString(key))
 			return err
 		},
-	}, show("members", "List the fleet's members", membersTable), show("verdicts", "List what relays have told each other and still holds", verdictsTable))
+	}, show("members", "List the fleet's members", membersTable), show("verdicts", "List what relays have told each other and still holds", verdictsTable),
+		show("limits", "List the limits that the fleet divides, and what this relay has of them", limitsTable))
 	return root
 }
 
@@ -126,6 +130,29 @@
 	return nil
 }
 
+func limitsTable(w io.Writer, body []byte) error {
+	var list []allowance.State
+	if err := json.Unmarshal(body, &list); err != nil {
+		return err
+	}
+	fmt.Fprintln(w, "DESTINATION\tLIMIT\tREAD\tOWNER\tWANTS\tMAY USE\tFOR\tLENT BY\tDEALT OUT\tSPARE\tBOUND")
+	for _, s := range list {
+		read, lent, dealt, spare, use := "never", "-", "-", "-", fmt.Sprintf("%.1f", s.Rate)
+		if s.AgeMS >= 0 {
+			read = fmt.Sprintf("%.1f s ago", s.AgeMS/1000)
+		}
+		if s.Own {
+			use += " (its own)"
+		}
+		if s.Lenders > 0 {
+			lent, dealt, spare = fmt.Sprint(s.Lenders), fmt.Sprintf("%.1f", s.Dealt), fmt.Sprintf("%.1f", max(s.Spare, 0))
+		}
+		fmt.Fprintf(w, "%d\t%.1f\t%s\t%s\t%.1f\t%s\t%.1f s\t%s\t%s\t%s\t%.0f\n", s.Destination, s.Limit, read, s.Owner, s.Wants, use, s.LeftMS/1000, lent,
+			dealt, spare, s.Bound)
+	}
+	return nil
+}
+
 func verdictsTable(w io.Writer, body []byte) error {
 	var list []fleet.Verdict
 	if err := json.Unmarshal(body, &list); err != nil {
--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -176,6 +176,7 @@
 	apart, leave := context.WithCancel(ctx)
 	defer leave()
 	if part != nil {
+		part.Recall(learned.Limits())
 		parts.Go(func() { part.Run(apart) })
 	}
 
--- a/internal/allowance/desk.go
+++ b/internal/allowance/desk.go
@@ -12,16 +12,22 @@
 const (
 	// urgentEvery is the least time between two claims for a shard that something waits for.
 	urgentEvery = 50 * time.Millisecond
-	// wantFor is the time in which what waits is to go, and meterOver that over which arrivals are measured.
-	wantFor, meterOver = time.Second, 500 * time.Millisecond
+	// wantFor is the time in which what waits is to go.
+	wantFor = time.Second
+	// meterLeast to meterMost is the time over which arrivals are measured: that of meterCount arrivals.
+	meterLeast, meterMost, meterCount = 500 * time.Millisecond, 4 * time.Second, 4.0
 	// wantLeast is the least rate that is worth a claim, in calls a second.
 	wantLeast = 0.01
-	// avoidFor is how long an owner that did not answer is not asked.
-	avoidFor = 5 * time.Second
+	// avoidMost bounds how long an owner that did not answer is not asked: at first a loan's length, then twice as long each time.
+	avoidMost = 30 * time.Second
+	// early is how long before a lease ends the module is told so: it must hear in time.
+	early = 100 * time.Millisecond
 	// aloneAfter is how long a relay that hears nobody any more keeps to its own share.
 	aloneAfter = 60 * time.Second
 	// ownFor is how long a relay's own share is told to its module for.
 	ownFor = 2 * time.Second
+	// mostClaimed is how many destinations one claim tells of: it has to fit a packet.
+	mostClaimed = 24
 	// mostDests bounds the destinations that are kept.
 	mostDests = 16384
 )
@@ -72,11 +78,14 @@
 	claimed  time.Duration
 	due      time.Duration
 	answered time.Duration // when the owner that is asked last answered, or was first asked
-	avoid    map[string]time.Duration
+	avoid    map[string]avoided
 	polled   time.Duration
 	ack      bool // a grant has lowered something: the owner gives it to others when it knows that this relay knows
 }
 
+// avoided is an owner that did not answer.
+type avoided struct{ until, span time.Duration }
+
 // dest is what is kept of a destination.
 type dest struct {
 	rates    [Levels]float64 // arrivals a second, smoothed
@@ -112,6 +121,13 @@
 	if len(d.live) > 1 {
 		d.heard = now // up to now
 	}
+	for _, s := range d.shards { // who has come, or come back, is asked like all others
+		for m := range s.avoid {
+			if slices.Contains(live, m) != slices.Contains(d.live, m) {
+				delete(s.avoid, m)
+			}
+		}
+	}
 	d.live = slices.Clone(live)
 	if !slices.Contains(d.live, d.self) {
 		d.live = append(d.live, d.self)
@@ -121,7 +137,7 @@
 func (d *Desk) shard(n int) *shard {
 	s := d.shards[n]
 	if s == nil {
-		s = &shard{holder: NewHolder(&d.terms, d.quiet), avoid: map[string]time.Duration{}, claimed: math.MinInt64 / 2}
+		s = &shard{holder: NewHolder(&d.terms, d.quiet), avoid: map[string]avoided{}, claimed: math.MinInt64 / 2}
 		d.shards[n] = s
 	}
 	return s
@@ -150,6 +166,13 @@
 	}
 }
 
+// Recall notes a limit that a process before had learned. Others are told nothing of it.
+func (d *Desk) Recall(now time.Duration, destination int, limit float64) {
+	if x := d.dest(now, destination); x.limit == 0 && limit > 0 && !math.IsInf(limit, 0) {
+		x.limit = limit
+	}
+}
+
 // Demand tells what has arrived for a destination since it was last told, and what waits, by worth.
 func (d *Desk) Demand(now time.Duration, destination int, arrived, waiting [Levels]int) {
 	x := d.dest(now, destination)
@@ -172,7 +195,11 @@
 		return
 	}
 	x.at = now
-	keep := math.Exp(-span / meterOver.Seconds())
+	rate := 0.0
+	for _, r := range x.rates {
+		rate += r
+	}
+	keep := math.Exp(-span / min(max(meterCount/max(rate, 1e-9), meterLeast.Seconds()), meterMost.Seconds()))
 	for i := range Levels {
 		x.rates[i] = x.rates[i]*keep + (1-keep)*x.arrived[i]/span
 		x.arrived[i] = 0
@@ -203,7 +230,7 @@
 func (d *Desk) ownerOf(now time.Duration, n int, s *shard) (best string) {
 	var most uint64
 	for _, m := range d.live {
-		if until, ok := s.avoid[m]; ok && now < until && m != d.self {
+		if now < s.avoid[m].until && m != d.self {
 			continue
 		}
 		if r := rank(n, m); best == "" || r > most {
@@ -220,8 +247,10 @@
 		d.heard = now
 	}
 	if now-d.heard < aloneAfter {
-		d.claims(now)
-		d.polls(now)
+		if len(d.live) > 1 { // cut off, each has its own share
+			d.claims(now)
+			d.polls(now)
+		}
 		allow = d.allow(now)
 	}
 	return d.out, allow
@@ -229,9 +258,6 @@
 
 // claims asks the owners of shards that something is wanted of.
 func (d *Desk) claims(now time.Duration) {
-	if len(d.live) < 2 {
-		return
-	}
 	due := map[int]bool{}
 	for n, s := range d.shards {
 		if s.ack && now-s.claimed >= urgentEvery {
@@ -256,7 +282,10 @@
 	s := d.shard(n)
 	owner := d.ownerOf(now, n, s)
 	if h := s.holder; owner == h.Asked() && owner != d.self && now-s.answered > d.terms.Lease {
-		s.avoid[owner] = now + avoidFor
+		a := s.avoid[owner]
+		a.span = min(max(2*a.span, d.terms.Loan), avoidMost)
+		a.until = now + a.span
+		s.avoid[owner] = a
 		d.count.Avoided++
 		owner = d.ownerOf(now, n, s)
 	}
@@ -280,6 +309,8 @@
 			readings = append(readings, Reading{dest, x.limit, now - x.read})
 		}
 	}
+	slices.SortStableFunc(wants, func(a, b Want) int { return cmp.Compare(b.total(), a.total()) })
+	wants, readings = wants[:min(len(wants), mostClaimed)], readings[:min(len(readings), mostClaimed)]
 	d.number++
 	c := s.holder.Claim(now, n, owner, d.number, wants, readings)
 	d.count.Claims++
@@ -360,6 +391,7 @@
 		}
 	} else if s.holder.Granted(now, from, g) {
 		s.answered = now
+		delete(s.avoid, from)
 		d.count.Taken++
 	} else {
 		d.count.Strays++
@@ -398,8 +430,12 @@
 			continue
 		}
 		a := Allowed{Destination: n, For: ownFor}
-		rate, until, own := d.shard(Shard(n)).holder.Rate(now, n, limit)
-		if a.Rate = rate; !own {
+		h := d.shard(Shard(n)).holder
+		rate, until, own := h.Rate(now, n, limit)
+		if rate > 0 && !own && until-now < early && h.lent > until { // what comes after it holds from now on
+			rate, until = 0, h.lent
+		}
+		if a.Rate = rate; rate > 0 && !own {
 			a.For = until - now
 		}
 		left := x.toldAt + x.told.For - now
@@ -424,6 +460,7 @@
 	AgeMS       float64 `json:"age_ms"`            // of this relay's newest reading; negative for none
 	Lenders     int     `json:"lenders,omitempty"` // at its owner: relays whose shares it has
 	Dealt       float64 `json:"dealt,omitempty"`   // at its owner: calls a second that relays may use
+	Spare       float64 `json:"spare,omitempty"`   // there: lent and not dealt out
 	Bound       float64 `json:"bound"`             // calls that all together may send in a second at most
 }
 
@@ -453,12 +490,24 @@
 				}
 				st.Dealt += b.outstanding(now, n)
 			}
+			st.Spare = limit*float64(st.Lenders)/float64(d.terms.Relays) - st.Dealt
 		}
 		list = append(list, st)
 	}
 	return list
 }
 
+// OwnerOf is who owns a destination's shard where all of these live.
+func OwnerOf(destination int, relays []string) (best string) {
+	var most uint64
+	for _, m := range relays {
+		if r := rank(Shard(destination), m); best == "" || r > most {
+			best, most = m, r
+		}
+	}
+	return best
+}
+
 // Bound is how many calls all relays together send to a destination in a window at most, whatever fails: docs/fleet-limits.md
 // derives it. Calls that a stopped process had in hand come beside it.
 func Bound(limit float64, relays int, window time.Duration) float64 {
--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -9,6 +9,7 @@
 	lentTo string
 	lent   time.Duration
 	asked  string          // the owner that the newest claim went to
+	heard  time.Duration   // when that one was last heard
 	echoes map[string]echo // the newest grant that was seen of each owner
 	sent   [8]claimed
 	next   int
@@ -38,9 +39,12 @@
 
 // Claim makes a claim to an owner. The relay's shares are lent with it unless another still has them.
 func (h *Holder) Claim(now time.Duration, shard int, owner string, number uint64, wants []Want, readings []Reading) Claim {
-	h.asked = owner
+	if owner != h.asked {
+		h.asked, h.heard = owner, now
+	}
 	c := Claim{Shard: shard, Number: number, Echo: h.echoes[owner].number, Wants: wants, Readings: readings}
-	if now >= h.lent || h.lentTo == owner {
+	// Who does not answer is lent nothing for longer: when it is known to be gone, the shares are soon to be had.
+	if now >= h.lent || h.lentTo == owner && now-h.heard <= 2*h.terms.Every {
 		c.Lend = h.terms.Loan
 		h.lentTo, h.lent = owner, now+c.Lend
 	}
@@ -55,7 +59,7 @@
 	if from != h.asked || g.Number <= h.echoes[from].number {
 		return false // an owner that was told of a newer one counts on this one no more
 	}
-	h.echoes[from] = echo{g.Number, now}
+	h.echoes[from], h.heard = echo{g.Number, now}, now
 	for owner, e := range h.echoes { // no grant is under way for so long
 		if now-e.at > 10*h.terms.Loan {
 			delete(h.echoes, owner)
--- a/internal/allowance/state.go
+++ b/internal/allowance/state.go
@@ -55,6 +55,7 @@
 func (h *Holder) AppendState(b []byte, now time.Duration, num Numbers) []byte {
 	b = append(append(append(b, h.lentTo...), 0), h.asked...)
 	b = appendTime(append(b, 0), now, max(h.lent, now)) // when it was over does not matter
+	b = appendTime(b, now, max(h.heard, now-2*h.terms.Every-1))
 	for _, n := range slices.Sorted(maps.Keys(h.echoes)) {
 		b = num(append(b, n...), 'g', n, h.echoes[n].number)
 	}
--- a/internal/allowance/terms.go
+++ b/internal/allowance/terms.go
@@ -26,9 +26,10 @@
 
 // Usual are the terms of a fleet of so many relays.
 func Usual(relays, agree int) Terms {
-	// A larger fleet lends for longer: its owners ask each idle relay once in a loan.
-	return Terms{Relays: relays, Lease: 1200 * time.Millisecond, Loan: 2200*time.Millisecond + time.Duration(relays)*8*time.Millisecond,
-		Every: 300 * time.Millisecond, Agree: agree, Drift: 1e-3}
+	// The larger the fleet, the more rarely a relay asks: what all ask of an owner grows by less.
+	// A lease outlives one message that is lost, and a loan a lease and one more; longer ones would cost more where an owner dies.
+	every := 250*time.Millisecond + time.Duration(relays)*3*time.Millisecond
+	return Terms{Relays: relays, Lease: 3 * every, Loan: 6*every + every/4, Every: every, Agree: agree, Drift: 1e-3}
 }
 
 // Check says what makes no sense.
@@ -45,7 +46,7 @@
 }
 
 // Shards is into how many parts the destinations are dealt: each has an owner of its own.
-const Shards = 64
+const Shards = 256
 
 // Shard is that of a destination.
 func Shard(destination int) int {
--- a/internal/fleet/figures.go
+++ b/internal/fleet/figures.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/memberlist"
 
+	"wrenford/internal/allowance"
 	"wrenford/internal/spread"
 	"wrenford/internal/verdicts"
 )
@@ -56,6 +57,8 @@
 	Drops         Drops             `json:"drops"`
 	Spread        spread.Counters   `json:"spread"`
 	Judged        verdicts.Counters `json:"judged"`
+	// Divided counts what the dividing of limits took; nothing where it is off.
+	Divided allowance.Counters `json:"divided"`
 }
 
 // Drops count what was not believed or not taken in.
@@ -123,11 +126,16 @@
 func (f *Fleet) publish(now time.Duration) {
 	f.inc.Store(f.teller.Incarnation())
 	sc, said := f.spread.Counters(), f.book.All(now)
+	var limits []allowance.State
+	var divided allowance.Counters
+	if f.desk != nil {
+		limits, divided = f.desk.States(now), f.desk.Counters()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.said = said
+	f.said, f.limits = said, limits
 	f.shown = Figures{Members: len(f.nodes), StalenessMS: float64(f.spread.Staleness(now)) / float64(time.Millisecond), Verdicts: len(said),
-		Spread: sc, Judged: f.judge.Counters(), Drops: Drops{Forged: f.drops.Forged.Load(), Replayed: sc.Replayed, Foreign: f.drops.Foreign.Load(),
+		Spread: sc, Judged: f.judge.Counters(), Divided: divided, Drops: Drops{Forged: f.drops.Forged.Load(), Replayed: sc.Replayed, Foreign: f.drops.Foreign.Load(),
 			Version: f.drops.Version.Load(), Form: f.drops.Form.Load(), Oversized: f.drops.Oversized.Load(), Strangers: sc.Strangers,
 			Overrun: f.drops.Overrun.Load(), Conflict: f.drops.Conflict.Load(), Short: sc.Short}}
 	if f.net != nil {
@@ -185,13 +193,21 @@
 	return list
 }
 
+// Limits returns what is known of the limits that the fleet divides, by destination.
+func (f *Fleet) Limits() []allowance.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]allowance.State{}, f.limits...)
+}
+
 // LogValue names the figures in a log line.
 func (g Figures) LogValue() slog.Value {
 	d := g.Drops
 	return slog.GroupValue(slog.Int("members", g.Members), slog.Float64("staleness_ms", g.StalenessMS), slog.Int("verdicts", g.Verdicts),
 		slog.Int64("sent_bytes", g.SentBytes), slog.Int64("received_bytes", g.ReceivedBytes), slog.Int64("news", g.Spread.News),
 		slog.Int64("heeded", g.Judged.Heeded), slog.Int64("overruled", g.Judged.Overruled), slog.Int64("overdrawn", g.Judged.Overdrawn),
-		slog.Int64("unagreed", g.Judged.Unagreed), slog.Int64("forged", d.Forged), slog.Int64("replayed", d.Replayed), slog.Int64("foreign", d.Foreign),
+		slog.Int64("unagreed", g.Judged.Unagreed), slog.Int64("claims", g.Divided.Claims), slog.Int64("grants", g.Divided.Grants),
+		slog.Int64("stray_grants", g.Divided.Strays), slog.Int64("owners_avoided", g.Divided.Avoided), slog.Int64("forged", d.Forged), slog.Int64("replayed", d.Replayed), slog.Int64("foreign", d.Foreign),
 		slog.Int64("version", d.Version), slog.Int64("form", d.Form), slog.Int64("oversized", d.Oversized), slog.Int64("strangers", d.Strangers),
 		slog.Int64("overrun", d.Overrun), slog.Int64("conflict", d.Conflict), slog.Int64("short", d.Short))
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -24,6 +25,7 @@
 
 	"github.com/hashicorp/memberlist"
 
+	"wrenford/internal/allowance"
 	"wrenford/internal/fleet/wire"
 	"wrenford/internal/spread"
 	"wrenford/internal/traffic"
@@ -43,11 +45,14 @@
 	Agree     int
 	Exchange  time.Duration
 	Bytes     float64 // a second
+	Divide    bool    // the limits
+	Relays    int     // that divide them, whether they live or not
 }
 
 // Relay is told what the fleet's word comes to. Nothing of it blocks.
 type Relay interface {
 	Restrain([]traffic.Restraint)
+	Allow([]traffic.Allowance)
 	Bar([]traffic.Bar)
 }
 
@@ -56,6 +61,12 @@
 	inboxMost = 2048
 	// lookEvery is how often statements are looked through for those that have lapsed.
 	lookEvery = 100 * time.Millisecond
+	// divideEvery is how often the dividing of limits is looked at, beside what comes.
+	divideEvery = 50 * time.Millisecond
+	// readEvery is the least time between two readings of a destination's limit that are handed on, unless they differ by readStep.
+	readEvery, readStep = 50 * time.Millisecond, 0.1
+	// readMost bounds the destinations whose readings are kept for that.
+	readMost = 16384
 	// sayWithin spreads what all relays learn at one moment, so that the first to say it spares the others.
 	sayWithin = 300 * time.Millisecond
 	// joinFirst to joinMost is the pause between two tries to find the fleet; rejoinEvery that between two tries to reach
@@ -92,8 +103,13 @@
 	list    *memberlist.Memberlist // nil while the address is not to be had
 	net     *transport
 	said    []verdicts.Statement // as last published, for operators
+	limits  []allowance.State    // likewise
+	reads   map[int]read         // as last handed on
 
 	// Of the goroutine alone.
+	desk     *allowance.Desk // nil until the address is had, or where limits are not divided
+	recalled map[int]float64 // limits of a process before
+	again    bool            // another process may have lent this relay's shares
 	book     *verdicts.Book
 	judge    *verdicts.Judge
 	teller   *verdicts.Teller
@@ -130,7 +146,13 @@
 		seq     int64
 		members map[string]traffic.Member
 	}
-	banned map[string]bool
+	banned  map[string]bool
+	demands []traffic.Demand
+	read    struct {
+		destination int
+		limit       float64
+		at          time.Time
+	}
 	health struct {
 		member      string
 		destination int
@@ -150,7 +172,8 @@
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	incarnation, err := start(cfg.State)
-	if err != nil {
+	uncounted := err != nil
+	if uncounted {
 		slog.Warn("fleet: starts not counted; the others' memory of this name is asked instead", "err", err)
 	}
 	f := &Fleet{cfg: cfg, relay: relay, origin: time.Now(), ring: ring, signal: make(chan struct{}, 1), stranger: make(chan struct{}, 1), holds: map[traffic.Group]time.Time{},
@@ -158,6 +181,7 @@
 		nodes: map[string]*memberlist.Node{}, pool: map[string]traffic.Member{}, drained: map[string]saying{}, bans: map[string]bool{},
 		rng: rand.New(rand.NewPCG(cfg.Seed, 0xf1ee7))}
 	f.inc.Store(incarnation)
+	f.again, f.reads = uncounted || incarnation > 1, map[int]read{}
 	f.judge = verdicts.NewJudge(cfg.Self, cfg.Agree, f.book)
 	f.spread, err = spread.New(spread.Config{Self: cfg.Self, Exchange: cfg.Exchange, Bytes: cfg.Bytes, Size: wire.Size,
 		Packet: 1200 + wire.Sealing, Seed: cfg.Seed}, 0, f.book, incarnation)
@@ -227,6 +251,37 @@
 		return
 	}
 	f.post(s)
+	if end.Report != nil && fl.Group.Member == "" {
+		f.reading(fl.Group.Destination, end.Report.Limit)
+	}
+}
+
+// reading hands a limit on that an answer told, now and then.
+func (f *Fleet) reading(destination int, limit float64) {
+	if !f.cfg.Divide {
+		return
+	}
+	now := time.Now()
+	f.mu.Lock()
+	last := f.reads[destination]
+	if now.Sub(last.at) < readEvery && math.Abs(limit-last.limit) <= readStep*last.limit {
+		f.mu.Unlock()
+		return
+	}
+	if len(f.reads) >= readMost {
+		clear(f.reads)
+	}
+	r := read{destination, limit, now}
+	f.reads[destination] = r
+	f.mu.Unlock()
+	f.post(r)
+}
+
+// Demand hears what this relay has to send. The list is the callee's.
+func (f *Fleet) Demand(list []traffic.Demand) {
+	if f.cfg.Divide {
+		f.post(demands(list))
+	}
 }
 
 // Held says whether other relays' word holds a group. It is asked before each call is written.
@@ -414,7 +469,11 @@
 		f.inbox = nil
 		f.mu.Unlock()
 		f.step(batch)
-		timer.Reset(min(f.spread.Due()-f.now(), lookEvery))
+		wait := min(f.spread.Due()-f.now(), lookEvery)
+		if f.desk != nil {
+			wait = min(wait, divideEvery)
+		}
+		timer.Reset(wait)
 	}
 }
 
@@ -449,6 +508,16 @@
 			t.look = true
 		case banned:
 			f.bansChanged(now, in, &t)
+		case demands:
+			for _, d := range in {
+				if f.desk != nil {
+					f.desk.Demand(now, d.Destination, d.Arrived, d.Waiting)
+				}
+			}
+		case read:
+			if f.desk != nil {
+				f.desk.Read(now, in.destination, in.limit)
+			}
 		}
 	}
 	now := f.now()
@@ -459,6 +528,7 @@
 	f.send(f.spread.Tell(now, t.say))
 	f.send(f.spread.Tick(now))
 	f.handOn(now, t.come)
+	f.divide(now)
 	if now-f.lookedAt >= lookEvery || t.look {
 		f.lookedAt = now
 		f.bar(now)
@@ -483,9 +553,9 @@
 		}
 		return
 	}
-	strangers := f.spread.Counters().Strangers
+	before := f.spread.Counters()
 	news, own, out := f.spread.Receive(now, p)
-	if f.spread.Counters().Strangers > strangers {
+	if f.spread.Counters().Strangers > before.Strangers {
 		select {
 		case f.stranger <- struct{}{}:
 		default:
@@ -495,6 +565,9 @@
 		if f.teller.Above(s.Version) {
 			slog.Warn("fleet: another start under this name is known", "incarnation", f.teller.Incarnation())
 			f.spread.Incarnation(f.teller.Incarnation())
+			if f.again = true; f.desk != nil { // numbers begin above those that the others have seen
+				f.openDesk(now, f.spread.Live())
+			}
 			if err := keepStarts(f.cfg.State, f.teller.Incarnation()); err != nil {
 				slog.Warn("fleet: starts not counted", "err", err)
 			}
@@ -505,6 +578,57 @@
 		t.look = t.look || s.Kind == verdicts.Drain || s.Kind == verdicts.Ban
 	}
 	f.send(out)
+	if f.desk != nil && f.spread.Counters().Received > before.Received {
+		if p.Claim != nil {
+			f.postAll(now, f.desk.Claimed(now, p.From, *p.Claim))
+		}
+		if p.Grant != nil {
+			f.postAll(now, f.desk.Granted(now, p.From, *p.Grant))
+		}
+	}
+}
+
+// openDesk begins to take part in dividing limits.
+func (f *Fleet) openDesk(now time.Duration, live []string) {
+	if !f.cfg.Divide || f.cfg.Relays < 2 {
+		return
+	}
+	desk, err := allowance.NewDesk(allowance.Usual(f.cfg.Relays, f.cfg.Agree), f.cfg.Self, f.teller.Incarnation(), f.cfg.Seed, now, f.again)
+	if err != nil {
+		slog.Error("fleet: limits are not divided", "err", err)
+		return
+	}
+	f.desk = desk
+	for destination, limit := range f.recalled {
+		f.desk.Recall(now, destination, limit)
+	}
+	f.desk.Members(now, live)
+}
+
+// Recall hands over the limits that a process before had learned, before Run. The map is the callee's.
+func (f *Fleet) Recall(limits map[int]float64) { f.recalled = limits }
+
+func (f *Fleet) postAll(now time.Duration, posts []allowance.Post) {
+	for _, p := range posts {
+		f.send(f.spread.Post(now, p.To, p.Claim, p.Grant))
+	}
+}
+
+// divide has claims and grants sent, and tells the relay its parts.
+func (f *Fleet) divide(now time.Duration) {
+	if f.desk == nil {
+		return
+	}
+	posts, allow := f.desk.Tick(now)
+	f.postAll(now, posts)
+	if len(allow) == 0 {
+		return
+	}
+	list := make([]traffic.Allowance, 0, len(allow))
+	for _, a := range allow {
+		list = append(list, traffic.Allowance{Destination: a.Destination, Rate: a.Rate, Until: f.time(now + a.For)})
+	}
+	f.relay.Allow(list)
 }
 
 // healthSeen has an outage told: its beginning unless enough others hold the member out already, and each try that fails.
@@ -558,6 +682,11 @@
 	}
 	f.nodes = live
 	f.spread.Members(names)
+	if f.desk == nil {
+		f.openDesk(now, names)
+	} else {
+		f.desk.Members(now, names)
+	}
 }
 
 // poolChanged keeps the relay's own list, and notes what it said of members that leave: to be told, unless others do first.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,6 +27,28 @@
 	mu   sync.Mutex
 	list []traffic.Restraint
 	bars []traffic.Bar
+	may  map[int]traffic.Allowance
+}
+
+func (h *heard) Allow(list []traffic.Allowance) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, a := range list {
+		if h.may == nil {
+			h.may = map[int]traffic.Allowance{}
+		}
+		h.may[a.Destination] = a
+	}
+}
+
+// rate is what it may send to a destination at present; 0 for nothing told.
+func (h *heard) rate(destination int) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if a := h.may[destination]; time.Now().Before(a.Until) {
+		return a.Rate
+	}
+	return 0
 }
 
 func (h *heard) Restrain(list []traffic.Restraint) {
@@ -322,3 +344,39 @@
 		t.Error("no file:", err)
 	}
 }
+
+// A relay with all of the load gets nearly all of a limit, and a relay of the fleet that has none of it lends its part; who goes
+// ends no more than its own.
+func TestLimitsAreDivided(t *testing.T) {
+	three := func(c *Config) { c.Divide, c.Relays = true, 3 }
+	a := join(t, "a", three)
+	b := join(t, "b", three, a)
+	c := join(t, "c", three, a)
+	ends := traffic.FlowEnd{Status: traffic.Delivered, Report: &traffic.Report{Left: 10, Limit: 300}}
+	for _, p := range []*part{a, b, c} {
+		p.Ended(traffic.Flow{Group: traffic.Group{Destination: 4}, Begun: time.Now()}, ends)
+	}
+	load := func(p *part, waiting int) {
+		p.Demand([]traffic.Demand{{Destination: 4, Arrived: [traffic.Levels]int{waiting / 10}, Waiting: [traffic.Levels]int{waiting}}})
+		p.Ended(traffic.Flow{Group: traffic.Group{Destination: 4}, Begun: time.Now()}, ends)
+	}
+	until(t, "the loaded one has most", func() bool {
+		load(b, 500)
+		return b.rate(4) > 200
+	})
+	until(t, "and another when the load has moved", func() bool {
+		load(b, 0)
+		load(c, 500)
+		return c.rate(4) > 200 && b.rate(4) < 100
+	})
+	until(t, "the owner shows what it was lent", func() bool {
+		for _, p := range []*part{a, b, c} {
+			for _, s := range p.Limits() {
+				if s.Lenders == 3 && s.Limit > 290 && s.Bound > s.Limit {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"wrenford/internal/allowance"
 	"wrenford/internal/fleet/wire/fleetv1"
 	"wrenford/internal/spread"
 	"wrenford/internal/verdicts"
@@ -57,6 +58,25 @@
 			Destination: int32(s.Destination), Member: s.Member, Over: s.Over, LengthUs: micros(s.Length), List: s.List,
 			AgeUs: micros(s.Age), LifeUs: micros(s.Life)})
 	}
+	if c := p.Claim; c != nil {
+		m.Claim = &fleetv1.Claim{Shard: uint32(c.Shard), Number: c.Number, Echo: c.Echo, LendUs: micros(c.Lend)}
+		for _, w := range c.Wants {
+			x := &fleetv1.Want{Destination: int32(w.Destination)}
+			for _, r := range w.Rates {
+				x.Rate = append(x.Rate, float32(r))
+			}
+			m.Claim.Want = append(m.Claim.Want, x)
+		}
+		for _, r := range c.Readings {
+			m.Claim.Reading = append(m.Claim.Reading, &fleetv1.Reading{Destination: int32(r.Destination), Limit: r.Limit, AgeUs: micros(r.Age)})
+		}
+	}
+	if g := p.Grant; g != nil {
+		m.Grant = &fleetv1.Grant{Shard: uint32(g.Shard), Ask: g.Ask, Number: g.Number, Answer: g.Answer, ForUs: micros(g.For)}
+		for _, s := range g.Shares {
+			m.Grant.Share = append(m.Grant.Share, &fleetv1.Share{Destination: int32(s.Destination), Rate: s.Rate, Limit: s.Limit})
+		}
+	}
 	return m
 }
 
@@ -90,6 +110,8 @@
 		return p, fmt.Errorf("%w: group %d of %d", ErrForm, m.Group, m.Groups)
 	case len(m.News) > MostNews:
 		return p, fmt.Errorf("%w: %d statements", ErrForm, len(m.News))
+	case m.Claim.GetShard() >= allowance.Shards || m.Grant.GetShard() >= allowance.Shards:
+		return p, fmt.Errorf("%w: a shard of %d", ErrForm, allowance.Shards)
 	case len(m.Summary) != 0 && len(m.Summary) != len(p.Summary):
 		return p, fmt.Errorf("%w: a summary of %d parts", ErrForm, len(m.Summary))
 	}
@@ -101,9 +123,49 @@
 			Subject: verdicts.Subject{Kind: kind(s.Kind), Destination: int(s.Destination), Member: s.Member}, Over: s.Over,
 			Length: span(s.LengthUs), List: s.List, Age: span(s.AgeUs), Life: span(s.LifeUs)})
 	}
+	p.Claim, p.Grant = claim(m.Claim), grant(m.Grant)
 	return p, nil
 }
 
+func claim(m *fleetv1.Claim) *allowance.Claim {
+	if m == nil {
+		return nil
+	}
+	c := &allowance.Claim{Shard: int(m.Shard), Number: m.Number, Echo: m.Echo, Lend: span(m.LendUs)}
+	for _, w := range m.Want {
+		x := allowance.Want{Destination: int(w.Destination)}
+		for i, r := range w.Rate {
+			if i < len(x.Rates) {
+				x.Rates[i] = finite(float64(r))
+			}
+		}
+		c.Wants = append(c.Wants, x)
+	}
+	for _, r := range m.Reading {
+		c.Readings = append(c.Readings, allowance.Reading{Destination: int(r.Destination), Limit: finite(r.Limit), Age: span(r.AgeUs)})
+	}
+	return c
+}
+
+func grant(m *fleetv1.Grant) *allowance.Grant {
+	if m == nil {
+		return nil
+	}
+	g := &allowance.Grant{Shard: int(m.Shard), Ask: m.Ask, Number: m.Number, Answer: m.Answer, For: span(m.ForUs)}
+	for _, s := range m.Share {
+		g.Shares = append(g.Shares, allowance.Share{Destination: int(s.Destination), Rate: finite(s.Rate), Limit: finite(s.Limit)})
+	}
+	return g
+}
+
+// finite is a rate of the wire; one that is none is 0.
+func finite(x float64) float64 {
+	if x >= 0 && x < 1e12 {
+		return x
+	}
+	return 0
+}
+
 // kind keeps kinds of a later build apart from known ones: no book takes them.
 func kind(x uint32) verdicts.Kind {
 	if x > math.MaxUint8 {
--- a/internal/fleet/wire/wire_test.go
+++ b/internal/fleet/wire/wire_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"wrenford/internal/allowance"
 	"wrenford/internal/cuts"
 	"wrenford/internal/spread"
 	"wrenford/internal/verdicts"
@@ -23,6 +24,16 @@
 	if p.Ask {
 		p.Summary[rapid.IntRange(0, len(p.Summary)-1).Draw(t, "part")] = rapid.Uint32().Draw(t, "hash")
 	}
+	rate := rapid.Float64Range(0, 1e6)
+	if rapid.Bool().Draw(t, "claims") {
+		p.Claim = &allowance.Claim{Shard: rapid.IntRange(0, allowance.Shards-1).Draw(t, "shard"), Number: rapid.Uint64().Draw(t, "number"),
+			Echo: rapid.Uint64().Draw(t, "echo"), Lend: us("lend"), Wants: []allowance.Want{{Destination: 7, Rates: [allowance.Levels]float64{1, 0, 2.5, 0}}},
+			Readings: []allowance.Reading{{Destination: 7, Limit: rate.Draw(t, "limit"), Age: us("old")}}}
+	}
+	if rapid.Bool().Draw(t, "grants") {
+		p.Grant = &allowance.Grant{Shard: rapid.IntRange(0, allowance.Shards-1).Draw(t, "part"), Ask: rapid.Bool().Draw(t, "asks"), Number: rapid.Uint64().Draw(t, "n"),
+			Answer: rapid.Uint64().Draw(t, "answer"), For: us("for"), Shares: []allowance.Share{{Destination: 7, Rate: rate.Draw(t, "rate"), Limit: rate.Draw(t, "whole")}}}
+	}
 	for range rapid.IntRange(0, 4).Draw(t, "news") {
 		p.News = append(p.News, verdicts.Statement{Origin: rapid.StringN(1, 20, 100).Draw(t, "origin"),
 			Version: verdicts.Version{Incarnation: rapid.Uint64().Draw(t, "i"), Seq: rapid.Uint64().Draw(t, "seq")},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,7 @@
 	Agree           int
 	Exchange        time.Duration
 	Bytes           float64 // a second
+	DivideLimits    bool
 }
 
 // Conns holds the settings of connections to pool members.
@@ -87,7 +88,7 @@
 func Default() Config {
 	return Config{Overload: Overload{Brownout: true, Tick: 50 * time.Millisecond, Control: overload.Defaults()},
 		Log: Log{LinesPerSecond: 5}, TLS: TLS{Watch: true, Gate: trust.GateDefaults()}, Conns: Conns{Keep: conns.Defaults(), HeldMost: 250 * time.Millisecond},
-		Fleet: Fleet{Agree: 2, Exchange: time.Second, Bytes: 4096}}
+		Fleet: Fleet{Agree: 2, Exchange: time.Second, Bytes: 4096, DivideLimits: true}}
 }
 
 // Load reads a file. An empty path is no file.
@@ -281,6 +282,7 @@
 		return nil
 	}
 	f.Enabled, f.Name, f.KeyFile = p.GetEnabled(), p.GetName(), p.GetKeyFile()
+	f.DivideLimits = p.DivideLimits == nil || *p.DivideLimits
 	errs := numbers("fleet", []number{
 		{"agree", float(p.Agree), 1, 64, func(x float64) { f.Agree = int(x) }},
 		{"exchange_ms", p.ExchangeMs, 100, 60_000, func(x float64) { f.Exchange = time.Duration(x * float64(time.Millisecond)) }},
--- a/internal/lab/fleets/fleets.go
+++ b/internal/lab/fleets/fleets.go
@@ -303,13 +303,7 @@
 }
 
 func (f *Fleet) load(ctx context.Context, s *seat) error {
-	l, n := f.Scenario.Load, float64(len(f.seats))
-	rate := l.Rate / n
-	if l.Hot > 0 && n > 1 {
-		if rate = l.Rate * (1 - l.Hot) / (n - 1); s.Number == 0 {
-			rate = l.Rate * l.Hot
-		}
-	}
+	l := f.Scenario.Load
 	streams := []load.Stream{{Class: 0, Tenant: "acme", Share: 1 - l.Status, Body: 200, Deadline: 28 * time.Second},
 		{Class: 1, Tenant: "acme", Share: l.Status, Body: 200, Deadline: 5 * time.Second}}
 	if l.Status == 0 {
@@ -327,7 +321,26 @@
 		honour = 1
 	}
 	return f.D.LoadOn(ctx, s.Seat, load.Config{Clients: clients, Patience: 400 * time.Millisecond, Streams: streams, Dests: dests, Retries: int(l.Retries),
-		Steps: []load.Step{{For: seconds(f.Scenario.LengthS), Rate: rate}}, Honour: honour, Seed: f.Scenario.Seed<<10 + uint64(s.Number) + 1, Poisson: true})
+		Steps: steps(f.Scenario, s.Number), Honour: honour, Seed: f.Scenario.Seed<<10 + uint64(s.Number) + 1, Poisson: true})
+}
+
+// steps are what a relay is handed.
+func steps(sc *labv1.FleetScenario, relay int) (list []load.Step) {
+	l, n := sc.Load, int(sc.Relays)
+	span := sc.LengthS
+	if l.JumpS > 0 {
+		span = l.JumpS
+	}
+	for from, hot := 0.0, 0; from < sc.LengthS; from, hot = from+span, (hot+1)%n {
+		rate := l.Rate / float64(n)
+		if l.Hot > 0 && n > 1 {
+			if rate = l.Rate * (1 - l.Hot) / float64(n-1); relay == hot {
+				rate = l.Rate * l.Hot
+			}
+		}
+		list = append(list, load.Step{For: seconds(min(span, sc.LengthS-from)), Rate: rate})
+	}
+	return list
 }
 
 // Do makes one event happen.
--- a/internal/lab/fleets/report.go
+++ b/internal/lab/fleets/report.go
@@ -133,6 +133,7 @@
 		if most := Capacity(p, 0, sc.LengthS); most > 0 {
 			fmt.Fprintf(t, "\t%.3f of what its limit allowed\n", float64(n[200])/most)
 		}
+		r.limits(t, p)
 		for _, o := range outages(p, sc.LengthS) {
 			fmt.Fprintf(t, "\tout from %.1f to %.1f s: %d connections; in the second after, %d", o[0], o[1], r.Connections(p, o[0], o[1]), r.Connections(p, o[1], o[1]+1))
 			if end := min(o[1]+8, sc.LengthS); end > o[1] && Capacity(p, o[1], end) > 0 {
@@ -142,6 +143,9 @@
 			}
 		}
 	}
+	if first, others := r.TakenOn(); sc.Load.Hot > 0 {
+		fmt.Fprintf(t, "taken on\t%.3f of what the first relay was handed, %.3f of what the others were\n", first, others)
+	}
 	late, worst, each := time.Duration(0), 0, map[time.Time]int{}
 	for _, u := range r.Unheard {
 		late = max(late, u.After)
--- a/internal/lab/fleets/scenario.go
+++ b/internal/lab/fleets/scenario.go
@@ -58,7 +58,7 @@
 	if !(sc.LengthS > 0) || sc.LengthS > mostLength {
 		no("length_s: %v is not within 0 to %v", sc.LengthS, mostLength)
 	}
-	if l := sc.Load; l == nil || !(l.Rate > 0) || l.Rate > 1e5 || l.Hot < 0 || l.Hot > 1 || l.Status < 0 || l.Status > 1 || l.Honour < 0 || l.Honour > 1 {
+	if l := sc.Load; l == nil || !(l.Rate > 0) || l.Rate > 1e5 || l.Hot < 0 || l.Hot > 1 || l.Status < 0 || l.Status > 1 || l.Honour < 0 || l.Honour > 1 || l.JumpS < 0 || l.JumpS > 0 && l.JumpS < 0.1 {
 		no("load: a rate up to 100,000 and shares within 0 to 1 are wanted")
 	}
 	if len(sc.Partner) == 0 {
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -517,6 +517,23 @@
 	return counts
 }
 
+// Taken counts the hand-ins of each relay, and those that it took on.
+func (l *Ledger) Taken() (offered, taken map[int]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offered, taken = map[int]int{}, map[int]int{}
+	for _, b := range l.books {
+		for i := range b.HandIns {
+			h := &b.HandIns[i]
+			offered[h.Relay]++
+			if h.Answer == Accepted {
+				taken[h.Relay]++
+			}
+		}
+	}
+	return offered, taken
+}
+
 // Calls returns what partners' endpoints recorded, in order of arrival, with the relay that called. Nothing may be recorded any
 // more.
 func (l *Ledger) Calls() (calls []Call, relays []int) {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -207,14 +207,23 @@
 // notices, for its program then does not start.
 func FreePort() (string, error) { return FreePortOn("127.0.0.1") }
 
+// given are the ports that were handed out: a relay that is told of one shares it with whoever else is, and hand-ins of one test
+// would go to the relay of another.
+var given sync.Map
+
 // FreePortOn asks for one on another address of the loopback: where nobody else opens connections from, nobody takes it.
 func FreePortOn(ip string) (string, error) {
-	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", fmt.Errorf("lab: %w", err)
+	for {
+		ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return "", fmt.Errorf("lab: %w", err)
+		}
+		addr := ln.Addr().String()
+		_ = ln.Close()
+		if _, taken := given.LoadOrStore(addr, true); !taken {
+			return addr, nil
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
 }
 
 // Settled waits until the relay says that nothing is open and no notice is owed any more.
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"wrenford"
@@ -14,6 +15,8 @@
 	Health(member string, destination int, out, tried bool, since time.Time)
 	// Pool is the relay's own list, at a version of it.
 	Pool(seq int64, members map[string]traffic.Member)
+	// Demand is what there is to send, where that has changed.
+	Demand(list []traffic.Demand)
 	// Bans are the members that operators have taken down here.
 	Bans(set map[string]bool)
 }
@@ -24,6 +27,114 @@
 // Bar takes in which members are to get nothing new by the word of other relays, from the next step on.
 func (r *Relay) Bar(bars []traffic.Bar) { r.post(bars) }
 
+// Allow takes in this relay's parts of limits, from the next step on.
+func (r *Relay) Allow(list []traffic.Allowance) { r.post(list) }
+
+// lapseFor is how long nothing goes to a destination whose part of a limit has ended without word of what comes next, before
+// the module decides alone: the process may have been stopped meanwhile, and its part be another's by now.
+const lapseFor = time.Second
+
+// part is a part of a limit, as the module was told.
+type part struct {
+	until  time.Time
+	lapsed bool
+}
+
+// lapses tells the module of parts that have ended, before it decides anything after that.
+func (r *Relay) lapses(now time.Time) (events []wrenford.Event) {
+	if len(r.parts) == 0 || now.Before(r.lapse) {
+		return nil
+	}
+	r.lapse = now.Add(time.Hour)
+	for n, p := range r.parts {
+		switch {
+		case now.Before(p.until):
+		case p.lapsed:
+			delete(r.parts, n)
+			continue
+		default:
+			p = part{now.Add(lapseFor), true}
+			r.parts[n] = p
+			events = append(events, wrenford.Told{Kind: wrenford.ToldShare, Destination: n, For: lapseFor})
+		}
+		if p.until.Before(r.lapse) {
+			r.lapse = p.until
+		}
+	}
+	return events
+}
+
+// demandEvery is how often the fleet is told what there is to send; what newly waits is told at once.
+const demandEvery = 100 * time.Millisecond
+
+// demands keeps what there is to send, by destination, for the fleet. It is nil for a relay alone.
+type demands struct {
+	levels  map[string]int // of classes, by worth
+	of      map[int]*traffic.Demand
+	changed map[int]bool
+	told    time.Time
+	urgent  bool // something waits where nothing did
+}
+
+func newDemands(classes []wrenford.Class) *demands {
+	d := &demands{levels: map[string]int{}, of: map[int]*traffic.Demand{}, changed: map[int]bool{}}
+	var worths []float64
+	for _, c := range classes {
+		worths = append(worths, c.Worth)
+	}
+	slices.Sort(worths)
+	worths = slices.Compact(worths)
+	for _, c := range classes {
+		at, _ := slices.BinarySearch(worths, c.Worth)
+		d.levels[c.Name] = min(len(worths)-1-at, traffic.Levels-1)
+	}
+	return d
+}
+
+// note counts arrivals, and how many more wait.
+func (d *demands) note(t *traffic.Transaction, arrived, waiting int) {
+	if d == nil {
+		return
+	}
+	x := d.of[t.Destination]
+	if x == nil {
+		x = &traffic.Demand{Destination: t.Destination}
+		d.of[t.Destination] = x
+	}
+	l := d.levels[t.Class]
+	d.urgent = d.urgent || waiting > 0 && x.Waiting == [traffic.Levels]int{}
+	x.Arrived[l] += arrived
+	x.Waiting[l] += waiting
+	d.changed[t.Destination] = true
+}
+
+// due is when the fleet is to be told, if there is anything to tell.
+func (d *demands) due() (time.Time, bool) {
+	if d == nil || len(d.changed) == 0 {
+		return time.Time{}, false
+	}
+	return d.told.Add(demandEvery), true
+}
+
+func (r *Relay) demandToFleet(now time.Time) {
+	d := r.demands
+	if at, ok := d.due(); !ok || now.Before(at) && !d.urgent {
+		return
+	}
+	list := make([]traffic.Demand, 0, len(d.changed))
+	for n := range d.changed {
+		x := d.of[n]
+		list = append(list, *x)
+		x.Arrived = [traffic.Levels]int{}
+		if x.Waiting == x.Arrived {
+			delete(d.of, n)
+		}
+	}
+	clear(d.changed)
+	d.told, d.urgent = now, false
+	r.cfg.Fleet.Demand(list)
+}
+
 func (r *Relay) barred(list []traffic.Bar) wrenford.Members {
 	before := r.bars
 	r.bars = map[string]bool{}
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"testing"
 	"time"
+	"wrenford"
 
 	"wrenford/internal/traffic"
 )
@@ -13,11 +14,13 @@
 	health []string
 	bans   map[string]bool
 	pools  int
+	demand []traffic.Demand
 }
 
 func (o *others) Health(member string, _ int, out, tried bool, _ time.Time) {
 	o.health = append(o.health, map[[2]bool]string{{true, false}: "out ", {true, true}: "tried ", {false, false}: "back "}[[2]bool{out, tried}]+member)
 }
+func (o *others) Demand(list []traffic.Demand)          { o.demand = append(o.demand, list...) }
 func (o *others) Pool(int64, map[string]traffic.Member) { o.pools++ }
 func (o *others) Bans(set map[string]bool)              { o.bans = set }
 
@@ -96,3 +99,65 @@
 		t.Errorf("shut: %v", r.shut)
 	}
 }
+
+// What arrives and what waits is told by worth, at once where something newly waits and else now and then; what has gone is told too.
+func TestDemandIsTold(t *testing.T) {
+	r, w, now := start(t)
+	o := &others{}
+	r.cfg.Fleet, r.demands = o, newDemands(r.cfg.Settings.Classes)
+	w.took()
+	level := r.demands.levels["slot"]
+	arrived := 0
+	for i := range 20 {
+		hand(t, r, now, transaction(string(rune('A'+i)), "slot", now.Add(5*time.Second)))
+		now = now.Add(10 * time.Millisecond)
+	}
+	for _, f := range w.flows {
+		r.step(now, []any{traffic.FlowEnd{ID: f.ID, Attempt: f.Attempt, Member: f.Member, Status: traffic.Delivered, Took: time.Millisecond}})
+	}
+	if at, ok := r.demands.due(); !ok || at.Before(now.Add(-time.Second)) {
+		t.Errorf("nothing is due to be told: %v %v", at, ok)
+	}
+	r.demandToFleet(now.Add(demandEvery))
+	for _, d := range o.demand {
+		arrived += d.Arrived[level]
+	}
+	if len(o.demand) < 2 || len(o.demand) > 8 || arrived != 20 || o.demand[0].Waiting[level] > 1 {
+		t.Errorf("told %v", o.demand)
+	}
+	waits := 0
+	for _, h := range r.open {
+		if h.begun.IsZero() {
+			waits++
+		}
+	}
+	if last := o.demand[len(o.demand)-1]; last.Waiting[level] != waits {
+		t.Errorf("%d wait, %d were told", waits, last.Waiting[level])
+	}
+	if _, ok := r.demands.due(); ok {
+		t.Error("something is left to tell")
+	}
+}
+
+// A part of a limit that ends without word of the next leaves nothing for a while, for another may have it by now; then the module
+// decides alone. It does so in the first step after that, whatever happened meanwhile.
+func TestPartsThatEnd(t *testing.T) {
+	r, w, now := start(t)
+	r.cfg.Fleet, r.parts = &others{}, map[int]part{}
+	w.took()
+	const dest = 1
+	r.step(now, []any{[]traffic.Allowance{{Destination: dest, Rate: 100, Until: now.Add(time.Second)}}})
+	if !r.nextWake(now).Equal(now.Add(time.Second)) || len(r.lapses(now.Add(900*time.Millisecond))) > 0 {
+		t.Errorf("the next wake is at %v", r.nextWake(now).Sub(now))
+	}
+	events := r.lapses(now.Add(1100 * time.Millisecond))
+	if len(events) != 1 || events[0] != (wrenford.Told{Kind: wrenford.ToldShare, Destination: dest, For: lapseFor}) {
+		t.Errorf("after its end %v", events)
+	}
+	if events := r.lapses(now.Add(1200 * time.Millisecond)); len(events) > 0 {
+		t.Errorf("and again %v", events)
+	}
+	if r.lapses(now.Add(1100*time.Millisecond + lapseFor)); len(r.parts) != 0 {
+		t.Errorf("%v is kept", r.parts)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -150,6 +150,9 @@
 	shut    map[string]bool // both
 	outs    map[string]bool // members that the fleet was told to be out
 	heard   map[string]bool // members that the fleet holds to be out
+	demands *demands        // for the fleet; nil for a relay alone
+	parts   map[int]part    // of limits, by destination
+	lapse   time.Time       // when the first of them ends
 	tally   tally
 	// dispatches counts transactions written whole to members.
 	dispatches int64
@@ -204,6 +207,9 @@
 		apart: map[string]bool{}, waiting: map[int]int{}, pool: newRoster(), open: map[string]*held{}, tally: newTally(),
 		signal: make(chan struct{}, 1)}
 	r.bans, r.shut, r.outs, r.heard = maps.Clone(cfg.Banned), maps.Clone(cfg.Banned), map[string]bool{}, map[string]bool{}
+	if cfg.Fleet != nil {
+		r.demands, r.parts = newDemands(cfg.Settings.Classes), map[int]part{}
+	}
 	for i := range cfg.Settings.Classes {
 		r.classes[cfg.Settings.Classes[i].Name] = &cfg.Settings.Classes[i]
 	}
@@ -235,6 +241,7 @@
 		r.open[o.ID] = h
 		r.bytes += int64(o.Size())
 		r.waiting[o.Destination]++
+		r.demands.note(&o.Transaction, 0, 1)
 		r.count.Recovered++
 		events = append(events, r.request(&h.Open, now))
 	}
@@ -354,7 +361,11 @@
 		if due.Before(last) {
 			r.cfg.Meters.Stepped(due, last)
 		}
-		r.step(last, batch)
+		if at, ok := r.demands.due(); ok && len(batch) == 0 && !at.After(last) && r.nextWake(last).After(last) {
+			r.demandToFleet(last) // it is late; the module has nothing to decide
+		} else {
+			r.step(last, batch)
+		}
 		r.mu.Lock()
 		r.earliest = last.Add(r.spacing())
 		r.mu.Unlock()
@@ -362,6 +373,9 @@
 		if r.cfg.Heir != nil && next.After(last.Add(adoptEvery)) {
 			next = last.Add(adoptEvery) // a predecessor's end comes unannounced
 		}
+		if at, ok := r.demands.due(); ok && at.Before(next) {
+			next = at
+		}
 		timer.Reset(time.Until(next))
 	}
 }
@@ -419,6 +433,9 @@
 			next = at
 		}
 	}
+	if len(r.parts) > 0 && r.lapse.Before(next) {
+		next = r.lapse
+	}
 	return next
 }
 
@@ -456,6 +473,8 @@
 			defer close(in.done) // once the module has stepped with it
 		case []traffic.Restraint:
 			events = append(events, r.restrained(in, now)...)
+		case []traffic.Allowance:
+			events = append(events, r.allowed(in, now)...)
 		case []traffic.Bar:
 			events = append(events, r.barred(in))
 		case limit:
@@ -470,8 +489,10 @@
 			changes = append(changes, acknowledged(in)...)
 		}
 	}
+	events = append(r.lapses(now), events...)
 	r.decide(now, events, changes)
 	r.healthToFleet(batch)
+	r.demandToFleet(now)
 }
 
 // admit holds a hand-in that the relay has room for; others it answers.
@@ -502,10 +523,12 @@
 	case len(r.open) >= r.squeeze.messages, r.bytes+size > r.mostBytes(), !r.cfg.Store.Room(r.fresh + size):
 		r.count.Full++
 	default:
+		r.demands.note(&in.t, 1, 0)
 		h = &held{Open: traffic.Open{Transaction: in.t}, fresh: []chan<- traffic.Answer{in.answer}}
 		r.open[in.t.ID] = h
 		r.bytes, r.fresh = r.bytes+size, r.fresh+size
 		r.waiting[h.Destination]++
+		r.demands.note(&h.Transaction, 0, 1)
 		return h
 	}
 	r.answeredAs(in.t.Class, traffic.Answer{Verdict: traffic.Busy})
@@ -545,6 +568,7 @@
 	}
 	h.begun = time.Time{}
 	r.waiting[h.Destination]++
+	r.demands.note(&h.Transaction, 0, 1)
 	r.out--
 	if e.settled {
 		r.forget(h)
@@ -560,6 +584,7 @@
 	r.bytes -= int64(h.Size())
 	if h.begun.IsZero() {
 		r.waiting[h.Destination]--
+		r.demands.note(&h.Transaction, 0, -1)
 	}
 	if h.fresh == nil {
 		r.ended++
@@ -604,6 +629,7 @@
 			h.Attempts++
 			h.begun = now
 			r.waiting[h.Destination]--
+			r.demands.note(&h.Transaction, 0, -1)
 			r.out++
 			changes = append(changes, traffic.FlowBegun{ID: f.ID, Attempt: f.Attempt, At: now})
 			after = append(after, deed{flow: &f})
--- a/internal/relay/translate.go
+++ b/internal/relay/translate.go
@@ -109,6 +109,19 @@
 	return g
 }
 
+// allowed is what the fleet's parts of limits mean to the module.
+func (r *Relay) allowed(list []traffic.Allowance, now time.Time) (events []wrenford.Event) {
+	for _, a := range list {
+		if left := a.Until.Sub(now); left > 0 {
+			events = append(events, wrenford.Told{Kind: wrenford.ToldShare, Destination: a.Destination, Rate: a.Rate, For: left})
+			if r.parts[a.Destination] = (part{until: a.Until}); a.Until.Before(r.lapse) || len(r.parts) == 1 {
+				r.lapse = a.Until
+			}
+		}
+	}
+	return events
+}
+
 // told is what other relays' word means to the module.
 func (r *Relay) told(x traffic.Restraint, now time.Time) wrenford.Told {
 	ev := wrenford.Told{Endpoint: x.Member, Age: max(now.Sub(x.At), 0)}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"wrenford/internal/allowance"
 	"wrenford/internal/verdicts"
 )
 
@@ -67,6 +68,9 @@
 	Summary     verdicts.Summary
 	// Known answers a packet whose sender's incarnation is behind: the one that is known of it.
 	Known uint64
+	// Claim and Grant are of the limits that relays divide. Spread carries them, and nothing more.
+	Claim *allowance.Claim
+	Grant *allowance.Grant
 }
 
 // Send is a packet on its way.
@@ -88,6 +92,7 @@
 	Asked     int64 `json:"asked"`     // comparisons begun
 	Answered  int64 `json:"answered"`  // of them, those that were answered
 	Late      int64 `json:"late"`      // packets that came more than a second late
+	Posted    int64 `json:"posted"`    // claims and grants sent
 }
 
 // Spread decides for one relay.
@@ -184,6 +189,9 @@
 	return ok
 }
 
+// Live are the names of the members that live, this relay's left out.
+func (s *Spread) Live() []string { return slices.Clone(s.others) }
+
 // Staleness is how old the newest comparison is that was answered: what the fleet said before, this relay has heard, as
 // far as its partner had. It grows while all links are cut; alone in its fleet a relay has nothing to hear.
 func (s *Spread) Staleness(now time.Duration) time.Duration { return now - s.heard }
@@ -255,6 +263,15 @@
 	return s.out
 }
 
+// Post sends a claim or a grant.
+func (s *Spread) Post(now time.Duration, to string, claim *allowance.Claim, grant *allowance.Grant) []Send {
+	s.out = nil
+	if to != s.cfg.Self && s.Member(to) {
+		s.send(now, to, Packet{Claim: claim, Grant: grant})
+	}
+	return s.out
+}
+
 // Receive takes a packet in: the book learns what is new, which is returned, and packets go out. Statements of this
 // relay's own that another process said under its name, or that it has forgotten, come back in own.
 func (s *Spread) Receive(now time.Duration, p Packet) (news, own []verdicts.Statement, out []Send) {
@@ -386,11 +403,16 @@
 		}
 		news = news[len(p.News):]
 		size := s.cfg.Size(&p)
-		if float64(size) > s.tokens || size > s.cfg.Packet {
+		posted := p.Claim != nil || p.Grant != nil
+		if size > s.cfg.Packet || float64(size) > s.tokens && !posted {
 			s.count.Short++
 			return
 		}
-		s.tokens -= float64(size)
+		if posted { // as many as there is demand: news keeps its bytes
+			s.count.Posted++
+		} else {
+			s.tokens -= float64(size)
+		}
 		s.packets++
 		s.count.Sent++
 		s.count.SentBytes += int64(size)
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -216,3 +216,20 @@
 	Member string
 	Banned bool // operators took it down somewhere: it comes back cold
 }
+
+// Levels is how many worths of transactions a Demand tells apart; the first is the highest.
+const Levels = 4
+
+// Demand is what a relay has for a destination.
+type Demand struct {
+	Destination int
+	Arrived     [Levels]int // handed in since the last telling, refused ones too
+	Waiting     [Levels]int // held without a flow
+}
+
+// Allowance is this relay's part of a destination's limit, as the fleet has dealt it.
+type Allowance struct {
+	Destination int
+	Rate        float64 // calls a second
+	Until       time.Time
+}
