A relay whose address is taken is not ready, and no two injectors give one address

The rig waits for "ready" in the log, which "address already in use" has in it, so a start that failed passed for one that went well; it failed since fleets side by side used the same loopback addresses, where one's fleet port or outgoing connection could be the other's client or operators' port.

Change: the rig waits for the whole field; each injector holds a block of addresses of its own, across processes, with one for clients and operators from which nothing calls out. The bound of five fleets at a time, put in before the cause was known, comes out.

Measured: TestNotReady and TestNoAddressTwice fail without their parts.

--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -196,7 +196,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := p.Await("ready", time.Now().Add(10*time.Second)); err != nil {
+	// The whole field: "address already in use" is not ready.
+	if err := p.Await(`"msg":"ready"`, time.Now().Add(10*time.Second)); err != nil {
 		p.Kill()
 		return nil, err
 	}
--- a/internal/lab/fleets/fleets.go
+++ b/internal/lab/fleets/fleets.go
@@ -105,13 +105,13 @@
 			return err
 		}
 	}
-	source := netip.AddrFrom4([4]byte{127, 79, byte(s.Number >> 8), byte(s.Number&0xff) + 1})
+	source := netip.AddrFrom4([4]byte{127, 62, byte(s.Number >> 8), byte(s.Number&0xff) + 1})
 	if s.Discovery, err = f.Net.Forward(s.name, "discovery", f.D.Platform.Addr(), source); err != nil {
 		return err
 	}
 	f.D.Platform.Relay(source, s.Number, func(h platform.Host) string { return ways[h.Host] })
 	for _, to := range []*string{&s.Listen, &s.ops} {
-		if *to, err = lab.FreePortOn(s.place.Bind.Addr().String()); err != nil {
+		if *to, err = lab.FreePortOn(s.place.Serve.String()); err != nil {
 			return err
 		}
 	}
--- a/internal/lab/fleets/limits_test.go
+++ b/internal/lab/fleets/limits_test.go
@@ -32,7 +32,6 @@
 	}
 	const load, heal = `load { rate: 130 hot: 0.5 status: 0.4 }`, "at { at_s: 9 heal: true }\n"
 	const steady = `phase { rate: 100 latency_ms: 15 cv: 0.5 wait_ms: 300 }`
-	few := make(chan bool, 5) // fleets at one time: more would be a test of the machine
 	for name, c := range map[string]struct{ load, phases, at string }{
 		"six of eight join at once":                        {load, steady, "at { at_s: 0.5 kill { " + each("party", rest[:6]) + "} }\nat { at_s: 4 start { " + each("party", rest[:6]) + "} }"},
 		"a limit of two a second":                          {`load { rate: 4 status: 0.4 }`, `phase { rate: 2 latency_ms: 15 cv: 0.5 wait_ms: 300 }`, ""},
@@ -51,8 +50,6 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			few <- true
-			defer func() { <-few }()
 			r := play(t, fmt.Sprintf("relays: %d seed: 24 length_s: 13 %s\npartner { name: \"p\" destination: 0 %s }\n%s", relays, c.load, c.phases, c.at), nil)
 			p := r.fleet.Scenario.Partner[0]
 			for _, e := range r.Excesses(p)[1:] {
--- a/internal/lab/handover_test.go
+++ b/internal/lab/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -90,3 +91,18 @@
 	resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// A relay that cannot listen is not ready, whatever its error says: "address already in use" has the word in it.
+func TestNotReady(t *testing.T) {
+	d := put(t, 30*time.Millisecond, 64)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	p, err := d.RelayWith(binary, nil, []string{"TMPDIR=" + t.TempDir(), "NODE_OPS=" + taken.Addr().String()}, "")
+	if err == nil {
+		p.Kill()
+		t.Error("a relay whose operators' address is taken passes for ready")
+	}
+}
--- a/internal/lab/links/links.go
+++ b/internal/lab/links/links.go
@@ -46,6 +46,7 @@
 type Net struct {
 	seed   uint64
 	mu     sync.Mutex
+	block  byte // second octet of the first of its addresses; 0 while it has none
 	links  map[pair]*link
 	names  map[netip.Addr]string // who calls from an address
 	opened map[pair][]time.Time  // connections that were asked for
@@ -196,28 +197,59 @@
 	return after, spoil
 }
 
-// Place is where a party that takes packets and streams listens, and where others reach it through the injector.
-type Place struct{ Bind, Reach netip.AddrPort }
+// Place is where a party that takes packets and streams listens, and where others reach it through the injector. Serve is an
+// address of its own for all else that it listens on: it makes no calls from there, whose ports could be those.
+type Place struct {
+	Bind, Reach netip.AddrPort
+	Serve       netip.Addr
+}
+
+// Blocks of addresses begin at 127.firstBlock, three second octets each; a listener at guardPort of a block's last address but one
+// holds it, so that injectors side by side, in one process or several, give no address twice.
+const firstBlock, blocks, guardPort = 64, 60, 20009
+
+// hold takes a block of addresses until Close.
+func (n *Net) hold() (byte, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.block != 0 {
+		return n.block, nil
+	}
+	for b := range blocks {
+		block := byte(firstBlock + 3*b)
+		guard, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, block, 255, 254), Port: guardPort})
+		if err == nil {
+			n.block = block
+			n.closes = append(n.closes, func() { guard.Close() })
+			return block, nil
+		}
+	}
+	return 0, errors.New("links: no block of addresses is free")
+}
 
 // Party gives a party that others call, and that calls them from its address, both over TCP and UDP. Its number makes its
 // addresses, which are its own; ports are the system's.
 func (n *Net) Party(name string, number int) (Place, error) {
 	var p Place
-	ip := func(net byte) netip.Addr {
-		return netip.AddrFrom4([4]byte{127, net, byte(number >> 8), byte(number&0xff) + 1})
+	block, err := n.hold()
+	if err != nil {
+		return p, err
+	}
+	ip := func(i byte) netip.Addr {
+		return netip.AddrFrom4([4]byte{127, block + i, byte(number >> 8), byte(number&0xff) + 1})
 	}
-	if number < 0 || number >= 1<<16-1 || number&0xff == 0xff {
+	if number < 0 || number >= 1<<15 || number&0xff == 0xff {
 		return p, fmt.Errorf("links: %d makes no address", number)
 	}
-	bind, err := freePort(ip(77))
+	bind, err := freePort(ip(0))
 	if err != nil {
 		return p, err
 	}
-	tcp, udp, err := listen(ip(78))
+	tcp, udp, err := listen(ip(1))
 	if err != nil {
 		return p, err
 	}
-	p = Place{Bind: bind, Reach: tcp.Addr().(*net.TCPAddr).AddrPort()}
+	p = Place{Bind: bind, Reach: tcp.Addr().(*net.TCPAddr).AddrPort(), Serve: ip(2)}
 	n.mu.Lock()
 	n.names[bind.Addr()] = name
 	n.send[name] = func(b []byte) { _, _ = udp.WriteToUDPAddrPort(b, bind) }
--- a/internal/lab/links/links_test.go
+++ b/internal/lab/links/links_test.go
@@ -108,7 +108,7 @@
 			go func() { _, _ = io.Copy(c, c); c.Close() }()
 		}
 	}()
-	source := netip.MustParseAddr("127.79.0.9")
+	source := netip.MustParseAddr("127.62.0.9")
 	addr, err := n.Forward("a", "b", ln.Addr().String(), source)
 	if err != nil {
 		t.Fatal(err)
@@ -151,3 +151,24 @@
 		c.Close()
 	}
 }
+
+// Injectors side by side give no address twice: what listens at one may share its port, and would get the other's calls.
+func TestNoAddressTwice(t *testing.T) {
+	seen := map[netip.Addr]bool{}
+	for range 3 {
+		n := New(4)
+		t.Cleanup(n.Close)
+		for i := range 2 {
+			p, err := n.Party("p", i)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, a := range []netip.Addr{p.Bind.Addr(), p.Reach.Addr(), p.Serve} {
+				if seen[a] {
+					t.Errorf("%v was given twice", a)
+				}
+				seen[a] = true
+			}
+		}
+	}
+}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -211,7 +211,7 @@
 // would go to the relay of another.
 var given sync.Map
 
-// FreePortOn asks for one on another address of the loopback: where nobody else opens connections from, nobody takes it.
+// FreePortOn asks for one on another address of the loopback. Where no connections are opened from there, nobody takes it.
 func FreePortOn(ip string) (string, error) {
 	for {
 		ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
