What a relay has to send is told each 100 ms, and at once only where it has begun to wait

Cause: a hand-in counted as waiting from its arrival to the step's end, so that the fleet's part was told after every step with one, up to 200 times a second.

Change: what the step has sent does not wait; urgent is what waits after the step where nothing was told to wait before.

Measured: TestDemandIsTold: 4 tellings at most of 20 hand-ins 10 ms apart (8 were allowed); its table of tellings fails with the former rule.

--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -72,12 +72,12 @@
 	levels  map[string]int // of classes, by worth
 	of      map[int]*traffic.Demand
 	changed map[int]bool
+	waits   map[int]bool // where something waited when that was told
 	told    time.Time
-	urgent  bool // something waits where nothing did
 }
 
 func newDemands(classes []wrenford.Class) *demands {
-	d := &demands{levels: map[string]int{}, of: map[int]*traffic.Demand{}, changed: map[int]bool{}}
+	d := &demands{levels: map[string]int{}, of: map[int]*traffic.Demand{}, changed: map[int]bool{}, waits: map[int]bool{}}
 	var worths []float64
 	for _, c := range classes {
 		worths = append(worths, c.Worth)
@@ -102,7 +102,6 @@
 		d.of[t.Destination] = x
 	}
 	l := d.levels[t.Class]
-	d.urgent = d.urgent || waiting > 0 && x.Waiting == [traffic.Levels]int{}
 	x.Arrived[l] += arrived
 	x.Waiting[l] += waiting
 	d.changed[t.Destination] = true
@@ -117,21 +116,32 @@
 }
 
 func (r *Relay) demandToFleet(now time.Time) {
-	d := r.demands
-	if at, ok := d.due(); !ok || now.Before(at) && !d.urgent {
+	d, none := r.demands, [traffic.Levels]int{}
+	at, ok := d.due()
+	if !ok {
 		return
 	}
+	if now.Before(at) { // what the module has just sent does not wait
+		urgent := false
+		for n := range d.changed {
+			urgent = urgent || d.of[n].Waiting != none && !d.waits[n]
+		}
+		if !urgent {
+			return
+		}
+	}
 	list := make([]traffic.Demand, 0, len(d.changed))
 	for n := range d.changed {
 		x := d.of[n]
 		list = append(list, *x)
-		x.Arrived = [traffic.Levels]int{}
-		if x.Waiting == x.Arrived {
+		x.Arrived = none
+		if d.waits[n] = true; x.Waiting == none {
 			delete(d.of, n)
+			delete(d.waits, n)
 		}
 	}
 	clear(d.changed)
-	d.told, d.urgent = now, false
+	d.told = now
 	r.cfg.Fleet.Demand(list)
 }
 
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -4,8 +4,8 @@
 	"slices"
 	"testing"
 	"time"
-	"wrenford"
 
+	"wrenford"
 	"wrenford/internal/traffic"
 )
 
@@ -122,7 +122,7 @@
 	for _, d := range o.demand {
 		arrived += d.Arrived[level]
 	}
-	if len(o.demand) < 2 || len(o.demand) > 8 || arrived != 20 || o.demand[0].Waiting[level] > 1 {
+	if len(o.demand) < 2 || len(o.demand) > 4 || arrived != 20 || o.demand[0].Waiting[level] > 1 {
 		t.Errorf("told %v", o.demand)
 	}
 	waits := 0
@@ -137,6 +137,16 @@
 	if _, ok := r.demands.due(); ok {
 		t.Error("something is left to tell")
 	}
+	r.demands = newDemands(r.cfg.Settings.Classes)
+	r.demands.told = now
+	o.demand = nil
+	for i, x := range []struct{ after, waiting, told int }{{10, 0, 0}, {20, 1, 1}, {30, 1, 1}, {40, -1, 1}, {120, -1, 2}, {130, 1, 3}} {
+		tx := transaction("w", "slot", now.Add(5*time.Second))
+		r.demands.note(&tx, 1, x.waiting)
+		if r.demandToFleet(now.Add(time.Duration(x.after) * time.Millisecond)); len(o.demand) != x.told {
+			t.Errorf("step %d: told %d times, not %d: %v", i, len(o.demand), x.told, o.demand)
+		}
+	}
 }
 
 // A part of a limit that ends without word of the next leaves nothing for a while, for another may have it by now; then the module
