An owner that lies raises no limit that a relay has read; an idle owner lends its share

Cause, found on reading the change again: a relay took the limit and the part that an owner told as they came, so that a peer with the fleet's key could raise both; destinations of other shards, in any number, were kept; a grant of more than some 45 destinations fitted no packet. An owner with nothing to send itself asked itself with an old echo, so that its own share was out of use half of the time.

Change: a part is capped by this relay's own reading, an owner's lower word lapses after two loans, what is told outside its shard is dropped and counted (foreign, capped), an owner keeps 64 destinations a shard and a grant tells 40, those that are used first. An owner polls itself as it does others. Turns and sums go by sorted names: the same run comes out the same. Posts have one way out of a desk. Hashes come from xxhash instead of three mixers of our own.

--- a/internal/allowance/desk.go
+++ b/internal/allowance/desk.go
@@ -26,8 +26,8 @@
 	aloneAfter = 60 * time.Second
 	// ownFor is how long a relay's own share is told to its module for.
 	ownFor = 2 * time.Second
-	// mostClaimed is how many destinations one claim tells of: it has to fit a packet.
-	mostClaimed = 24
+	// mostClaimed and mostGranted are how many destinations a claim and a grant tell of: they have to fit a packet.
+	mostClaimed, mostGranted = 24, 40
 	// mostDests bounds the destinations that are kept.
 	mostDests = 16384
 )
@@ -53,6 +53,8 @@
 	Taken   int64 `json:"taken"`   // grants that were taken in
 	Strays  int64 `json:"strays"`  // claims and grants of relays that had no business to send them
 	Avoided int64 `json:"avoided"` // owners that did not answer
+	Foreign int64 `json:"foreign"` // destinations that were told of where they do not belong, or were too many
+	Capped  int64 `json:"capped"`  // parts that were more than this relay has read that there is
 }
 
 // Desk is one relay's part in dividing the limits: a holder for each shard that it uses, an owner for those that are its.
@@ -227,22 +229,19 @@
 }
 
 // ownerOf picks a shard's owner among those that live and answer.
-func (d *Desk) ownerOf(now time.Duration, n int, s *shard) (best string) {
-	var most uint64
-	for _, m := range d.live {
-		if now < s.avoid[m].until && m != d.self {
-			continue
-		}
-		if r := rank(n, m); best == "" || r > most {
-			best, most = m, r
-		}
-	}
-	return best
+func (d *Desk) ownerOf(now time.Duration, n int, s *shard) string {
+	return highest(n, d.live, func(m string) bool { return m == d.self || now >= s.avoid[m].until })
 }
 
-// Tick makes the claims and polls that are due, and says what the module is to be told. Call it often, and after all that came.
-func (d *Desk) Tick(now time.Duration) (out []Post, allow []Allowed) {
+// Posts returns what is to be sent, once.
+func (d *Desk) Posts() []Post {
+	out := d.out
 	d.out = nil
+	return out
+}
+
+// Tick makes the claims and polls that are due, and says what the module is to be told. Call it often, and after all that came.
+func (d *Desk) Tick(now time.Duration) (allow []Allowed) {
 	if len(d.live) > 1 {
 		d.heard = now
 	}
@@ -253,7 +252,7 @@
 		}
 		allow = d.allow(now)
 	}
-	return d.out, allow
+	return allow
 }
 
 // claims asks the owners of shards that something is wanted of.
@@ -323,7 +322,8 @@
 
 // polls asks relays that a shard of this one's has not heard of.
 func (d *Desk) polls(now time.Duration) {
-	for n, s := range d.shards {
+	for _, n := range slices.Sorted(maps.Keys(d.shards)) {
+		s := d.shards[n]
 		if s.owner == nil || d.ownerOf(now, n, s) != d.self || now-s.polled < urgentEvery || !s.owner.Wanted(now) {
 			continue
 		}
@@ -332,11 +332,9 @@
 			d.grant(now, n, s, m, false)
 		}
 		for _, m := range s.owner.Quiet(now, d.live, (d.terms.Loan-d.terms.Lease)*2/3) {
-			if m == d.self {
+			if d.grant(now, n, s, m, true); m == d.self { // as all others: the loan counts from the grant that its claim echoes
 				d.claim(now, n)
-				continue
 			}
-			d.grant(now, n, s, m, true)
 		}
 	}
 }
@@ -352,35 +350,36 @@
 	d.out = append(d.out, Post{To: to, Grant: &g})
 }
 
-// Claimed takes a claim in, and answers it. Posts that follow come with the next Tick.
-func (d *Desk) Claimed(now time.Duration, from string, c Claim) (out []Post) {
+// Claimed takes a claim in, and answers it.
+func (d *Desk) Claimed(now time.Duration, from string, c Claim) {
 	if c.Shard < 0 || c.Shard >= Shards || !slices.Contains(d.live, from) {
 		d.count.Strays++
-		return nil
+		return
 	}
+	told := len(c.Wants) + len(c.Readings)
+	c.Wants = slices.DeleteFunc(c.Wants, func(w Want) bool { return Shard(w.Destination) != c.Shard })
+	c.Readings = slices.DeleteFunc(c.Readings, func(r Reading) bool { return Shard(r.Destination) != c.Shard })
+	d.count.Foreign += int64(told - len(c.Wants) - len(c.Readings))
 	s := d.shard(c.Shard)
 	if s.owner == nil {
 		s.owner = NewOwner(&d.terms, d.first, d.still)
 	}
-	before := d.out
-	d.out = nil
 	if s.owner.Claimed(now, from, c) {
 		d.grant(now, c.Shard, s, from, false)
 	}
-	out = d.out
-	d.out = before
-	return out
 }
 
 // Granted takes a grant in.
-func (d *Desk) Granted(now time.Duration, from string, g Grant) (out []Post) {
+func (d *Desk) Granted(now time.Duration, from string, g Grant) {
 	if g.Shard < 0 || g.Shard >= Shards {
 		d.count.Strays++
-		return nil
+		return
 	}
+	told := len(g.Shares)
+	g.Shares = slices.DeleteFunc(g.Shares, func(x Share) bool { return Shard(x.Destination) != g.Shard })
+	g.Shares = g.Shares[:min(len(g.Shares), mostGranted)]
+	d.count.Foreign += int64(told - len(g.Shares))
 	s := d.shard(g.Shard)
-	before := d.out
-	d.out = nil
 	had := maps.Clone(s.holder.leases)
 	if g.Ask && from == d.ownerOf(now, g.Shard, s) && from != d.self && now-s.claimed >= urgentEvery {
 		s.holder.asked = from
@@ -401,15 +400,17 @@
 			s.ack = true
 		}
 	}
-	out = d.out
-	d.out = before
-	return out
 }
 
-// limit is a destination's as this relay knows it: as the owner told, or as it has read.
-func (d *Desk) limit(n int, x *dest) float64 {
-	if s := d.shards[Shard(n)]; s != nil && s.holder.limits[n] > 0 {
-		return s.holder.limits[n]
+// limit is a destination's as this relay knows it: what it has read, or what the owner has told of late if that is less. A peer's word
+// alone raises nothing that this relay has read; where it has read none, it would send without one.
+func (d *Desk) limit(now time.Duration, n int, x *dest) float64 {
+	told, ok := 0.0, false
+	if s := d.shards[Shard(n)]; s != nil {
+		told, ok = s.holder.Limit(now, n)
+	}
+	if ok && (x.limit <= 0 || told < x.limit) {
+		return told
 	}
 	return x.limit
 }
@@ -418,14 +419,14 @@
 func (d *Desk) allow(now time.Duration) (list []Allowed) {
 	for _, s := range d.shards { // destinations that others alone have read
 		for n := range s.holder.limits {
-			if d.dests[n] == nil {
+			if d.dests[n] == nil && len(d.dests) < mostDests {
 				d.dest(now, n)
 			}
 		}
 	}
 	for _, n := range slices.Sorted(maps.Keys(d.dests)) {
 		x := d.dests[n]
-		limit := d.limit(n, x)
+		limit := d.limit(now, n, x)
 		if limit <= 0 {
 			continue
 		}
@@ -435,6 +436,10 @@
 		if rate > 0 && !own && until-now < early && h.lent > until { // what comes after it holds from now on
 			rate, until = 0, h.lent
 		}
+		if x.limit > 0 && rate > x.limit {
+			rate = x.limit
+			d.count.Capped++
+		}
 		if a.Rate = rate; rate > 0 && !own {
 			a.For = until - now
 		}
@@ -469,7 +474,7 @@
 	for _, n := range slices.Sorted(maps.Keys(d.dests)) {
 		x := d.dests[n]
 		s := d.shard(Shard(n))
-		limit := d.limit(n, x)
+		limit := d.limit(now, n, x)
 		if limit <= 0 {
 			continue
 		}
@@ -498,14 +503,8 @@
 }
 
 // OwnerOf is who owns a destination's shard where all of these live.
-func OwnerOf(destination int, relays []string) (best string) {
-	var most uint64
-	for _, m := range relays {
-		if r := rank(Shard(destination), m); best == "" || r > most {
-			best, most = m, r
-		}
-	}
-	return best
+func OwnerOf(destination int, relays []string) string {
+	return highest(Shard(destination), relays, func(string) bool { return true })
 }
 
 // Bound is how many calls all relays together send to a destination in a window at most, whatever fails: docs/fleet-limits.md
--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -14,7 +14,13 @@
 	sent   [8]claimed
 	next   int
 	leases map[int]lease
-	limits map[int]float64 // as grants told them
+	limits map[int]toldLimit // as grants told them
+}
+
+// toldLimit is a limit as an owner knows it. It counts for two loans: then the owner has changed, or died, and may have known less.
+type toldLimit struct {
+	limit float64
+	at    time.Duration
 }
 
 type echo struct {
@@ -34,7 +40,7 @@
 
 // NewHolder returns one. What a process before may have lent is over after quiet.
 func NewHolder(t *Terms, quiet time.Duration) *Holder {
-	return &Holder{terms: t, lent: quiet, echoes: map[string]echo{}, leases: map[int]lease{}, limits: map[int]float64{}}
+	return &Holder{terms: t, lent: quiet, echoes: map[string]echo{}, leases: map[int]lease{}, limits: map[int]toldLimit{}}
 }
 
 // Claim makes a claim to an owner. The relay's shares are lent with it unless another still has them.
@@ -65,6 +71,11 @@
 			delete(h.echoes, owner)
 		}
 	}
+	for d, l := range h.limits {
+		if now-l.at >= 2*h.terms.Loan {
+			delete(h.limits, d)
+		}
+	}
 	var until time.Duration
 	for _, c := range h.sent {
 		if c.number == g.Answer && g.Answer > 0 {
@@ -74,7 +85,7 @@
 	clear(h.leases)
 	for _, s := range g.Shares {
 		if s.Rate >= 0 && s.Limit >= s.Rate {
-			h.limits[s.Destination] = s.Limit
+			h.limits[s.Destination] = toldLimit{s.Limit, now}
 			if until > now && s.Rate > 0 {
 				h.leases[s.Destination] = lease{s.Rate, until}
 			}
@@ -95,8 +106,11 @@
 	return limit / float64(h.terms.Relays), 0, true
 }
 
-// Lent says whether another has this relay's shares.
-func (h *Holder) Lent(now time.Duration) bool { return now < h.lent }
+// Limit is a destination's as an owner has told it of late.
+func (h *Holder) Limit(now time.Duration, destination int) (float64, bool) {
+	l, ok := h.limits[destination]
+	return l.limit, ok && now-l.at < 2*h.terms.Loan
+}
 
 // Asked is the owner that was asked last.
 func (h *Holder) Asked() string { return h.asked }
--- a/internal/allowance/owner.go
+++ b/internal/allowance/owner.go
@@ -24,8 +24,8 @@
 	freshFor = 5 * time.Second
 	// dealEvery is how old what was worked out may be.
 	dealEvery = 20 * time.Millisecond
-	// mostWants bounds what one relay may want of one shard.
-	mostWants = 256
+	// mostOwned bounds the destinations that an owner keeps of a shard.
+	mostOwned = mostDests / Shards
 )
 
 // Owner is the side of a shard's owner: it is lent shares, and grants leases from them.
@@ -34,6 +34,7 @@
 	number uint64
 	sent   map[uint64]time.Duration // when grants were sent, by number
 	relays map[string]*borrower
+	names  []string // theirs, in order: sums and turns are the same each time
 	dests  map[int]*divided
 	dealt  time.Duration
 	quiet  time.Duration // leases of the process before are over then
@@ -76,9 +77,25 @@
 	return &Owner{terms: t, number: first, quiet: quiet, sent: map[uint64]time.Duration{}, relays: map[string]*borrower{}, dests: map[int]*divided{}, dealt: -dealEvery}
 }
 
+// relay is what is kept of one.
+func (o *Owner) relay(name string) *borrower {
+	b := o.relays[name]
+	if b == nil {
+		b = &borrower{wants: map[int]*Want{}}
+		o.relays[name] = b
+		at, _ := slices.BinarySearch(o.names, name)
+		o.names = slices.Insert(o.names, at, name)
+	}
+	return b
+}
+
+// dest is what is kept of a destination; nil where there are too many.
 func (o *Owner) dest(d int) *divided {
 	x := o.dests[d]
 	if x == nil {
+		if len(o.dests) >= mostOwned {
+			return nil
+		}
 		x = &divided{readings: map[string]reading{}, target: map[string]float64{}, wanted: math.MinInt64 / 2}
 		o.dests[d] = x
 	}
@@ -87,11 +104,7 @@
 
 // Claimed takes a claim in.
 func (o *Owner) Claimed(now time.Duration, from string, c Claim) bool {
-	b := o.relays[from]
-	if b == nil {
-		b = &borrower{wants: map[int]*Want{}}
-		o.relays[from] = b
-	}
+	b := o.relay(from)
 	if c.Number <= b.claim {
 		return false
 	}
@@ -104,18 +117,14 @@
 	// What was granted before the grant that it echoes it uses no more.
 	b.out = slices.DeleteFunc(b.out, func(g granted) bool { return g.number < c.Echo })
 	clear(b.wants)
-	for i, w := range c.Wants {
-		if i >= mostWants {
-			break
-		}
-		if w.total() > 0 && !math.IsInf(w.total(), 0) {
+	for _, w := range c.Wants[:min(len(c.Wants), mostClaimed)] {
+		if x := o.dest(w.Destination); x != nil && w.total() > 0 && !math.IsInf(w.total(), 0) {
 			b.wants[w.Destination] = &w
-			o.dest(w.Destination).wanted = now
+			x.wanted = now
 		}
 	}
-	for i, r := range c.Readings {
-		if i < mostWants && r.Limit > 0 && !math.IsInf(r.Limit, 0) && r.Age < freshFor {
-			x := o.dest(r.Destination)
+	for _, r := range c.Readings[:min(len(c.Readings), mostClaimed)] {
+		if x := o.dest(r.Destination); x != nil && r.Limit > 0 && !math.IsInf(r.Limit, 0) && r.Age < freshFor {
 			if old, ok := x.readings[from]; !ok || now-r.Age > old.at {
 				x.readings[from] = reading{r.Limit, now - r.Age}
 			}
@@ -152,14 +161,6 @@
 	}
 }
 
-// Limit is a destination's as the owner knows it; 0 for not.
-func (o *Owner) Limit(d int) float64 {
-	if x := o.dests[d]; x != nil {
-		return x.limit
-	}
-	return 0
-}
-
 // Wanted says whether anybody has wanted anything of the shard of late.
 func (o *Owner) Wanted(now time.Duration) bool {
 	for _, x := range o.dests {
@@ -182,21 +183,24 @@
 			delete(o.sent, number)
 		}
 	}
-	for name, b := range o.relays {
+	o.names = slices.DeleteFunc(o.names, func(name string) bool {
+		b := o.relays[name]
 		b.out = slices.DeleteFunc(b.out, func(g granted) bool { return now >= g.until })
 		if b.heard < old && b.loan < now && len(b.out) == 0 {
 			delete(o.relays, name)
-		} else if now-b.heard > o.terms.Lease { // it cannot renew what it does not ask for
+			return true
+		}
+		if now-b.heard > o.terms.Lease { // it cannot renew what it does not ask for
 			clear(b.wants)
 		}
-	}
+		return false
+	})
 	lenders := o.lenders(now, dealEvery) // until this is worked out anew
-	names := slices.Sorted(maps.Keys(o.relays))
 	for d, x := range o.dests {
 		x.measure(now, o.terms.Agree)
 		clear(x.target)
 		pool := aim * x.limit * float64(lenders) / float64(o.terms.Relays)
-		divide(pool, names, func(name string) *Want { return o.relays[name].wants[d] }, x.target)
+		divide(pool, o.names, func(name string) *Want { return o.relays[name].wants[d] }, x.target)
 		if now-x.wanted > 4*o.terms.Loan && len(x.readings) == 0 {
 			delete(o.dests, d)
 		}
@@ -279,10 +283,9 @@
 	o.number++
 	g := Grant{Shard: shard, Number: o.number, For: o.terms.Lease}
 	o.sent[g.Number] = now
-	b := o.relays[to]
-	if b == nil {
-		b = &borrower{wants: map[int]*Want{}, heard: now}
-		o.relays[to] = b
+	b := o.relay(to)
+	if b.claim == 0 && b.tries == 0 {
+		b.heard = now // from here on it is missed
 	}
 	b.asked = now
 	b.tries++
@@ -291,8 +294,13 @@
 	}
 	out := granted{number: g.Number, until: now + o.terms.Lease, rates: map[int]float64{}}
 	lenders := o.lenders(now, 0)
-	for d, x := range o.dests {
-		if x.limit <= 0 {
+	list := slices.Sorted(maps.Keys(o.dests))
+	turn := int(g.Number % uint64(max(len(list), 1))) // where not all fit, others come next time
+	list = append(list[turn:], list[:turn]...)
+	slices.SortStableFunc(list, func(x, y int) int { return cmp.Compare(b.uses(now, y), b.uses(now, x)) })
+	for _, d := range list {
+		x := o.dests[d]
+		if x.limit <= 0 || len(g.Shares) == mostGranted {
 			continue
 		}
 		rate := o.rate(now, d, x, to, o.free(now, d, x, lenders))
@@ -319,8 +327,8 @@
 // free is what of a destination nobody may be using.
 func (o *Owner) free(now time.Duration, d int, x *divided, lenders int) float64 {
 	free := x.limit * float64(lenders) / float64(o.terms.Relays)
-	for _, b := range o.relays {
-		free -= b.outstanding(now, d)
+	for _, name := range o.names {
+		free -= o.relays[name].outstanding(now, d)
 	}
 	return free
 }
@@ -337,6 +345,14 @@
 	return max(min(rate, free+b.outstanding(now, d)), 0)
 }
 
+// uses says whether a relay wants something of a destination, or may use some: 1, or 0 for not.
+func (b *borrower) uses(now time.Duration, d int) int {
+	if b.wants[d] != nil || b.outstanding(now, d) > 0 {
+		return 1
+	}
+	return 0
+}
+
 // newest is what a relay was granted of a destination last.
 func (b *borrower) newest(now time.Duration, d int) float64 {
 	if n := len(b.out); n > 0 && now < b.out[n-1].until {
@@ -349,7 +365,8 @@
 func (o *Owner) Short(now time.Duration) (list []string) {
 	o.deal(now)
 	lenders := o.lenders(now, 0)
-	for d, x := range o.dests {
+	for _, d := range slices.Sorted(maps.Keys(o.dests)) {
+		x := o.dests[d]
 		free := o.free(now, d, x, lenders)
 		for _, to := range slices.Sorted(maps.Keys(x.target)) {
 			// What answers an old claim lasts too short to be worth sending.
--- a/internal/allowance/state.go
+++ b/internal/allowance/state.go
@@ -26,6 +26,7 @@
 func (o *Owner) Clone() *Owner {
 	c := *o
 	c.sent, c.relays, c.dests = maps.Clone(o.sent), map[string]*borrower{}, map[int]*divided{}
+	c.names = slices.Clone(o.names)
 	for n, b := range o.relays {
 		x := *b
 		x.wants = maps.Clone(b.wants)
--- a/internal/allowance/terms.go
+++ b/internal/allowance/terms.go
@@ -5,9 +5,11 @@
 package allowance
 
 import (
+	"encoding/binary"
 	"errors"
-	"hash/fnv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Levels is how many worths of messages are told apart; the first is the highest.
@@ -50,21 +52,25 @@
 
 // Shard is that of a destination.
 func Shard(destination int) int {
-	x := uint64(destination)*0x9e3779b97f4a7c15 + 0x632be59bd9b4e019
-	x ^= x >> 29
-	x *= 0xbf58476d1ce4e5b9
-	return int((x ^ x>>32) % Shards)
+	return int(xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, uint64(destination))) % Shards)
 }
 
 // rank orders relays for a shard by rendezvous hashing: the highest is its owner.
 func rank(shard int, relay string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte{byte(shard), byte(shard >> 8)})
-	_, _ = h.Write([]byte(relay))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
+	h := xxhash.NewWithSeed(uint64(shard))
+	_, _ = h.WriteString(relay) // it never fails
+	return h.Sum64()
+}
+
+// highest is the one of the relays that may be asked which ranks highest for a shard.
+func highest(shard int, relays []string, may func(string) bool) (best string) {
+	var most uint64
+	for _, m := range relays {
+		if r := rank(shard, m); may(m) && (best == "" || r > most) {
+			best, most = m, r
+		}
+	}
+	return best
 }
 
 // Want is what a relay wants of a destination, in calls a second, by worth.
--- a/internal/allowance/town_test.go
+++ b/internal/allowance/town_test.go
@@ -9,6 +9,8 @@
 	"wrenford/internal/lab/town"
 )
 
+const tick = 10 * time.Millisecond
+
 func newTown(t *testing.T, relays int, seed uint64) *town.Town {
 	t.Helper()
 	x, err := town.New(relays, 200, seed)
@@ -29,7 +31,7 @@
 				x.Loss = 0.02 * float64(seed%2)
 				x.Warm()
 				x.Most = 0
-				if use := x.Use(10*time.Second, x.Limit); use < 0.9-2*x.Loss || x.Most > x.Limit*1.011 {
+				if use := x.Use(10*time.Second, x.Limit); use < 0.95-2*x.Loss || x.Most > x.Limit*1.011 {
 					t.Errorf("%d relays, %s, seed %d: %.3f used, at most %.3f dealt out", relays, what, seed, use, x.Most/x.Limit)
 				}
 			}
@@ -179,3 +181,53 @@
 		t.Errorf("the liar has %.1f a second of %.0f that 8 divide, %.1f in force", got, x.Limit, x.Most)
 	}
 }
+
+// An owner that lies raises no limit that a relay has read: neither by a part of more than there is, nor by the limit it tells. What
+// it tells of other shards' destinations counts for nothing, and its word that is lower ends by itself.
+func TestLyingOwner(t *testing.T) {
+	terms := allowance.Usual(4, 2)
+	self, liar := "a", "b"
+	place := 0
+	for allowance.OwnerOf(place, []string{self, liar}) != liar {
+		place++
+	}
+	foreign := place + 1
+	for allowance.Shard(foreign) == allowance.Shard(place) {
+		foreign++
+	}
+	d, err := allowance.NewDesk(terms, self, 1, 1, 0, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Second
+	d.Members(now, []string{self, liar})
+	told := map[int]allowance.Allowed{}
+	step := func(span time.Duration, rate, limit float64) {
+		for end := now + span; now < end; now += tick {
+			d.Read(now, place, 100)
+			d.Demand(now, place, [allowance.Levels]int{1}, [allowance.Levels]int{50})
+			for _, a := range d.Tick(now) {
+				told[a.Destination] = a
+			}
+			for _, p := range d.Posts() {
+				if c := p.Claim; c != nil && limit > 0 {
+					d.Granted(now, liar, allowance.Grant{Shard: c.Shard, Number: uint64(now), Answer: c.Number, For: time.Hour,
+						Shares: []allowance.Share{{Destination: place, Rate: rate, Limit: limit}, {Destination: foreign, Rate: rate, Limit: limit}}})
+				}
+			}
+		}
+	}
+	step(2*time.Second, 1e6, 1e9)
+	if a := told[place]; a.Rate > 100 || a.Rate < 90 || a.For > terms.Lease {
+		t.Errorf("%+v where 100 a second was read and a million granted", a)
+	}
+	if _, ok := told[foreign]; ok || d.Counters().Foreign == 0 || d.Counters().Capped == 0 {
+		t.Errorf("%+v of a destination that is none of the shard's; %+v", told[foreign], d.Counters())
+	}
+	step(time.Second, 0, 1)
+	d.Members(now, []string{self})
+	step(3*terms.Loan, 0, 0)
+	if a := told[place]; a.Rate != 25 {
+		t.Errorf("%+v alone again, of a limit of 100 that four share", a)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -580,11 +580,12 @@
 	f.send(out)
 	if f.desk != nil && f.spread.Counters().Received > before.Received {
 		if p.Claim != nil {
-			f.postAll(now, f.desk.Claimed(now, p.From, *p.Claim))
+			f.desk.Claimed(now, p.From, *p.Claim)
 		}
 		if p.Grant != nil {
-			f.postAll(now, f.desk.Granted(now, p.From, *p.Grant))
+			f.desk.Granted(now, p.From, *p.Grant)
 		}
+		f.claims(now)
 	}
 }
 
@@ -608,8 +609,9 @@
 // Recall hands over the limits that a process before had learned, before Run. The map is the callee's.
 func (f *Fleet) Recall(limits map[int]float64) { f.recalled = limits }
 
-func (f *Fleet) postAll(now time.Duration, posts []allowance.Post) {
-	for _, p := range posts {
+// claims sends what the dividing of limits has to send.
+func (f *Fleet) claims(now time.Duration) {
+	for _, p := range f.desk.Posts() {
 		f.send(f.spread.Post(now, p.To, p.Claim, p.Grant))
 	}
 }
@@ -619,8 +621,8 @@
 	if f.desk == nil {
 		return
 	}
-	posts, allow := f.desk.Tick(now)
-	f.postAll(now, posts)
+	allow := f.desk.Tick(now)
+	f.claims(now)
 	if len(allow) == 0 {
 		return
 	}
--- a/internal/lab/town/town.go
+++ b/internal/lab/town/town.go
@@ -95,10 +95,11 @@
 			if d := x.Desks[l.to]; x.Asleep[l.to] {
 				continue
 			} else if l.Claim != nil {
-				x.carry(l.to, d.Claimed(x.Now, Name(l.from), *l.Claim))
+				d.Claimed(x.Now, Name(l.from), *l.Claim)
 			} else {
-				x.carry(l.to, d.Granted(x.Now, Name(l.from), *l.Grant))
+				d.Granted(x.Now, Name(l.from), *l.Grant)
 			}
+			x.carry(l.to, x.Desks[l.to].Posts())
 		}
 		delete(x.post, x.Now)
 		sum := 0.0
@@ -137,8 +138,8 @@
 		waiting[l] = int(x.owed[i][l])
 	}
 	d.Demand(x.Now, Place, arrived, waiting)
-	posts, allow := d.Tick(x.Now)
-	x.carry(i, posts)
+	allow := d.Tick(x.Now)
+	x.carry(i, d.Posts())
 	for _, a := range allow {
 		x.told[i], x.toldAt[i] = a, x.Now
 	}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -5,12 +5,13 @@
 
 import (
 	"errors"
-	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wrenford/internal/allowance"
 	"wrenford/internal/verdicts"
 )
@@ -138,17 +139,9 @@
 }
 
 func hash(salt uint64, name string) uint64 {
-	h := fnv.New64a()
-	var b [8]byte
-	for i := range b {
-		b[i] = byte(salt >> (8 * i))
-	}
-	_, _ = h.Write(b[:])
-	_, _ = h.Write([]byte(name))
-	x := h.Sum64()
-	x ^= x >> 33 // FNV mixes the last bytes too little for a remainder of a small divisor
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
+	h := xxhash.NewWithSeed(salt)
+	_, _ = h.WriteString(name) // it never fails
+	return h.Sum64()
 }
 
 func (s *Spread) pause() time.Duration {
