Relays that compare tell who lives: a member that one has missed is found within seconds

The missing one speaks to it with a chance of 1 in 59 a second, and memberlist compares whole lists once in 60 s at that size.

Change: Ask and Answer carry a sum of the members' hashes, 9 bytes; who hears another one than its own asks a known member for the list, as after a stranger's packet, each 3 s at most.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,7 +89,7 @@
 	origin time.Time
 	ring   *memberlist.Keyring
 	drops  drops
-	// stranger says that somebody has spoken, or was spoken of, who is no member here: a member too few is known.
+	// stranger says that somebody has spoken who is no member here, or knows of other members: one too few may be known.
 	stranger chan struct{}
 
 	mu      sync.Mutex
@@ -555,7 +555,7 @@
 	}
 	before := f.spread.Counters()
 	news, own, out := f.spread.Receive(now, p)
-	if f.spread.Counters().Strangers > before.Strangers {
+	if after := f.spread.Counters(); after.Strangers > before.Strangers || after.Differed > before.Differed {
 		select {
 		case f.stranger <- struct{}{}:
 		default:
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -48,7 +48,7 @@
 
 func message(p *spread.Packet) *fleetv1.Packet {
 	m := &fleetv1.Packet{From: p.From, Incarnation: p.Incarnation, UptimeUs: micros(p.Uptime), Count: p.Count, Salt: p.Salt,
-		Group: uint32(p.Group), Groups: uint32(p.Groups), Ask: p.Ask, Answer: p.Answer, Known: p.Known}
+		Group: uint32(p.Group), Groups: uint32(p.Groups), Ask: p.Ask, Answer: p.Answer, Known: p.Known, Members: p.Members}
 	if (p.Ask || p.Answer) && p.Summary != (verdicts.Summary{}) {
 		m.Summary = p.Summary[:]
 	}
@@ -116,7 +116,7 @@
 		return p, fmt.Errorf("%w: a summary of %d parts", ErrForm, len(m.Summary))
 	}
 	p = spread.Packet{From: m.From, Incarnation: m.Incarnation, Uptime: time.Duration(m.UptimeUs) * time.Microsecond, Count: m.Count,
-		Salt: m.Salt, Group: int(m.Group), Groups: int(m.Groups), Ask: m.Ask, Answer: m.Answer, Known: m.Known}
+		Salt: m.Salt, Group: int(m.Group), Groups: int(m.Groups), Ask: m.Ask, Answer: m.Answer, Known: m.Known, Members: m.Members}
 	copy(p.Summary[:], m.Summary)
 	for _, s := range m.News {
 		p.News = append(p.News, verdicts.Statement{Origin: s.Origin, Version: verdicts.Version{Incarnation: s.Incarnation, Seq: s.Seq},
--- a/internal/fleet/wire/wire_test.go
+++ b/internal/fleet/wire/wire_test.go
@@ -20,7 +20,7 @@
 	}
 	p := spread.Packet{From: rapid.StringN(1, 20, 100).Draw(t, "from"), Incarnation: rapid.Uint64().Draw(t, "incarnation"), Uptime: us("uptime"),
 		Count: rapid.Uint64Min(1).Draw(t, "count"), Salt: rapid.Uint64().Draw(t, "salt"), Groups: 9, Group: rapid.IntRange(0, 8).Draw(t, "group"),
-		Ask: rapid.Bool().Draw(t, "ask"), Known: rapid.Uint64().Draw(t, "known")}
+		Ask: rapid.Bool().Draw(t, "ask"), Known: rapid.Uint64().Draw(t, "known"), Members: rapid.Uint64().Draw(t, "members")}
 	if p.Ask {
 		p.Summary[rapid.IntRange(0, len(p.Summary)-1).Draw(t, "part")] = rapid.Uint32().Draw(t, "hash")
 	}
--- a/internal/lab/fleets/fleets_test.go
+++ b/internal/lab/fleets/fleets_test.go
@@ -300,8 +300,12 @@
 			t.Errorf("%s: %v, not %q", text, err, want)
 		}
 	}
-	for _, name := range []string{"outage"} {
-		if _, err := Load("../../../example/faults/" + name + ".textproto"); err != nil {
+	examples, err := filepath.Glob("../../../example/faults/*.textproto")
+	if err != nil || len(examples) < 7 {
+		t.Errorf("%d examples: %v", len(examples), err)
+	}
+	for _, path := range examples {
+		if _, err := Load(path); err != nil {
 			t.Error(err)
 		}
 	}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -67,6 +67,8 @@
 	// Ask and Answer compare books by their summaries. An Ask waits for an Answer, which waits for nothing.
 	Ask, Answer bool
 	Summary     verdicts.Summary
+	// Members tells, with Ask and Answer, who lives as the sender knows: who knows otherwise should compare; 0 for not told.
+	Members uint64
 	// Known answers a packet whose sender's incarnation is behind: the one that is known of it.
 	Known uint64
 	// Claim and Grant are of the limits that relays divide. Spread carries them, and nothing more.
@@ -94,6 +96,7 @@
 	Answered  int64 `json:"answered"`  // of them, those that were answered
 	Late      int64 `json:"late"`      // packets that came more than a second late
 	Posted    int64 `json:"posted"`    // claims and grants sent
+	Differed  int64 `json:"differed"`  // comparisons with one who knows of other members
 }
 
 // Spread decides for one relay.
@@ -102,6 +105,7 @@
 	book    *verdicts.Book
 	rng     *rand.Rand
 	others  []string // live members but this one, sorted
+	members uint64   // a sum of hashes of their names and this one's
 	peers   map[string]*peer
 	inc     uint64
 	count   Counters
@@ -156,12 +160,13 @@
 
 // Members tells who lives, this relay included or not. What is kept of others ends.
 func (s *Spread) Members(live []string) {
-	s.others = s.others[:0]
+	s.others, s.members = s.others[:0], hash(0, s.cfg.Self)
 	here := map[string]bool{}
 	for _, m := range live {
 		if m != s.cfg.Self && !here[m] {
 			here[m] = true
 			s.others = append(s.others, m)
+			s.members += hash(0, m)
 		}
 	}
 	slices.Sort(s.others)
@@ -252,7 +257,7 @@
 	to := s.others[s.rng.IntN(len(s.others))]
 	s.asked[to] = now
 	s.count.Asked++
-	s.send(now, to, Packet{Ask: true, Summary: s.book.Summary(now)})
+	s.send(now, to, Packet{Ask: true, Summary: s.book.Summary(now), Members: s.members})
 	return s.out
 }
 
@@ -325,7 +330,11 @@
 // sides end with the union.
 func (s *Spread) compare(now time.Duration, p *Packet) {
 	reply := Packet{Answer: p.Ask}
+	if p.Members != 0 && p.Members != s.members {
+		s.count.Differed++
+	}
 	if p.Ask {
+		reply.Members = s.members
 		reply.Summary = s.book.Summary(now)
 	}
 	beyond := s.book.Beyond(now, p.Summary)
@@ -413,7 +422,7 @@
 		if len(news) == 0 {
 			return
 		}
-		p.Ask, p.Answer, p.Summary, p.Count = false, false, verdicts.Summary{}, s.packets+1
+		p.Ask, p.Answer, p.Summary, p.Members, p.Count = false, false, verdicts.Summary{}, 0, s.packets+1
 	}
 }
 
