--- a/cmd/slatemux/config.go
+++ b/cmd/slatemux/config.go
@@ -49,6 +49,7 @@
 	gatewayPath                    string
 	known                          pool.List
 	settings                       wrenford.Settings
+	began                          time.Time
 	serveOn, exitAfter             time.Duration // after SIGTERM
 	countersEvery                  time.Duration // between lines of counters; 0 for none unasked
 }
@@ -84,7 +85,7 @@
 	}
 	c = config{gateway: own, gatewayPath: gatewayPath, cores: f.Limits.Cores, name: or("NODE_NAME", f.Name), listen: or("NODE_LISTEN", f.Listen),
 		discovery: or("NODE_DISCOVERY", f.Discovery), ops: or("NODE_OPS", f.Ops), written: f.Discovery, state: getenv("NODE_STATE"), sockets: f.Limits.Sockets,
-		serveOn: serveOn, exitAfter: exitAfter}
+		began: began, serveOn: serveOn, exitAfter: exitAfter}
 	for _, o := range []struct {
 		name string
 		to   *netip.AddrPort
@@ -128,13 +129,10 @@
 	if c.settings, err = settings.Parse(f.Settings); err != nil {
 		return c, err
 	}
-	if len(f.Known) > 0 {
+	if len(f.Known) > 0 && string(f.Known) != "null" {
 		if c.known, err = pool.Parse(f.Known); err != nil {
 			return c, fmt.Errorf("known: %w", err)
 		}
-		if err := c.known.Check(); err != nil {
-			return c, fmt.Errorf("known: %w", err)
-		}
 	}
 	c.known.Whole = true
 	return c, nil
@@ -182,6 +180,11 @@
 	return names
 }
 
+// terms are what the settings say of discovery.
+func (c *config) terms() pool.Terms {
+	return pool.Terms{Pushed: !c.settings.OnRequest, Peers: c.settings.Peers, Grace: c.settings.Safety.DrainGrace, Asked: c.settings.Safety.AskEvery}
+}
+
 // control is what the overload controller works with: the gateway's figures, with the classes and tenants of the
 // platform's settings.
 func (c *config) control() overload.Config {
--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -40,6 +40,9 @@
 // answerWithin is what clients may still need for the answers to what was read.
 const answerWithin = 100 * time.Millisecond
 
+// began is about the process's first moment: what discovery has to tell may count from then on.
+var began = time.Now()
+
 // signals are what may come while the relay runs. Each kind has a channel of its own, with room for one: what
 // comes again before it is looked at asks for the same, and none can push another out.
 type signals struct{ end, report, conns, reload chan os.Signal }
@@ -157,6 +160,7 @@
 	if err != nil {
 		return err
 	}
+	cfg.known.Log()
 	news := cfg.known.News()
 	flows.Pool(news)
 	open, owed := store.Owed()
@@ -171,7 +175,7 @@
 	parts.Go(func() { notices.Run(ctx) })
 	parts.Go(func() { flows.Sweep(ctx) })
 	parts.Go(func() { learned.Run(ctx) })
-	watch := pool.NewWatcher(discovery, pool.NewPace(cfg.settings.Peers, cfg.seed), cfg.known.Seq, r.PoolChanged)
+	watch := pool.NewWatcher(discovery, pool.NewPace(cfg.terms(), cfg.seed), cfg.known, cfg.began, r)
 	parts.Go(func() { watch.Run(ctx) })
 	apart, leave := context.WithCancel(ctx)
 	defer leave()
--- a/cmd/slatemux/main_test.go
+++ b/cmd/slatemux/main_test.go
@@ -44,6 +44,10 @@
 			return
 		}
 		a.watched <- req.URL.String()
+		if req.URL.Query().Get("hold_ms") == "1" { // it has nothing to tell
+			fmt.Fprint(w, `{"seq":0,"whole":false,"hosts":[]}`)
+			return
+		}
 		<-req.Context().Done() // discovery is silent
 		a.unwatched <- req.URL.String()
 	}))
@@ -79,7 +83,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg.serveOn, cfg.exitAfter = time.Millisecond, 20*time.Millisecond
+	cfg.began, cfg.serveOn, cfg.exitAfter = time.Now(), time.Millisecond, 20*time.Millisecond
 	in := signals{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
 	ready, ended := make(chan net.Addr, 1), make(chan error, 1)
 	reread := func() (config, error) { return load(func(name string) string { return env[name] }, "") }
@@ -239,7 +243,7 @@
 		{`"disk_mb": 3`, `"disk_mb": -1`}:              "disk_mb",
 		{`"sockets": 1024`, `"sockets": 3`}:            "sockets",
 		{`8c1f30d27a5be964`, `xyz`}:                    "seed",
-		{`"health":"active"`, `"health":"odd"`}:        "odd",
+		{`"known": {"seq": 0`, `"known": {"sec": 0`}:   "known",
 		{`"repeat": "safe"`, `"repeat": "perhaps"`}:    "perhaps",
 		{`"listen": "127.0.0.1:0"`, `"listen": ""`}:    "listen",
 		{`"settings": {`, `"settings": 1, "other": {`}: "settings",
--- a/internal/flow/http1/exchange.go
+++ b/internal/flow/http1/exchange.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// Exchange writes a request and reads its answer, of which it keeps up to keep bytes. All of it must be
-// over by the deadline.
-func Exchange(nc net.Conn, request []byte, keep int, deadline time.Time) (*Response, error) {
-	if err := nc.SetDeadline(deadline); err != nil {
+// Exchange writes a request and reads its answer, of which it keeps up to keep bytes. The answer must have begun by the
+// first deadline, and be whole by the second.
+func Exchange(nc net.Conn, request []byte, keep int, begun, whole time.Time) (*Response, error) {
+	if err := nc.SetDeadline(begun); err != nil {
 		return nil, fmt.Errorf("http1: %w", err)
 	}
 	if _, err := nc.Write(request); err != nil {
@@ -20,6 +20,12 @@
 	r, buf := &Response{Keep: keep}, make([]byte, 16<<10)
 	for !r.Done() {
 		n, err := nc.Read(buf)
+		if n > 0 && begun != whole {
+			begun = whole
+			if err := nc.SetDeadline(whole); err != nil {
+				return nil, fmt.Errorf("http1: %w", err)
+			}
+		}
 		if _, ferr := r.Feed(buf[:n]); ferr != nil {
 			return nil, ferr
 		}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -155,7 +155,7 @@
 		s.nc, s.unhook = nc, context.AfterFunc(s.here, func() { nc.Close() })
 	}
 	resp, err := http1.Exchange(s.nc, http1.AppendRequest(nil, "POST", "/v1/notices", s.addr, nil, encode(batch)),
-		http1.MaxHead, deadline)
+		http1.MaxHead, deadline, deadline)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/pool/pace_test.go
+++ b/internal/pool/pace_test.go
@@ -6,6 +6,15 @@
 	"time"
 )
 
+// asked are the terms of a discovery that is asked, pushed those of an agent.
+func asked(peers int) Terms {
+	return Terms{Peers: peers, Grace: 500 * time.Millisecond, Asked: 10 * time.Second}
+}
+
+func pushed(peers int, grace time.Duration) Terms {
+	return Terms{Pushed: true, Peers: peers, Grace: grace}
+}
+
 // overbooked is a discovery that answers one call after the other, each for so long, and gives up a call that has waited for
 // patience. What it gave up has cost it as much as an answer: callers that come back at once keep it busy for nothing.
 type overbooked struct {
@@ -30,7 +39,7 @@
 // caller is what a relay does about the list: when it calls first, and when again.
 type caller interface {
 	Start() time.Duration
-	Failed() time.Duration
+	Failed(silent bool) time.Duration
 }
 
 // storm has callers that start at one moment call until each has its answer, or for a minute. It returns when the last one
@@ -54,7 +63,7 @@
 		times = append(times, next.at)
 		at, ok := d.call(next.at)
 		if last = max(last, at); !ok {
-			todo = append(todo, due{at + next.who.Failed(), next.who})
+			todo = append(todo, due{at + next.who.Failed(false), next.who})
 		}
 	}
 	for i, from := range times {
@@ -72,8 +81,8 @@
 // fixed is the pause that each relay once made, alone harmless.
 type fixed struct{}
 
-func (fixed) Start() time.Duration  { return 0 }
-func (fixed) Failed() time.Duration { return 100 * time.Millisecond }
+func (fixed) Start() time.Duration      { return 0 }
+func (fixed) Failed(bool) time.Duration { return 100 * time.Millisecond }
 
 // Eighty relays that start at one moment get their lists in seconds from a discovery that answers sixteen of them a second.
 // With fixed pauses they keep it busy with calls that it has to give up, and some never get theirs.
@@ -86,7 +95,7 @@
 	for seed := range int64(20) {
 		var fleet []caller
 		for i := range int64(80) {
-			fleet = append(fleet, NewPace(80, seed*100+i))
+			fleet = append(fleet, NewPace(asked(80), seed*100+i))
 		}
 		last, calls, peak := storm(d, fleet)
 		if last > 20*time.Second || calls > 160 || peak > 12 {
@@ -97,12 +106,12 @@
 
 // A relay that is alone, or one of three, calls at once or nearly so.
 func TestFewRelaysHardlyWait(t *testing.T) {
-	if p := NewPace(1, 1); p.Start() != 0 || p.Moved() != 0 {
+	if p := NewPace(asked(1), 1); p.Start() != 0 || p.Moved() != 0 {
 		t.Error("a relay that is alone waits for others")
 	}
 	for seed := range int64(100) {
-		p := NewPace(3, seed)
-		if s, f := p.Start(), p.Failed(); s > 100*time.Millisecond || f > 100*time.Millisecond {
+		p := NewPace(asked(3), seed)
+		if s, f := p.Start(), p.Failed(false); s > 100*time.Millisecond || f > 100*time.Millisecond {
 			t.Fatalf("one of three pauses for %v and %v", s, f)
 		}
 	}
@@ -110,10 +119,10 @@
 
 // Pauses grow with each failure in a row up to a bound, differ from one relay to the next, and begin anew behind an answer.
 func TestPausesGrow(t *testing.T) {
-	a, b := NewPace(80, 1), NewPace(80, 2)
+	a, b := NewPace(asked(80), 1), NewPace(asked(80), 2)
 	same, most := 0, time.Duration(0)
 	for range 30 {
-		x, y := a.Failed(), b.Failed()
+		x, y := a.Failed(false), b.Failed(false)
 		if x == y {
 			same++
 		}
@@ -125,10 +134,60 @@
 		t.Errorf("%d pauses of two relays were the same; the longest was %v", same, most)
 	}
 	a.Answered()
-	if p := a.Failed(); p > firstMost {
+	if p := a.Failed(false); p > firstMost {
 		t.Errorf("behind an answer, the first pause is %v", p)
 	}
-	if NewPace(-3, 1).Start() != 0 || NewPace(1<<40, 1).Start() > firstMost {
+	if NewPace(asked(-3), 1).Start() != 0 || NewPace(asked(1<<40), 1).Start() > firstMost {
 		t.Error("a fleet of an absurd size")
 	}
 }
+
+// Where an agent has the list, what it has counts against a relay that does not ask: at a start, after a move and after any
+// number of failures, another call is made well within the grace of each deployment, in a fleet of any size. A silent watch is found out,
+// and another call made, before what it missed counts.
+func TestPacePushed(t *testing.T) {
+	for _, grace := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second} {
+		for _, peers := range []int{1, 3, 350, 1024, 5000} {
+			p := NewPace(pushed(peers, grace), int64(peers))
+			if p.Start() != 0 || p.Moved() != 0 {
+				t.Errorf("of %d, grace %v: pauses before the first call", peers, grace)
+			}
+			hold, late := p.Wait()
+			for range 40 {
+				check, patience := p.Check()
+				pause := p.Failed(true)
+				if again := patience + pause; !check || again > grace*3/4 {
+					t.Fatalf("of %d, grace %v: asks again within %v, checks %v", peers, grace, again, check)
+				}
+				if pause < agentLeast/2 {
+					t.Fatalf("a pause of %v is a storm", pause)
+				}
+			}
+			if told := min(6*time.Second, hold+2*time.Second); hold+late > told-time.Second {
+				t.Errorf("grace %v: a silent watch is found out %v after its start", grace, hold+late)
+			}
+			if d := p.Doubt(); d <= 0 || d >= grace {
+				t.Errorf("grace %v: an unconfirmed list is used for %v", grace, d)
+			}
+		}
+	}
+}
+
+// Where discovery is asked, a watch that fell silent is made anew before what it missed counts, and a start asks before the
+// settings have it counted as told.
+func TestPaceAsked(t *testing.T) {
+	for seed := range int64(50) {
+		p := NewPace(asked(1024), seed)
+		hold, late := p.Wait()
+		if at := hold + late + p.Failed(true); at > hold+2*time.Second-late/2 {
+			t.Fatalf("a watch that fell silent is made anew %v after its start", at)
+		}
+		terms := asked(1024)
+		if terms.Asked = time.Second; NewPace(terms, seed).Start() > time.Second/2 {
+			t.Fatal("the first call comes too late")
+		}
+		if p.Doubt() != 0 {
+			t.Fatal("a list that nobody has told otherwise is doubted")
+		}
+	}
+}
--- /dev/null
+++ b/internal/pool/watch.go
@@ -0,0 +1,247 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/bits"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"wrenford/internal/flow/http1"
+	"wrenford/internal/place"
+	"wrenford/internal/traffic"
+)
+
+const (
+	// atOnce is too soon for an answer to a watch that tells nothing new, and the pause that it is given: short enough for the
+	// watch, which lapses 200 ms after an answer. The next call after any other answer goes out at once.
+	atOnce = 100 * time.Millisecond
+	// wholeWithin is how long after the first byte of an answer its last one may come.
+	wholeWithin = time.Second
+	maxList     = 4 << 20
+)
+
+// Counters count since the start.
+type Counters struct {
+	Asked, Anew     int64 // calls; of them, those that began a watch, which cost discovery most
+	Whole, Changes  int64 // answers that held the whole list; changes of it
+	Entries         int64 // lines of the list in all answers
+	Refused, Failed int64 // calls that discovery turned away, by 503 and the like; that had no answer
+	Paused          time.Duration
+	Longest         time.Duration // without an answer
+}
+
+// LogValue names the counters in a log line.
+func (c Counters) LogValue() slog.Value {
+	return slog.GroupValue(slog.Int64("asked", c.Asked), slog.Int64("anew", c.Anew), slog.Int64("whole", c.Whole),
+		slog.Int64("changes", c.Changes), slog.Int64("entries", c.Entries), slog.Int64("refused", c.Refused),
+		slog.Int64("failed", c.Failed), slog.Duration("paused", c.Paused), slog.Duration("longest", c.Longest))
+}
+
+// Watcher follows the list. Its connection stays open from one call to the next as long as discovery lets it.
+type Watcher struct {
+	at    *place.Place
+	pace  *Pace
+	book  *Book
+	to    Listener
+	since time.Time // the process's first moment
+	nc    net.Conn
+	addr  string
+	heard time.Time // the newest answer
+	anew  bool      // the next call begins a watch
+
+	mu        sync.Mutex
+	count     Counters
+	confirmed bool // discovery has answered
+}
+
+// Listener hears of the pool. Nothing of it blocks.
+type Listener interface {
+	PoolChanged(traffic.PoolNews)
+	// PoolDoubted says that the known list may be used no longer: discovery has not confirmed it, and what it has to tell
+	// counts already. The next change ends the doubt.
+	PoolDoubted()
+}
+
+// NewWatcher returns one that goes on from the known list and hands on each change. The process began at since.
+func NewWatcher(at *place.Place, pace *Pace, known List, since time.Time, to Listener) *Watcher {
+	return &Watcher{at: at, pace: pace, book: NewBook(known), since: since, to: to}
+}
+
+// Counters returns the counters.
+func (w *Watcher) Counters() Counters {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.count
+}
+
+func (w *Watcher) counting(f func(c *Counters)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f(&w.count)
+}
+
+// Run watches until ctx ends. When the place moves, the watch moves with it and begins there with the whole list: the
+// versions of another discovery need not go on from those of the one before.
+func (w *Watcher) Run(ctx context.Context) {
+	if after := w.pace.Doubt(); after > 0 {
+		defer time.AfterFunc(time.Until(w.since.Add(after)), w.doubt).Stop()
+	}
+	pause := w.pace.Start()
+	w.heard = time.Now()
+	for fails := 0; ctx.Err() == nil; {
+		addr, here := w.at.Now()
+		pausing, cancel := context.WithCancel(ctx)
+		unhook := context.AfterFunc(here, cancel)
+		from := w.heard
+		err := w.follow(pausing, addr, pause)
+		if w.heard != from {
+			fails = 0
+		}
+		if here.Err() != nil {
+			slog.Info("watch moves", "from", addr)
+			w.hangUp()
+			w.book.Move()
+			pause = w.pace.Moved()
+		} else if ctx.Err() == nil {
+			pause = w.pace.Failed(errors.Is(err, os.ErrDeadlineExceeded))
+			if fails++; bits.OnesCount(uint(fails)) == 1 { // an agent is asked often
+				slog.Warn("watch broken", "addr", addr, "seq", w.book.Seq(), "err", err, "pause", pause, "in_a_row", fails)
+			}
+		}
+		unhook()
+		cancel()
+	}
+	w.hangUp()
+}
+
+// doubt tells that the known list has not been confirmed in time.
+func (w *Watcher) doubt() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.confirmed {
+		slog.Warn("the known list is not confirmed: nothing is sent until discovery answers", "after", time.Since(w.since))
+		w.to.PoolDoubted()
+	}
+}
+
+// follow calls again and again until a call fails. The first waits for so long.
+func (w *Watcher) follow(ctx context.Context, addr string, pause time.Duration) error {
+	if pause > 0 {
+		w.counting(func(c *Counters) { c.Paused += pause })
+		timer := time.NewTimer(pause)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+	w.anew = true
+	check, _ := w.pace.Check()
+	for ; ; check = false {
+		from, was := time.Now(), w.book.Seq()
+		if err := w.call(ctx, addr, check); err != nil {
+			return fmt.Errorf("pool: %w", err)
+		}
+		if !check && w.book.Seq() == was && time.Since(from) < atOnce { // it does not hold the watch: asking at once would be a storm
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(atOnce):
+			}
+		}
+	}
+}
+
+// call makes one call and hands on what it brings. A check is answered at once, as the whole list is; a watch may wait.
+func (w *Watcher) call(ctx context.Context, addr string, check bool) error {
+	now := time.Now()
+	hold, late := w.pace.Wait()
+	whole, target := w.book.Whole(), "/discovery/hosts"
+	if check || whole {
+		_, late = w.pace.Check()
+		hold = time.Millisecond // none at all might be taken for the usual one
+	}
+	if !whole {
+		target += "?from=" + strconv.FormatInt(w.book.Seq(), 10) + "&hold_ms=" + strconv.FormatInt(hold.Milliseconds(), 10)
+	}
+	if w.nc != nil && w.addr != addr {
+		w.hangUp()
+	}
+	if w.nc == nil {
+		dialer := net.Dialer{Deadline: now.Add(late)}
+		nc, err := dialer.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			w.counting(func(c *Counters) { c.Failed++ })
+			return err
+		}
+		w.nc, w.addr = nc, addr
+	}
+	nc := w.nc
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
+	w.counting(func(c *Counters) {
+		if c.Asked++; w.anew {
+			c.Anew++
+		}
+	})
+	begun := now.Add(hold + late)
+	resp, err := http1.Exchange(nc, http1.AppendRequest(nil, "GET", target, addr, nil, nil), maxList, begun, begun.Add(wholeWithin))
+	if err != nil {
+		w.hangUp()
+		w.counting(func(c *Counters) { c.Failed++ })
+		return err
+	}
+	if !resp.Reusable() {
+		w.hangUp()
+	}
+	if resp.Status != 200 {
+		w.counting(func(c *Counters) { c.Refused++ })
+		return fmt.Errorf("discovery answered %d", resp.Status)
+	}
+	list, err := Parse(resp.Body)
+	if ctx.Err() != nil { // what an address that was left still says counts no more
+		return ctx.Err()
+	}
+	var news traffic.PoolNews
+	if err == nil {
+		news, err = w.book.Take(list, whole)
+	}
+	if err != nil {
+		w.hangUp() // what else this connection would say is as doubtful
+		w.counting(func(c *Counters) { c.Failed++ })
+		return err
+	}
+	list.Log()
+	w.pace.Answered()
+	at := time.Now()
+	w.counting(func(c *Counters) {
+		if news.Whole {
+			c.Whole++
+		} else if len(news.Members) > 0 {
+			c.Changes++
+		}
+		c.Entries += int64(len(list.Hosts))
+		c.Longest = max(c.Longest, at.Sub(w.heard))
+	})
+	w.heard, w.anew = at, w.nc == nil
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	first := !w.confirmed
+	if w.confirmed = true; first || news.Whole || len(news.Members) > 0 { // an empty change confirms the known list
+		w.to.PoolChanged(news)
+	}
+	return nil
+}
+
+func (w *Watcher) hangUp() {
+	if w.nc != nil {
+		w.nc.Close()
+		w.nc = nil
+	}
+}
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -99,8 +99,11 @@
 	return r.closed(func(id string) bool { return before[id] })
 }
 
-// closed tells the module of the members whose standing has changed, by operators here or by the word of other relays. Of
-// those that come back, cold says which were restarted.
+// nobody is the set of no members.
+func nobody(string) bool { return false }
+
+// closed tells the module of the members whose standing has changed, by operators here, by the word of other relays or by doubt
+// in the whole list. Of those that come back, cold says which were restarted.
 func (r *Relay) closed(cold func(id string) bool) wrenford.Members {
 	shut := maps.Clone(r.bans)
 	if shut == nil {
@@ -109,6 +112,9 @@
 	for id := range r.bars {
 		shut[id] = true
 	}
+	for id := range r.doubts {
+		shut[id] = true
+	}
 	ev, news := wrenford.Members{}, traffic.PoolNews{}
 	for _, id := range slices.Sorted(maps.Keys(r.pool.members)) {
 		if m := r.pool.members[id]; shut[id] != r.shut[id] {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -147,7 +147,8 @@
 	adopted time.Time       // when the Heir was last asked
 	bans    map[string]bool // members that operators took down
 	bars    map[string]bool // members that other relays bar, and whether operators took them down there
-	shut    map[string]bool // both
+	doubts  map[string]bool // members of a list that may be used no longer; nil as a rule
+	shut    map[string]bool // all three
 	outs    map[string]bool // members that the fleet was told to be out
 	heard   map[string]bool // members that the fleet holds to be out
 	demands *demands        // for the fleet; nil for a relay alone
@@ -187,6 +188,7 @@
 		answer   chan<- traffic.Answer
 	}
 	answered []string
+	doubted  struct{}
 	limit    int64
 	squeeze  struct {
 		messages         int
@@ -309,6 +311,9 @@
 // PoolChanged takes in news of the pool.
 func (r *Relay) PoolChanged(news traffic.PoolNews) { r.post(news) }
 
+// PoolDoubted takes in that the known list may be used no longer: until news of the pool comes, nothing is sent to its members.
+func (r *Relay) PoolDoubted() { r.post(doubted{}) }
+
 // NoticesAnswered takes in that the platform has these notices.
 func (r *Relay) NoticesAnswered(ids []string) { r.post(answered(ids)) }
 
@@ -462,12 +467,22 @@
 		case traffic.FlowEnd:
 			events, changes = r.flowEnd(in, events, changes)
 		case traffic.PoolNews:
-			r.cfg.Flows.Pool(r.overlay(in, r.shut))
 			r.pool.take(in, now)
 			r.pool.told = true
+			if r.doubts != nil {
+				r.doubts = nil
+				events = append(events, r.closed(nobody))
+			}
+			r.cfg.Flows.Pool(r.overlay(in, r.shut))
 			r.poolToFleet(in.Seq)
 			events = append(append(events, r.members(in)), r.recalled(in)...)
 			r.knownChanged()
+		case doubted:
+			r.doubts = map[string]bool{}
+			for id := range r.pool.members {
+				r.doubts[id] = true
+			}
+			events = append(events, r.closed(nobody))
 		case bans:
 			events = append(events, r.banned(in))
 			defer close(in.done) // once the module has stepped with it
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,8 @@
 		Multiple   float64 `json:"fall-multiple"`
 		Tip        float64 `json:"tip-after-ms"`
 		OrderPause float64 `json:"order-pause-ms"`
+		DrainGrace float64 `json:"drain-grace-ms"`
+		AskEvery   float64 `json:"ask-every-ms"`
 	} `json:"safety"`
 	Tariffs struct {
 		CrossZone float64 `json:"cross-zone"`
@@ -74,6 +76,9 @@
 var weights = map[string]wrenford.Weights{"": wrenford.NoWeights, "none": wrenford.NoWeights,
 	"nominal": wrenford.Nominal, "rough": wrenford.Rough}
 
+// graceUnsaid is the drain window where the settings name none: shorter than any that a deployment has named.
+const graceUnsaid = 500 * time.Millisecond
+
 // Parse decodes the settings object.
 func Parse(raw json.RawMessage) (wrenford.Settings, error) {
 	var c config
@@ -92,8 +97,11 @@
 		Weights: w, LateByHalves: c.Family.Late == "halves", OverShareWorth: c.OverShare,
 		Safety: wrenford.Safety{StartCapacity: c.Safety.Start, Cold: Millis(c.Safety.Cold),
 			FallMultiple: c.Safety.Multiple, TipAfter: Millis(c.Safety.Tip),
-			OrderPause: Millis(c.Safety.OrderPause)},
+			OrderPause: Millis(c.Safety.OrderPause), DrainGrace: graceUnsaid, AskEvery: Millis(c.Safety.AskEvery)},
 		Prices: wrenford.Prices{CrossZone: c.Tariffs.CrossZone, Handshake: c.Tariffs.Handshake}}
+	if c.Safety.DrainGrace > 0 {
+		s.Safety.DrainGrace = Millis(c.Safety.DrainGrace)
+	}
 	for _, k := range c.Classes {
 		effect, ok := effects[k.Repeat]
 		if !ok {
--- a/wrenford.go
+++ b/wrenford.go
@@ -87,6 +87,8 @@
 	FallMultiple  float64       // more than this multiple of the present capacity ...
 	TipAfter      time.Duration // ... for so long pushes a cold destination over
 	OrderPause    time.Duration // rest of a key after an attempt that may still be running
+	DrainGrace    time.Duration // nothing new goes to an endpoint so long after its drain was told
+	AskEvery      time.Duration // OnRequest: who has not asked for so long counts as told
 }
 
 // Prices are the costs that choices between endpoints weigh, each for one call.
