A flow that is ending at the exit no longer reads an unmapped table of waits

Seen: with a relay ended while flows were under way, three of six runs of the drain tests (with the old pauses planted) died of SIGSEGV in waits.Until, called by flow.toldElsewhere. Cause: run() defers table.Close (munmap) behind flows.Close, which cancels flows and does not wait for their goroutines. Change: Table holds a lock for reading in Tell and Until; closed, it shares nothing. TestClosed dies without it. Tests of cmd/slatemux no longer share the example's fixed ops port.

--- a/cmd/slatemux/main_test.go
+++ b/cmd/slatemux/main_test.go
@@ -57,7 +57,7 @@
 	}
 	host := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
 	a.platform = host(platform)
-	a.config = strings.NewReplacer("127.0.0.1:6379", "127.0.0.1:0", "127.0.0.1:8500", host(platform), `"hosts": []`,
+	a.config = strings.NewReplacer("127.0.0.1:6379", "127.0.0.1:0", `"127.0.0.1:8600"`, `""`, "127.0.0.1:8500", host(platform), `"hosts": []`,
 		`"hosts":[{"host":"m","dial":"`+host(member)+`","site":"here","class":"partner","block":7,"health":"active",`+
 			`"share":20}]`).Replace(string(raw))
 	t.Cleanup(func() {
--- a/internal/waits/waits.go
+++ b/internal/waits/waits.go
@@ -9,6 +9,7 @@
 	"hash/fnv"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -25,7 +26,8 @@
 
 // Table is the shared table. A nil Table shares nothing.
 type Table struct {
-	mem []byte
+	mu  sync.RWMutex // held for writing to unmap: flows that are just ending must not read what is gone
+	mem []byte       // nil once closed
 }
 
 // Open maps the table of a folder, made where there is none.
@@ -46,12 +48,18 @@
 	return &Table{mem: mem}, nil
 }
 
-// Close unmaps it.
+// Close unmaps it. From then on it shares nothing.
 func (t *Table) Close() error {
 	if t == nil {
 		return nil
 	}
-	return syscall.Munmap(t.mem)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	mem := t.mem
+	if t.mem = nil; mem == nil {
+		return nil
+	}
+	return syscall.Munmap(mem)
 }
 
 func (t *Table) slot(i int) (hash, until *uint64) {
@@ -70,6 +78,11 @@
 	if t == nil {
 		return
 	}
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if t.mem == nil {
+		return
+	}
 	k, end := key(group), uint64(until.UnixNano())
 	victim, least := 0, uint64(1<<64-1)
 	for i := range slots {
@@ -94,6 +107,11 @@
 	if t == nil {
 		return time.Time{}
 	}
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if t.mem == nil {
+		return time.Time{}
+	}
 	k, at := key(group), uint64(now.UnixNano())
 	for i := range slots {
 		h, u := t.slot(i)
--- a/internal/waits/waits_test.go
+++ b/internal/waits/waits_test.go
@@ -1,6 +1,7 @@
 package waits
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -48,3 +49,20 @@
 		t.Fatal("a nil table holds waits")
 	}
 }
+
+// Flows that are still ending when the table is closed find nothing, and do not bring the process down.
+func TestClosed(t *testing.T) {
+	a, err := Open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	group, now := traffic.Group{Destination: 3}, time.Now()
+	a.Tell(group, now.Add(time.Minute))
+	if err := errors.Join(a.Close(), a.Close()); err != nil {
+		t.Fatal(err)
+	}
+	a.Tell(group, now.Add(time.Hour))
+	if got := a.Until(group, now); !got.IsZero() {
+		t.Errorf("a closed table says %v", got)
+	}
+}
