--- a/cmd/slatemux/main_test.go
+++ b/cmd/slatemux/main_test.go
@@ -193,7 +193,8 @@
 	env := env(t, a.config)
 	env["NODE_DISCOVERY"] = a.platform
 	addr, reload, end := boot(t, env)
-	<-a.watched
+	<-a.watched // for what there is
+	<-a.watched // for news
 	write := func(text string) {
 		if err := os.WriteFile(env["NODE_CONFIG"], []byte(text), 0o600); err != nil {
 			t.Fatal(err)
