A list of 5,000 is taken in within a step: a new endpoint learns from 16 siblings, not from all

Seen: with 5,000 hosts in the configuration a relay was ready after 3.1 to 3.3 s, and nothing was called in the first 1.8 s (TestLongListLeaves). Profile: 88 % in conns.learnFromSiblings, which sorted the names of all endpoints for each new one. Change: a destination's group keeps its endpoints, and 16 of them teach. Ruled out: parsing (0.05 s), the module's step. The test fails with the old loop.

--- /dev/null
+++ b/cmd/slatemux/sizes_test.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// crowd is a pool of many members, all at one address and each a destination of its own but the first two hundred, which share
+// one; and an agent that lists them as a test says.
+type crowd struct {
+	mu     sync.Mutex
+	last   map[string]time.Time // first bytes of the newest call to each member
+	out    int                  // calls under way
+	most   int                  // of them at one time
+	dial   string
+	size   int
+	gone   bool      // the members with odd numbers leave
+	toldAt time.Time // when the last byte of that was written
+}
+
+// list is the whole list, or the change that has half of the members leave.
+func (c *crowd) list(whole, gone, indent bool) []byte {
+	seq := 1
+	var hosts []map[string]any
+	for i := range c.size {
+		h := map[string]any{"host": fmt.Sprint("m", i), "dial": c.dial, "site": "here", "class": "partner", "block": max(i-200, 0), "health": "active", "share": 9000, "born_ms": 0}
+		if gone && i%2 == 1 {
+			h["health"] = "leaving"
+		}
+		if whole || i%2 == 1 {
+			hosts = append(hosts, h)
+		}
+	}
+	if gone {
+		seq = 2
+	}
+	list := map[string]any{"seq": seq, "whole": whole, "hosts": hosts}
+	raw, _ := json.Marshal(list) // it never fails
+	if indent {
+		raw, _ = json.MarshalIndent(list, "", "    ")
+	}
+	return raw
+}
+
+// newCrowd returns one, and the configuration of a relay that knows it. The agent gives its change in pieces.
+func newCrowd(t *testing.T, size int, indent bool, piece int) (*crowd, string) {
+	c := &crowd{size: size, last: map[string]time.Time{}}
+	member := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		now := time.Now()
+		c.mu.Lock()
+		c.last[req.Host] = now
+		c.out++
+		c.most = max(c.most, c.out)
+		c.mu.Unlock()
+		time.Sleep(60 * time.Millisecond)
+		c.mu.Lock()
+		c.out--
+		c.mu.Unlock()
+		w.Header().Set("X-Backend-Load", "x0=0.9,x1=10000")
+	}))
+	t.Cleanup(member.Close)
+	c.dial = member.Listener.Addr().String()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go c.serve(nc, indent, piece)
+		}
+	}()
+	raw, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, strings.NewReplacer("127.0.0.1:6379", "127.0.0.1:0", `"127.0.0.1:8600"`, `""`, "127.0.0.1:8500", ln.Addr().String(),
+		`{"seq": 0, "whole": true, "hosts": []}`, string(c.list(true, false, indent)), `"peers-total": 1,`, `"peers-total": 350,`,
+		`"max-calls": 16`, `"max-calls": 400`, `"max-open": 200`, `"max-open": 5000`, `"sockets": 1024`, `"sockets": 4096`).Replace(string(raw))
+}
+
+// serve answers an agent's connection.
+func (c *crowd) serve(nc net.Conn, indent bool, piece int) {
+	defer nc.Close()
+	for rd := bufio.NewReader(nc); ; {
+		req, err := http.ReadRequest(rd)
+		if err != nil {
+			return
+		}
+		if req.Method == "POST" {
+			_, _ = io.Copy(io.Discard, req.Body)
+			fmt.Fprint(nc, "HTTP/1.1 204 No Content\r\n\r\n")
+			continue
+		}
+		from := req.URL.Query().Get("from")
+		c.mu.Lock()
+		gone, size := c.gone, c.size
+		c.mu.Unlock()
+		var body []byte
+		news := gone && from == "1"
+		switch {
+		case from == "" || from == "0":
+			body = c.list(true, gone, indent)
+		case news:
+			body = c.list(false, true, indent)
+		default:
+			time.Sleep(10 * time.Millisecond)
+			body = fmt.Appendf(nil, `{"seq":%s,"whole":false,"hosts":[]}`, from)
+		}
+		answer := append(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body)), body...)
+		for part := range bytesOf(answer, piece) {
+			if _, err := nc.Write(part); err != nil {
+				return
+			}
+		}
+		if news && size > 0 {
+			c.mu.Lock()
+			c.toldAt = time.Now()
+			c.mu.Unlock()
+		}
+	}
+}
+
+// bytesOf cuts a text into pieces; 0 for one.
+func bytesOf(text []byte, piece int) func(func([]byte) bool) {
+	return func(yield func([]byte) bool) {
+		if piece == 0 {
+			piece = len(text)
+		}
+		for len(text) > 0 && yield(text[:min(piece, len(text))]) {
+			text = text[min(piece, len(text)):]
+		}
+	}
+}
+
+// One change has half of a long list leave, while hundreds of flows are under way: no flow begins at any of them later than a
+// moment after the list's last byte, compact and indented, whole at once and in small pieces.
+func TestLongListLeaves(t *testing.T) {
+	for _, size := range []int{1024, 2000, 5000} {
+		for what, how := range map[string]struct {
+			indent bool
+			piece  int
+		}{"compact": {}, "indented": {indent: true}, "in pieces": {indent: true, piece: 64}} {
+			t.Run(fmt.Sprint(size, " ", what), func(t *testing.T) {
+				c, config := newCrowd(t, size, how.indent, how.piece)
+				began := time.Now()
+				addr, _, end := boot(t, env(t, config))
+				defer end()
+				if took := time.Since(began); took > time.Second {
+					t.Errorf("ready after %v", took)
+				}
+				stop := make(chan struct{})
+				var clients sync.WaitGroup
+				for n := range 40 {
+					clients.Go(func() { hammer(t, addr, n, size, stop) })
+				}
+				time.Sleep(300 * time.Millisecond)
+				c.mu.Lock()
+				c.gone = true
+				c.mu.Unlock()
+				time.Sleep(600 * time.Millisecond)
+				close(stop)
+				clients.Wait()
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				if c.toldAt.IsZero() {
+					t.Fatal("nobody asked for the change")
+				}
+				var latest time.Duration
+				calls := 0
+				for host, at := range c.last {
+					if calls++; host != "m0" && (host[len(host)-1]-'0')%2 == 1 {
+						latest = max(latest, at.Sub(c.toldAt))
+					}
+				}
+				t.Logf("%d members called, %d flows at one time; the last byte of the change to the last flow withheld: %v", calls, c.most, latest)
+				if c.most < 100 {
+					t.Errorf("%d flows at one time: this is no test", c.most)
+				}
+				if latest > time.Second {
+					t.Errorf("a flow begins %v after the change", latest)
+				}
+			})
+		}
+	}
+}
+
+// hammer hands messages in on one connection until it is told to stop.
+func hammer(t *testing.T, addr string, client, size int, stop chan struct{}) {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer nc.Close()
+	rd := bufio.NewReader(nc)
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		id := fmt.Sprintf("%x%08x", client+16, n)
+		dest := (n*7919 + client*101) % max(size-200, 1)
+		if n%2 == 0 {
+			dest = 0 // where many members are, half of them leaving
+		}
+		var b bytes.Buffer
+		args := []string{"MSG.PUT", "0", id, fmt.Sprintf("c=order-payment,t=acme,d=28000,k=%s,dest=%d", id, dest), "body"}
+		fmt.Fprintf(&b, "*%d\r\n", len(args))
+		for _, a := range args {
+			fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(a), a)
+		}
+		if _, err := nc.Write(b.Bytes()); err != nil {
+			t.Error(err)
+			return
+		}
+		if _, err := rd.ReadString('\n'); err != nil {
+			t.Error(err)
+			return
+		}
+	}
+}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -204,7 +204,7 @@
 
 // group is what the endpoints of a destination have in common: how many of their calls break for other reasons than idling.
 type group struct {
-	endpoints   int
+	endpoints   []*endpoint // in the order of their coming
 	calls, lost float64 // of late
 }
 
@@ -294,10 +294,18 @@
 	return give
 }
 
+// siblingsMost is how many others of its destination a new endpoint learns from: a few that are alike say what all do, and a list
+// of thousands is taken in within a step.
+const siblingsMost = 16
+
 // learnFromSiblings has a new endpoint begin with what others of its destination have taught: they are most likely alike.
 func (p *Pool) learnFromSiblings(e *endpoint) {
-	for _, name := range slices.Sorted(maps.Keys(p.eps)) {
-		if o := p.eps[name]; o.name != e.name && o.dest == e.dest && o.open {
+	g := p.groups[e.dest]
+	if g == nil {
+		return
+	}
+	for _, o := range g.endpoints[:min(len(g.endpoints), siblingsMost)] {
+		if o.name != e.name && o.open {
 			if o.bannedUntil > 0 && (e.bannedUntil == 0 || o.banned < e.banned) {
 				e.banned, e.bannedUntil, e.ban = o.banned, o.bannedUntil, o.ban
 			}
@@ -322,14 +330,13 @@
 	if e.dest = dest; p.groups[dest] == nil {
 		p.groups[dest] = &group{}
 	}
-	p.groups[dest].endpoints++
+	p.groups[dest].endpoints = append(p.groups[dest].endpoints, e)
 }
 
 func (p *Pool) part(e *endpoint) {
-	if g := p.groups[e.dest]; g.endpoints == 1 {
+	g := p.groups[e.dest]
+	if g.endpoints = slices.DeleteFunc(g.endpoints, func(o *endpoint) bool { return o == e }); len(g.endpoints) == 0 {
 		delete(p.groups, e.dest)
-	} else {
-		g.endpoints--
 	}
 }
 
