--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -205,7 +205,7 @@
 // group is what the endpoints of a destination have in common: how many of their calls break for other reasons than idling.
 type group struct {
 	endpoints   []*endpoint // in the order of their coming
-	calls, lost float64 // of late
+	calls, lost float64     // of late
 }
 
 // noisy says that connections break for other reasons often enough to be taken for idle ones that died.
--- a/internal/lab/handover_test.go
+++ b/internal/lab/handover_test.go
@@ -78,7 +78,7 @@
 	if len(journals) != 1 {
 		t.Errorf("journals left in the state folder: %v", journals)
 	}
-	if _, err := os.Stat(filepath.Join(tmp, "slatemux-waits")); err != nil {
+	if _, err := os.Stat(filepath.Join(tmp, "slatemux-waits-2")); err != nil {
 		t.Errorf("no shared table of waits: %v", err)
 	}
 }
--- a/internal/recall/recall.go
+++ b/internal/recall/recall.go
@@ -7,6 +7,7 @@
 package recall
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -27,10 +28,10 @@
 const (
 	name, newName = "learned", "learned.new"
 	// version is the first word of the file; another one is not read.
-	version = "slatemux-learned-1"
+	version, before = "slatemux-learned-2", "slatemux-learned-1"
 	// entry is what a destination takes in the file at the most, and block what a file is counted in: a folder that has no
-	// room for two blocks gets no file.
-	entry, block = 100, 512
+	// room for two blocks gets no file. A sixteenth of 3 MB holds over a thousand destinations twice.
+	entry, block = 50, 512
 	// differs is how much a limit must have changed to be written, for reports are noisy, and writeEvery the least time between
 	// two writes.
 	differs, writeEvery = 0.1, time.Second
@@ -45,6 +46,28 @@
 	At          time.Time `json:"at"`
 }
 
+// MarshalJSON writes a limit as destination, rate and milliseconds of Unix time.
+func (l Limit) MarshalJSON() ([]byte, error) {
+	return fmt.Appendf(nil, "[%d,%.6g,%d]", l.Destination, l.Rate, l.At.UnixMilli()), nil
+}
+
+// UnmarshalJSON reads that, or an object of the version before.
+func (l *Limit) UnmarshalJSON(raw []byte) error {
+	if bytes.HasPrefix(raw, []byte("{")) {
+		type object Limit
+		return json.Unmarshal(raw, (*object)(l))
+	}
+	var parts [3]json.Number
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return err
+	}
+	destination, err := parts[0].Int64()
+	rate, rerr := parts[1].Float64()
+	ms, merr := parts[2].Int64()
+	*l = Limit{int(destination), rate, time.UnixMilli(ms)}
+	return errors.Join(err, rerr, merr)
+}
+
 func (l *Limit) sane(now time.Time) bool {
 	return l.Rate > 0 && !math.IsInf(l.Rate, 0) && now.Sub(l.At) < old && l.At.Sub(now) < old
 }
@@ -65,7 +88,7 @@
 	word, sum, _ := strings.Cut(head, " ")
 	body = strings.TrimSuffix(body, "\n")
 	switch {
-	case !ok || word != version:
+	case !ok || word != version && word != before:
 		return nil, fmt.Errorf("recall: not a file of %s", version)
 	case sum != fmt.Sprintf("%08x", crc32.ChecksumIEEE([]byte(body))):
 		return nil, errors.New("recall: torn: the checksum does not fit")
--- a/internal/recall/recall_test.go
+++ b/internal/recall/recall_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/crc32"
 	"maps"
 	"math"
 	"os"
@@ -84,7 +86,7 @@
 		m.Learn(1e9+d, 1e6-math.Pi*float64(d), noon.Add(123456789))
 	}
 	raw, err := Encode(m.sorted())
-	if err != nil || len(m.Limits()) != 97 || len(raw) > 19*block {
+	if err != nil || len(m.Limits()) != 194 || len(raw) > 19*block {
 		t.Errorf("%d limits in %d bytes, %v", len(m.Limits()), len(raw), err)
 	}
 }
@@ -101,3 +103,27 @@
 		t.Errorf("the folder holds %v", names)
 	}
 }
+
+// The smallest folder that a deployment has named, 3 MB, remembers over a thousand destinations; a file of the version before is
+// read.
+func TestThousandDestinations(t *testing.T) {
+	dir, now := t.TempDir(), time.Now()
+	m := Open(dir, 3_000_000/16, now)
+	for d := range 1500 {
+		m.Learn(d, 1e6/float64(d+3), now)
+	}
+	if err := m.write(); err != nil {
+		t.Fatal(err)
+	}
+	if info, err := os.Stat(filepath.Join(dir, name)); err != nil || info.Size() > 3_000_000/32 {
+		t.Errorf("%v, %v: there is no room for it twice", info.Size(), err)
+	}
+	got := Open(dir, 3_000_000/16, now).Limits()
+	if len(got) != 1500 || math.Abs(got[1400]-1e6/1403) > 0.01 {
+		t.Errorf("%d destinations are remembered, 1400 with %v", len(got), got[1400])
+	}
+	body := `[{"destination":7,"rate":25,"at":"` + now.UTC().Format(time.RFC3339Nano) + `"}]`
+	if old, err := Decode(fmt.Appendf(nil, "%s %08x\n%s\n", before, crc32.ChecksumIEEE([]byte(body)), body), now); err != nil || len(old) != 1 || old[0].Rate != 25 {
+		t.Errorf("%v, %v", old, err)
+	}
+}
--- a/internal/waits/waits.go
+++ b/internal/waits/waits.go
@@ -18,9 +18,10 @@
 	"wrenford/internal/traffic"
 )
 
-// slots is how many waits the table holds at once; one that comes when all are taken replaces the one that
-// ends first.
-const slots = 256
+// slots is how many waits the table has room for, and near how many of them, from where its hash says on, a wait may stand in: with
+// thousands of routes apart that all wait, few meet in so many. One that comes when all of its own are taken replaces the one
+// that ends first. The file is sparse: it takes memory by the pages that hold waits.
+const slots, near = 8192, 32
 
 const slotBytes = 16 // the group's hash, then the wait's end in Unix nanoseconds
 
@@ -32,7 +33,7 @@
 
 // Open maps the table of a folder, made where there is none.
 func Open(dir string) (*Table, error) {
-	path := filepath.Join(dir, "slatemux-waits")
+	path := filepath.Join(dir, "slatemux-waits-2")
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("waits: %w", err)
@@ -73,6 +74,9 @@
 	return max(h.Sum64(), 1) // 0 marks a free slot
 }
 
+// at is the n-th slot in which a wait may stand.
+func at(key uint64, n int) int { return int((key + uint64(n)) % slots) }
+
 // Tell records that nothing goes to the group before until.
 func (t *Table) Tell(group traffic.Group, until time.Time) {
 	if t == nil {
@@ -85,7 +89,8 @@
 	}
 	k, end := key(group), uint64(until.UnixNano())
 	victim, least := 0, uint64(1<<64-1)
-	for i := range slots {
+	for n := range near {
+		i := at(k, n)
 		h, u := t.slot(i)
 		if atomic.LoadUint64(h) == k {
 			for old := atomic.LoadUint64(u); old < end && !atomic.CompareAndSwapUint64(u, old, end); old = atomic.LoadUint64(u) {
@@ -112,11 +117,11 @@
 	if t.mem == nil {
 		return time.Time{}
 	}
-	k, at := key(group), uint64(now.UnixNano())
-	for i := range slots {
-		h, u := t.slot(i)
+	k, from := key(group), uint64(now.UnixNano())
+	for n := range near {
+		h, u := t.slot(at(k, n))
 		if atomic.LoadUint64(h) == k {
-			if end := atomic.LoadUint64(u); end > at {
+			if end := atomic.LoadUint64(u); end > from {
 				return time.Unix(0, int64(end))
 			}
 		}
--- a/internal/waits/waits_test.go
+++ b/internal/waits/waits_test.go
@@ -36,6 +36,15 @@
 	if got := a.Until(traffic.Group{Destination: 3}, now.Add(17*time.Second)); !got.IsZero() {
 		t.Fatalf("over, yet %v", got)
 	}
+	// Two thousand routes apart wait at one time, and all are held.
+	for i := range 2000 {
+		a.Tell(traffic.Group{Destination: i / 4, Member: fmt.Sprint("s-", i)}, now.Add(time.Minute))
+	}
+	for i := range 2000 {
+		if b.Until(traffic.Group{Destination: i / 4, Member: fmt.Sprint("s-", i)}, now).IsZero() {
+			t.Fatalf("of two thousand waits, number %d is lost", i)
+		}
+	}
 	// More waits than slots: the one that ends first gives way, the longest stay.
 	for i := range 2 * slots {
 		a.Tell(traffic.Group{Member: fmt.Sprint(i)}, now.Add(time.Duration(i)*time.Millisecond))
