--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -57,6 +57,9 @@
 	KeepAlive time.Duration
 	Seed      uint64
 	Relays    int // how many share the partners; 0 for one
+
+	Edit func(settings map[string]any) // changes the settings of other deployments; nil for nothing
+	Kind func(n int) string            // kind of the n-th partner; nil for "partner"
 }
 
 // Deployment is everything around one relay, or around the seats of several.
@@ -86,7 +89,7 @@
 		d.Classes = append(d.Classes, ledger.Class{Name: c.Name, Effect: effect, Memory: c.Memory, Worth: c.Worth, Aim: c.Aim})
 	}
 	var hosts []platform.Host
-	for _, cfg := range p.Partners {
+	for n, cfg := range p.Partners {
 		cfg.Ledger = d.Ledger
 		if cfg.Addr == "" {
 			cfg.Addr = "127.0.0.1:0"
@@ -97,7 +100,11 @@
 			return nil, err
 		}
 		d.Partners = append(d.Partners, s)
-		hosts = append(hosts, platform.Host{Host: cfg.Name, Dial: s.Addr(), Site: "here", Class: "partner", Block: cfg.Dest,
+		kind := "partner"
+		if p.Kind != nil {
+			kind = p.Kind(n)
+		}
+		hosts = append(hosts, platform.Host{Host: cfg.Name, Dial: s.Addr(), Site: "here", Class: kind, Block: cfg.Dest,
 			Health: "active", Share: cmp.Or(cfg.Share, max(cfg.Life[0].Rate, 20))})
 	}
 	var err error
@@ -162,6 +169,9 @@
 			"tariffs": map[string]any{"handshake": 0.02},
 		},
 	}
+	if p.Edit != nil {
+		p.Edit(file["settings"].(map[string]any))
+	}
 	raw, err := json.MarshalIndent(file, "", " ")
 	if err != nil {
 		return fmt.Errorf("lab: %w", err)
--- /dev/null
+++ b/internal/lab/settings_test.go
@@ -0,0 +1,105 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"wrenford/internal/lab/ledger"
+	"wrenford/internal/lab/load"
+	"wrenford/internal/lab/partner"
+	"wrenford/internal/lab/platform"
+)
+
+// Deployments whose settings are other than those of Bortsvi Tyre Service, each with a member that leaves under load: all that was
+// taken on ends in time, no rule is broken, and most of it is delivered.
+func TestOtherSettings(t *testing.T) {
+	one := func(name, repeat string) []Class {
+		return []Class{{Name: name, Repeat: repeat, Worth: 2, LateWorth: 0.3, Memory: 4 * time.Second, Aim: 2 * time.Second, Deadline: 9 * time.Second}}
+	}
+	in := func(settings map[string]any, name string) map[string]any { return settings[name].(map[string]any) }
+	for what, c := range map[string]struct {
+		classes []Class
+		tenants []Tenant
+		grace   time.Duration
+		report  string // of each answer; empty for one of the limit
+		edit    func(settings map[string]any)
+	}{
+		"asked for, 0.5 s, routes apart": {classes: one("fee", "unsafe"), tenants: []Tenant{{Name: "a", Share: 0.7}, {Name: "b", Share: 0.3}}, grace: 500 * time.Millisecond,
+			edit: func(s map[string]any) {
+				s["membership-mode"], s["peers-total"], s["weights"], s["kinds"] = "on_request", 3, "none", []string{"first", "second"}
+				in(s, "family-info")["own-limits"] = []bool{true, false}
+				in(s, "safety")["ask-every-ms"] = 1000
+			}},
+		"pushed, 0.5 s, one safe class": {classes: one("x", "safe"), tenants: []Tenant{{Name: "t", Share: 1}}, grace: 500 * time.Millisecond, edit: func(s map[string]any) {
+			s["peers-total"] = 1024
+			s["resolution-ms"] = 1
+		}},
+		"pushed, 5 s, no tenants": {classes: Usual(), grace: 5 * time.Second, edit: func(s map[string]any) {
+			s["orgs"], s["zone"], s["localities"] = nil, "there", []string{"there", "here"}
+			in(s, "family-info")["carriage"] = []float64{0, 0.01}
+			in(s, "family-info")["late"] = "line"
+		}},
+		"no reports, no told waits, one attempt": {classes: one("only", "keyed"), tenants: []Tenant{{Name: "t", Share: 1}}, grace: 2 * time.Second, report: "none",
+			edit: func(s map[string]any) {
+				s["telemetry"] = map[string]any{"how": "none"}
+				in(s, "limits")["retry-after"], in(s, "limits")["cancel"], in(s, "limits")["max-attempts"] = false, false, 1
+			}},
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			p := Place{Classes: c.classes, Tenants: c.tenants, MemoryMB: 64, DiskMB: 3, Sockets: 384, MaxOpen: 400, MaxCalls: 40, KeepAlive: 5 * time.Second, Seed: 3,
+				Kind: func(n int) string { return []string{"first", "second"}[n/2] },
+				Edit: func(s map[string]any) {
+					s["kinds"] = []string{"first", "second"}
+					in(s, "family-info")["own-limits"] = []bool{false, false}
+					in(s, "safety")["drain-grace-ms"] = c.grace.Milliseconds()
+					c.edit(s)
+				}}
+			for n := range 4 {
+				p.Partners = append(p.Partners, partner.Config{Name: fmt.Sprint("p", n), Dest: n / 2, Seed: uint64(n), Report: c.report,
+					Life: []partner.Phase{{Latency: partner.Latency{Mean: 20 * time.Millisecond, CV: 0.5}}}})
+			}
+			d, err := Put(t.TempDir(), p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(d.Close)
+			proc := d.relay(t, "")
+			leave := time.AfterFunc(time.Second, func() {
+				d.Platform.Change(platform.Host{Host: "p0", Dial: d.Partners[0].Addr(), Site: "here", Class: "first", Health: "leaving", Share: 20})
+			})
+			defer leave.Stop()
+			var streams []load.Stream
+			for i, class := range c.classes {
+				streams = append(streams, load.Stream{Class: i, Tenant: "t", Share: 1, Body: 200, Deadline: class.Deadline})
+			}
+			if err := d.Load(context.Background(), load.Config{Clients: 20, Patience: 400 * time.Millisecond, Streams: streams, Dests: []int{0, 1}, Seed: 5, Honour: 1, Retries: 2,
+				Steps: []load.Step{{For: 2500*time.Millisecond + c.grace, Rate: 120}}}); err != nil {
+				t.Error(err)
+			}
+			if err := proc.Settled(time.Now().Add(60 * time.Second)); err != nil {
+				t.Fatalf("%v\n%s", err, proc.Log())
+			}
+			proc.Kill()
+			d.Close()
+			rules := ledger.Usual(d.Classes)
+			rules.DrainGrace = c.grace + 50*time.Millisecond
+			rules.EndSlack, rules.ReadyGrace = 20*time.Second, 20*time.Second
+			v := d.Ledger.Judge(rules, time.Now().Add(time.Hour))
+			for i, b := range v.Breaches {
+				if i < 5 {
+					t.Errorf("%s: message %016x: %s", b.Rule, b.ID, b.Text)
+				}
+			}
+			delivered := 0
+			for _, pc := range v.Classes {
+				delivered += pc.Delivered
+			}
+			if offered, accepted, _ := total(v); accepted < offered*8/10 || delivered < accepted*8/10 {
+				t.Errorf("of %d messages, %d are taken on and %d delivered", offered, accepted, delivered)
+			}
+		})
+	}
+}
--- a/sender_test.go
+++ b/sender_test.go
@@ -527,6 +527,7 @@
 	r := rand.New(rand.NewPCG(seed, 7))
 	set := testSettings()
 	set.Cancel = seed%3 != 0
+	set.Peers = []int{2, 1, 350, 1024, 2, math.MaxInt}[seed%6]
 	var eps []Endpoint
 	for i := range 6 {
 		eps = append(eps, Endpoint{ID: fmt.Sprint("e", i), Zone: []string{"a", "b"}[i%2],
@@ -1241,3 +1242,65 @@
 		}
 	}
 }
+
+// Shares, gaps and waits stay what they are with any number of senders: none is nought, endless or negative, and one that has
+// something to send for a destination in good health sends it within a time that the number explains.
+func TestAnyNumberOfSenders(t *testing.T) {
+	for _, peers := range []int{-1, 0, 1, 2, 350, 1024, 5000, math.MaxInt} {
+		for _, limit := range []float64{0.5, 20, 1e6} {
+			set := testSettings()
+			set.Peers, set.Weights = peers, Rough
+			e := ep("e", 1)
+			e.Weight = limit
+			s := newSender(t, set, e)
+			now, sent := time.Duration(0), 0
+			for n := range 200 {
+				now += 100 * ms
+				acts := s.Step(now, []Event{req(fmt.Sprint("m", n), "safe", 1)})
+				var evs []Event
+				for _, a := range acts {
+					switch a := a.(type) {
+					case Send:
+						if sent++; a.TimeOut < 0 {
+							t.Fatalf("%d senders: a time-out of %v", peers, a.TimeOut)
+						}
+						o := Outcome{ID: a.ID, Endpoint: a.Endpoint, Latency: 20 * ms, Status: Full, Wait: 50 * ms, Report: &Report{Left: 0.5, Limit: limit}}
+						if n%5 == 0 {
+							o.Status, o.Wait = ConnectFailed, 0
+						} else if n%5 < 4 {
+							o.Status, o.Wait, o.Settled = OK, 0, true
+						}
+						o.Attempt = s.messages[a.ID].attempts - 1
+						evs = append(evs, o)
+					case Refuse:
+						if a.RetryAfter < 0 || a.RetryAfter > set.MaxRetryAfter {
+							t.Fatalf("%d senders: come again in %v", peers, a.RetryAfter)
+						}
+					case Wake:
+						if a.At < now {
+							t.Fatalf("%d senders: a wake at %v, %v ago", peers, a.At, now-a.At)
+						}
+					}
+				}
+				s.Step(now+20*ms, evs)
+				x := s.endpoints["e"]
+				for what, v := range map[string]float64{"share": x.ledger.share(), "capacity": x.ledger.capacity(), "rarely": x.ledger.rarely(),
+					"often": x.ledger.often(), "estimate": x.ledger.estimate(now), "gap": s.coldGap(x, now).Seconds(), "left": x.ledger.left} {
+					overspent := (what == "estimate" || what == "left") && v < 0
+					if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 && !overspent {
+						t.Fatalf("%d senders, limit %v, step %d: %s is %v", peers, limit, n, what, v)
+					}
+				}
+				if v := x.ledger.share(); v == 0 || v > 1 {
+					t.Fatalf("%d senders: a share of %v", peers, v)
+				}
+				if x.ledger.nextTry < 0 || x.ledger.heldUntil < 0 {
+					t.Fatalf("%d senders: a try at %v, held until %v", peers, x.ledger.nextTry, x.ledger.heldUntil)
+				}
+			}
+			if sent == 0 {
+				t.Errorf("%d senders, limit %v: nothing is sent in 20 s", peers, limit)
+			}
+		}
+	}
+}
