--- a/internal/front/put.go
+++ b/internal/front/put.go
@@ -61,6 +61,9 @@
 		return t, fmt.Errorf("MSG.PUT takes 4 arguments, not %d", len(args)-1)
 	}
 	t.ID, t.Body = string(args[2]), args[4]
+	if strings.Trim(string(args[1]), "0") != "" { // zeros where the class keeps no order
+		t.Order = string(args[1])
+	}
 	if !plain(t.ID) {
 		return t, fmt.Errorf("not an id: %.40q", t.ID)
 	}
@@ -100,6 +103,8 @@
 		return t, errors.New("d or dest is missing")
 	case effect == wrenford.Keyed && t.Key == "":
 		return t, fmt.Errorf("class %q needs k", t.Class)
+	case len(t.Order) > 64:
+		return t, errors.New("key is too long")
 	case len(t.Tenant) > 64:
 		return t, errors.New("tenant is too long")
 	}
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -75,6 +75,9 @@
 		head(kindTaken, t.ID, int64(t.Destination), unixMicro(t.Deadline))
 		b = appendText(appendText(appendText(b, t.Class), t.Tenant), t.Key)
 		b = appendText(b, t.Body)
+		if t.Order != "" { // else the record is as it always was
+			b = appendText(b, t.Order)
+		}
 	case traffic.FlowBegun:
 		head(kindFlowBegun, ch.ID, int64(ch.Attempt), unixMicro(ch.At))
 	case traffic.FlowEnded:
@@ -151,6 +154,9 @@
 		t := traffic.Transaction{ID: id, Destination: int(r.number()), Deadline: r.time()}
 		t.Class, t.Tenant, t.Key = string(r.bytes()), string(r.bytes()), string(r.bytes())
 		t.Body = append([]byte(nil), r.bytes()...)
+		if len(r.b) > 0 {
+			t.Order = string(r.bytes())
+		}
 		ch = traffic.Taken{Transaction: t}
 	case kindFlowBegun:
 		ch = traffic.FlowBegun{ID: id, Attempt: int(r.number()), At: r.time()}
--- /dev/null
+++ b/internal/relay/order.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"wrenford/internal/traffic"
+)
+
+// The module lets the next transaction of a key go once the one before it is over. One that ends by a notice is over for the
+// platform when the notice has its answer, which the module does not hear of: until then the flow waits here, as it might for a
+// connection. The answer comes at once as a rule; where it does not, the flow ends when its time is up, unsent.
+
+// start begins a flow, or has it wait.
+func (r *Relay) start(f traffic.Flow) {
+	if h := r.open[f.ID]; h != nil && h.Order != "" && len(r.noticed) > 0 && r.awaits(h.Order) {
+		r.parked[h.Order] = append(r.parked[h.Order], f)
+		return
+	}
+	r.cfg.Flows.Start(f)
+}
+
+// awaits says whether a notice of a key has no answer yet.
+func (r *Relay) awaits(key string) bool {
+	for _, k := range r.noticed {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
+
+// unpark begins what waited for these notices and for no other.
+func (r *Relay) unpark(ids []string) {
+	for _, id := range ids {
+		key, ok := r.noticed[id]
+		if !ok {
+			continue
+		}
+		delete(r.noticed, id)
+		if r.awaits(key) {
+			continue
+		}
+		list := r.parked[key]
+		delete(r.parked, key)
+		for _, f := range list {
+			r.cfg.Flows.Start(f) // where its time is up by now, it ends at once
+		}
+	}
+}
+
+// overdue ends what has waited for too long.
+func (r *Relay) overdue(now time.Time) {
+	for key, list := range r.parked {
+		list = slices.DeleteFunc(list, func(f traffic.Flow) bool {
+			late := !now.Before(f.Deadline)
+			if late {
+				r.unstarted(f)
+			}
+			return late
+		})
+		if r.parked[key] = list; len(list) == 0 {
+			delete(r.parked, key)
+		}
+	}
+}
+
+func (r *Relay) unstarted(f traffic.Flow) {
+	r.post(traffic.FlowEnd{ID: f.ID, Attempt: f.Attempt, Member: f.Member, Status: traffic.Unsent})
+}
+
+// cancel gives a flow up.
+func (r *Relay) cancel(id string, attempt int) {
+	for _, list := range r.parked {
+		for i := range list {
+			if f := &list[i]; f.ID == id && f.Attempt == attempt {
+				f.Deadline = time.Time{} // it ends with the next step
+				return
+			}
+		}
+	}
+	r.cfg.Flows.Cancel(id, attempt)
+}
--- /dev/null
+++ b/internal/relay/order_test.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"wrenford"
+	"wrenford/internal/traffic"
+)
+
+// Transactions of one key, in a class that keeps order, go one after the other; one that ends by a notice is over when that has its
+// answer, and not before. Others of the class do not wait, and what waits too long ends unsent.
+func TestOrderByKey(t *testing.T) {
+	w := &world{}
+	set := settingsForTest()
+	set.Classes[0].OrderedByKey, set.Classes[0].Effect = true, wrenford.Unsafe
+	class := set.Classes[0].Name
+	r, err := New(Config{Settings: set, MostBytes: 1 << 20, Store: w, Flows: w, Notices: w})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Start(known, nil, nil, nil)
+	now := r.origin.Add(10 * time.Millisecond)
+	put := func(id, key string, lasts time.Duration) {
+		tr := transaction(id, class, now.Add(lasts))
+		tr.Order = key
+		if a := hand(t, r, now, tr); a.Verdict != traffic.Accepted {
+			t.Fatalf("%s: %+v", id, a)
+		}
+	}
+	put("a", "k1", 400*time.Millisecond)
+	put("b", "k1", 20*time.Second)
+	put("c", "k2", 20*time.Second)
+	if len(w.flows) != 2 || w.flows[0].ID != "a" || w.flows[1].ID != "c" {
+		t.Fatalf("started %+v", w.flows)
+	}
+	step := func(after time.Duration) {
+		now = now.Add(after)
+		r.step(now, taken(r))
+	}
+	r.FlowEnded(traffic.FlowEnd{ID: "a", Member: w.flows[0].Member, Status: traffic.Broken}) // given up: the next of its key may go
+	for range 3 {
+		step(10 * time.Millisecond)
+	}
+	if r.noticed["a"] != "k1" || len(w.flows) != 2 || len(r.parked["k1"]) != 1 {
+		t.Fatalf("notices %v, started %d, waiting %v", r.noticed, len(w.flows), r.parked)
+	}
+	r.NoticesAnswered([]string{"a"})
+	step(10 * time.Millisecond)
+	if len(w.flows) != 3 || w.last().ID != "b" || len(r.noticed)+len(r.parked) > 0 {
+		t.Errorf("behind the answer: started %+v, kept %v, %v", w.flows[2:], r.noticed, r.parked)
+	}
+	for _, f := range w.flows[1:] {
+		r.FlowEnded(traffic.FlowEnd{ID: f.ID, Member: f.Member, Status: traffic.Delivered, Took: time.Millisecond})
+	}
+	step(10 * time.Millisecond)
+	// A platform that does not answer: what waits ends unsent, with its time.
+	r.noticed["x"] = "k3"
+	put("d", "k3", 300*time.Millisecond)
+	if len(r.parked["k3"]) != 1 {
+		t.Fatalf("waiting: %v", r.parked)
+	}
+	for range 60 {
+		step(10 * time.Millisecond)
+	}
+	if len(r.parked) > 0 || r.open["d"] != nil {
+		t.Errorf("kept %v", r.parked)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -139,21 +139,23 @@
 	unsaved []traffic.Change // ends that the store has not taken yet
 	wakes   []time.Time
 	squeeze squeeze
-	waiting map[int]int     // transactions without a flow, by destination; those that are told of with 0 go at the next telling
-	toldAt  time.Time       // when Ahead was told
-	out     int             // flows
-	ended   int64           // transactions that had been taken on
-	learned map[int]float64 // limits that an earlier process had learned, of destinations that no list has named yet
-	adopted time.Time       // when the Heir was last asked
-	bans    map[string]bool // members that operators took down
-	bars    map[string]bool // members that other relays bar, and whether operators took them down there
-	doubts  map[string]bool // members of a list that may be used no longer; nil as a rule
-	shut    map[string]bool // all three
-	outs    map[string]bool // members that the fleet was told to be out
-	heard   map[string]bool // members that the fleet holds to be out
-	demands *demands        // for the fleet; nil for a relay alone
-	parts   map[int]part    // of limits, by destination
-	lapse   time.Time       // when the first of them ends
+	noticed map[string]string         // transactions of a class in order whose notice has no answer yet, and their keys
+	parked  map[string][]traffic.Flow // by key: flows that wait for such answers
+	waiting map[int]int               // transactions without a flow, by destination; those that are told of with 0 go at the next telling
+	toldAt  time.Time                 // when Ahead was told
+	out     int                       // flows
+	ended   int64                     // transactions that had been taken on
+	learned map[int]float64           // limits that an earlier process had learned, of destinations that no list has named yet
+	adopted time.Time                 // when the Heir was last asked
+	bans    map[string]bool           // members that operators took down
+	bars    map[string]bool           // members that other relays bar, and whether operators took them down there
+	doubts  map[string]bool           // members of a list that may be used no longer; nil as a rule
+	shut    map[string]bool           // all three
+	outs    map[string]bool           // members that the fleet was told to be out
+	heard   map[string]bool           // members that the fleet holds to be out
+	demands *demands                  // for the fleet; nil for a relay alone
+	parts   map[int]part              // of limits, by destination
+	lapse   time.Time                 // when the first of them ends
 	tally   tally
 	// dispatches counts transactions written whole to members.
 	dispatches int64
@@ -206,7 +208,7 @@
 		cfg.Meters = noMeters{}
 	}
 	r := &Relay{cfg: cfg, squeeze: squeeze{messages: cfg.Settings.MaxOpen, byteScale: 1}, sender: sender, origin: time.Now(), classes: map[string]*wrenford.Class{},
-		apart: map[string]bool{}, waiting: map[int]int{}, pool: newRoster(), open: map[string]*held{}, tally: newTally(),
+		apart: map[string]bool{}, waiting: map[int]int{}, noticed: map[string]string{}, parked: map[string][]traffic.Flow{}, pool: newRoster(), open: map[string]*held{}, tally: newTally(),
 		signal: make(chan struct{}, 1)}
 	r.bans, r.shut, r.outs, r.heard = maps.Clone(cfg.Banned), maps.Clone(cfg.Banned), map[string]bool{}, map[string]bool{}
 	if cfg.Fleet != nil {
@@ -248,7 +250,7 @@
 		events = append(events, r.request(&h.Open, now))
 	}
 	for _, n := range notices {
-		r.cfg.Notices.Send(n)
+		r.cfg.Notices.Send(n) // of which key it was is not known any more; its call is on its way before any other
 	}
 	return events
 }
@@ -501,10 +503,12 @@
 			events = append(events, in...)
 		case answered:
 			r.count.NoticesAnswered += int64(len(in))
+			defer r.unpark(in) // what follows them goes once the journal has it
 			changes = append(changes, acknowledged(in)...)
 		}
 	}
 	events = append(r.lapses(now), events...)
+	r.overdue(now)
 	r.decide(now, events, changes)
 	r.healthToFleet(batch)
 	r.demandToFleet(now)
@@ -649,7 +653,7 @@
 			changes = append(changes, traffic.FlowBegun{ID: f.ID, Attempt: f.Attempt, At: now})
 			after = append(after, deed{flow: &f})
 		case wrenford.Cancel:
-			after = append(after, deed{do: func() { r.cfg.Flows.Cancel(a.ID, a.Attempt) }})
+			after = append(after, deed{do: func() { r.cancel(a.ID, a.Attempt) }})
 		case wrenford.Refuse:
 			changes = r.end(traffic.Notice{ID: a.ID, Outcome: traffic.HandedBack, RetryIn: a.RetryAfter}, changes, &after)
 		case wrenford.Fail:
@@ -667,7 +671,7 @@
 			d.do()
 		} else if saved {
 			r.count.Flows++
-			r.cfg.Flows.Start(*d.flow)
+			r.start(*d.flow)
 		}
 	}
 	r.tellAhead(now)
@@ -728,6 +732,9 @@
 		r.count.HandedBack++
 		r.counted(h.Class, r.tally.overload)
 	}
+	if c := r.classes[h.Class]; c != nil && c.OrderedByKey && h.Order != "" {
+		r.noticed[n.ID] = h.Order
+	}
 	*after = append(*after, deed{do: func() { r.cfg.Notices.Send(n) }})
 	return append(changes, traffic.Ended{ID: n.ID, Notice: &n})
 }
--- a/internal/relay/translate.go
+++ b/internal/relay/translate.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"hash/fnv"
 	"time"
 
 	"wrenford"
@@ -47,12 +48,22 @@
 func (r *Relay) request(o *traffic.Open, now time.Time) wrenford.Request {
 	ev := wrenford.Request{ID: o.ID, Destination: o.Destination, Class: o.Class, Tenant: o.Tenant,
 		TimeLeft: o.Deadline.Sub(now), Attempts: o.Attempts, Size: o.Size()}
+	if c := r.classes[o.Class]; c != nil && c.OrderedByKey && o.Order != "" {
+		ev.Key, ev.HasKey = keyOf(o.Order), true
+	}
 	if !o.FirstSent.IsZero() {
 		ev.MayHaveRun, ev.FirstSent = true, o.FirstSent.Sub(r.origin)
 	}
 	return ev
 }
 
+// keyOf is the module's number of a key. Two keys that share one only wait for each other.
+func keyOf(text string) int64 {
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return int64(h.Sum64())
+}
+
 // ending says what the end of a flow means to the module, whether the message is over with it, and whether
 // it may have run.
 type ending struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,7 @@
 	Kinds  []string `json:"kinds"`
 	Family struct {
 		OwnLimits []bool    `json:"own-limits"`
+		Bundle    []int     `json:"bundle-max"`
 		Carriage  []float64 `json:"carriage"`
 		Late      string    `json:"late"`
 		MaxCalls  int       `json:"max-calls"`
@@ -112,7 +113,7 @@
 			LateWorth: k.LateWorth, OrderedByKey: k.Fifo})
 	}
 	for i, k := range c.Kinds {
-		s.Kinds = append(s.Kinds, wrenford.Kind{Name: k, OwnLimits: at(c.Family.OwnLimits, i)})
+		s.Kinds = append(s.Kinds, wrenford.Kind{Name: k, OwnLimits: at(c.Family.OwnLimits, i), Bundle: at(c.Family.Bundle, i)})
 	}
 	for i, z := range c.Localities {
 		s.Zones = append(s.Zones, wrenford.Zone{Name: z, Fee: at(c.Family.Carriage, i)})
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -16,6 +16,7 @@
 	Class       string
 	Tenant      string
 	Key         string // idempotency key; empty where the class has none
+	Order       string // what it is about, in a class whose transactions of one such key run one after the other
 	Destination int
 	Deadline    time.Time // it may be delivered until then
 	Body        []byte
@@ -23,7 +24,7 @@
 
 // Size is about what a transaction takes in memory and in the journal.
 func (t *Transaction) Size() int {
-	return len(t.ID) + len(t.Class) + len(t.Tenant) + len(t.Key) + len(t.Body) + 64
+	return len(t.ID) + len(t.Class) + len(t.Tenant) + len(t.Key) + len(t.Order) + len(t.Body) + 64
 }
 
 // Open is a transaction that is owed its end, with what has been tried.
--- a/sender.go
+++ b/sender.go
@@ -42,11 +42,8 @@
 	// Tries in an outage come half its age apart, up to tryMost of the cold time, or as coldGap says. Where
 	// senders hear of each other's they come fleetTry of it apart, up to fleetMost.
 	tryMost, sparseTries, fleetTry, fleetMost = 0.2, 5.0, 0.25, 0.05
-	// startCalls may be out at an endpoint that has not answered yet. Calls queue up where the usual latency
-	// is queueing times the best.
-	startCalls, queueing = 2, 2.0
-	// shrink is what a refusal or a time-out leaves of the calls out at an endpoint without limit.
-	shrink = 0.7
+	// startCalls may be out at an endpoint that has not answered yet.
+	startCalls = 2
 	// timeoutAim is the least time-out of a repeatable call, and paceCost the price of the usual latency
 	// against other prices, both in aims.
 	// Endpoints that are alike cost up to leanMost more or less, by chance: many senders, each of which keeps
@@ -111,6 +108,8 @@
 	sent time.Duration
 	off  bool          // called off
 	idle time.Duration // how long its connection had idled; 0 for a new one
+	left int           // messages that it carries and whose outcome has not come
+	met  bool          // one outcome has
 }
 
 // lane holds the messages of one key in order of arrival.
@@ -127,8 +126,9 @@
 
 // kind holds what is learned over all destinations of a kind, for one alone is met too seldom.
 type kind struct {
-	apart bool    // endpoints are routes apart
-	span  float64 // seconds of the limit that a full allowance holds
+	apart  bool    // endpoints are routes apart
+	span   float64 // seconds of the limit that a full allowance holds
+	bundle int     // messages that a call may carry
 }
 
 // destination groups the endpoints that a message may go to.
@@ -155,7 +155,7 @@
 		s.classes[set.Classes[i].Name] = &set.Classes[i]
 	}
 	for _, k := range set.Kinds {
-		s.kinds[k.Name] = &kind{apart: k.OwnLimits}
+		s.kinds[k.Name] = &kind{apart: k.OwnLimits, bundle: k.Bundle}
 	}
 	for _, z := range set.Zones {
 		s.fees[z.Name] = z.Fee
@@ -234,7 +234,7 @@
 			if d.shared == nil || k.apart {
 				d.shared = &ledger{kind: k, peers: float64(s.set.Peers), bold: float64(s.set.Peers)}
 			}
-			e = &endpoint{id: row.ID, dest: d, ledger: d.shared, window: startCalls,
+			e = &endpoint{id: row.ID, dest: d, ledger: d.shared,
 				lean: leanMost * s.leaning.Float64()}
 			s.endpoints[row.ID] = e
 			d.eps, e.ledger.eps = append(d.eps, e), append(e.ledger.eps, e)
@@ -492,8 +492,6 @@
 	flights         []*flight       // out, in order of sending
 	idle            []time.Duration // idle connections, by the time they fell idle
 	mean, spread    float64         // usual latency in seconds; 0 = unmet
-	best            float64         // lowest usual latency
-	window          float64         // calls that may be out while no limit is known
 	lean            float64         // decides where all else is equal
 	lastSend        time.Duration
 	lastGood        time.Duration // sending time of the newest call that was answered well
@@ -663,28 +661,12 @@
 	l.okCount++
 	l.okAt, l.refusals, l.kind.span = s.now, 0, min(l.kind.span*spanGrow, budgetWindow)
 	e.took(latency)
-	e.adapt(float64(s.set.MaxCalls))
 	if e.outage {
 		e.outage, e.ramp, e.rampFrom, e.failing = false, true, s.now, rampDoubt
 		s.log("back, ramping: " + e.id)
 	}
 }
 
-// adapt sizes the window of calls out to an endpoint of unknown limit: it grows while the endpoint answers
-// at its best pace and shrinks while calls queue up there, where they no longer go by deadline. It holds
-// against any slowing that more calls make worse, and hurts an endpoint slow for reasons of its own.
-func (e *endpoint) adapt(most float64) {
-	if e.best == 0 || e.mean < e.best {
-		e.best = e.mean
-	}
-	switch {
-	case e.mean > queueing*e.best:
-		e.window = max(e.window-1/e.window, 1)
-	case float64(len(e.flights)+1) >= e.window:
-		e.window = min(e.window+1/e.window, most)
-	}
-}
-
 // took takes a latency into the usual one. A call that had no answer took at least as long as it was out.
 func (e *endpoint) took(latency time.Duration) {
 	x := latency.Seconds()
@@ -700,9 +682,6 @@
 func (s *Sender) refused(e *endpoint, wait time.Duration) {
 	e.ledger.refuse(wait, s.now, e.refusals == 0 && !e.outage && !e.ramp, s.rng.Float64())
 	e.refusals++
-	if e.ledger.limit == 0 {
-		e.window = max(e.window*shrink, 1)
-	}
 	most, tip := refusalStreak, s.set.Safety.TipAfter
 	if s.rare(e) && e.ledger.limit == 0 { // nothing else to be refused for but a full queue
 		most = 1
@@ -716,14 +695,24 @@
 	}
 }
 
+// joins says whether a message may travel with a call that leaves in this step, which costs no spend and no
+// slot. What goes to an endpoint that is out or cold goes alone, for it weighs more with each message.
+func (s *Sender) joins(e *endpoint) bool {
+	n := len(e.flights)
+	return n > 0 && e.flights[n-1].sent == s.now && e.flights[n-1].left < e.ledger.kind.bundle &&
+		!e.outage && !e.ramp
+}
+
 // usable says whether a message may go to an endpoint now.
 func (s *Sender) usable(m *message, e *endpoint) bool {
+	most := max(int(destinationPart*float64(s.set.MaxCalls)), 1)
 	switch {
-	case e.state != Listed,
-		s.now < e.ledger.waitUntil+s.set.Resolution && e.ledger.waitUntil > 0, s.now < e.ledger.heldUntil,
-		e.ledger.estimate(s.now) < 1:
+	case e.state != Listed, m.mayHave && m.class.Effect == Keyed && m.class.ZoneScope && e.zone != m.zone:
 		return false
-	case m.mayHave && m.class.Effect == Keyed && m.class.ZoneScope && e.zone != m.zone:
+	case s.joins(e):
+		return true
+	case s.out >= s.set.MaxCalls, m.dest.out >= most, s.now < e.ledger.heldUntil,
+		s.now < e.ledger.waitUntil+s.set.Resolution && e.ledger.waitUntil > 0, e.ledger.estimate(s.now) < 1:
 		return false
 	}
 	out := len(e.flights)
@@ -739,10 +728,7 @@
 		gap := s.patience(e)
 		return s.now-e.lastSend >= gap && m.dest.out < startCalls
 	}
-	if e.ledger.limit == 0 {
-		return float64(out) < e.window
-	}
-	return true
+	return e.ledger.limit > 0 || e.mean > 0 || out < startCalls
 }
 
 // idleConns counts the open connections without a call.
@@ -762,7 +748,7 @@
 	if e.zone != s.set.Zone {
 		cost += s.set.Prices.CrossZone
 	}
-	if e.idleConns(s) == 0 {
+	if e.idleConns(s) == 0 && !s.joins(e) {
 		cost += s.set.Prices.Handshake
 	}
 	return cost
@@ -792,8 +778,7 @@
 
 // place sends a message to the best endpoint that may take it now, if there is one.
 func (s *Sender) place(m *message) bool {
-	most := max(int(destinationPart*float64(s.set.MaxCalls)), 1)
-	if s.out >= s.set.MaxCalls || m.dest.out >= most || s.now < m.notBefore || !m.turn(s.now) {
+	if s.now < m.notBefore || !m.turn(s.now) {
 		return false
 	}
 	var best *endpoint
@@ -815,19 +800,23 @@
 }
 
 func (s *Sender) send(m *message, e *endpoint) {
-	m.flight = &flight{ep: e, sent: s.now}
-	m.attempts++
-	m.dest.held, m.dest.out, s.out = m.dest.held-1, m.dest.out+1, s.out+1
-	if n := e.idleConns(s); n > 0 {
-		m.flight.idle = max(s.now-e.idle[n-1], 1)
-		e.idle = e.idle[:n-1]
-	}
-	e.flights = append(e.flights, m.flight)
+	m.attempts, m.dest.held = m.attempts+1, m.dest.held-1
 	s.flying = append(s.flying, m)
-	if e.lastSend = s.now; e.outage { // the next one goes by this one's outcome
-		e.ledger.nextTry = s.now + s.coldGap(e, s.now)
+	if !s.joins(e) {
+		f := &flight{ep: e, sent: s.now}
+		m.dest.out, s.out = m.dest.out+1, s.out+1
+		if n := e.idleConns(s); n > 0 {
+			f.idle = max(s.now-e.idle[n-1], 1)
+			e.idle = e.idle[:n-1]
+		}
+		e.flights = append(e.flights, f)
+		if e.lastSend = s.now; e.outage { // the next one goes by this one's outcome
+			e.ledger.nextTry = s.now + s.coldGap(e, s.now)
+		}
+		e.ledger.spend(s.now)
 	}
-	e.ledger.spend(s.now)
+	m.flight = e.flights[len(e.flights)-1]
+	m.flight.left++
 	s.act(Send{ID: m.id, Endpoint: e.id, TimeOut: s.timeOut(m, e)})
 }
 
@@ -858,23 +847,16 @@
 	}
 	if worst != nil {
 		worst.flight.off = true
-		s.act(Cancel{ID: worst.id, Attempt: worst.attempts - 1})
+		for _, m := range s.flying {
+			if m.flight == worst.flight { // all that it carries
+				s.act(Cancel{ID: m.id, Attempt: m.attempts - 1})
+			}
+		}
 	}
 }
 
-// outcome takes in the end of an attempt.
-func (s *Sender) outcome(ev Outcome) {
-	m := s.messages[ev.ID]
-	if m == nil || m.flight == nil || ev.Attempt != m.attempts-1 {
-		return
-	}
-	f := m.flight
-	e := f.ep
-	m.flight, m.dest.out, s.out = nil, m.dest.out-1, s.out-1
-	s.flying = slices.DeleteFunc(s.flying, func(o *message) bool { return o == m })
-	e.flights = slices.DeleteFunc(e.flights, func(o *flight) bool { return o == f })
-	defer s.forget(e)
-	e.ledger.finalize(ev.Report, f.sent, s.now)
+// ended is what the end of a call says of its endpoint.
+func (s *Sender) ended(e *endpoint, f *flight, ev Outcome) {
 	switch ev.Status {
 	case OK:
 		s.answered(e, f.sent, ev.Latency)
@@ -890,12 +872,31 @@
 			e.took(s.now - f.sent)
 		}
 		s.failed(e, f, ev)
-		e.window = max(e.window*shrink, 1)
 	}
-
 	if ev.Status == OK || ev.Status == Full || ev.Status == Errored {
 		e.idle = append(e.idle, s.now)
 	}
+}
+
+// outcome takes in the end of an attempt.
+func (s *Sender) outcome(ev Outcome) {
+	m := s.messages[ev.ID]
+	if m == nil || m.flight == nil || ev.Attempt != m.attempts-1 {
+		return
+	}
+	f, e := m.flight, m.flight.ep
+	m.flight = nil
+	s.flying = slices.DeleteFunc(s.flying, func(o *message) bool { return o == m })
+	if f.left--; f.left == 0 {
+		m.dest.out, s.out = m.dest.out-1, s.out-1
+		e.flights = slices.DeleteFunc(e.flights, func(o *flight) bool { return o == f })
+	}
+	defer s.forget(e)
+	e.ledger.finalize(ev.Report, f.sent, s.now)
+	if !f.met { // one call, whatever it carries
+		f.met = true
+		s.ended(e, f, ev)
+	}
 	if m.lane != nil && (ev.Status == TimedOut || ev.Status == Reset || ev.Status == Cancelled) {
 		m.lane.rest = s.now + s.set.Safety.OrderPause
 	}
@@ -962,7 +963,7 @@
 		if l := e.ledger; l.limit == 0 {
 			rate = math.Inf(1) // unmet, or without a limit
 		} else if i == 0 || l.kind.apart {
-			rate += max(l.grant, l.limit*l.share())
+			rate += max(l.grant, l.limit*l.share()) * float64(max(l.kind.bundle, 1))
 		}
 	}
 	if first == math.MaxInt64 { // none is listed: the next news may bring one
@@ -1033,7 +1034,7 @@
 func (s *Sender) backlog(d *destination) float64 {
 	rate := 0.0
 	for _, e := range d.eps {
-		r := e.ledger.capacity() * e.ledger.share()
+		r := e.ledger.capacity() * e.ledger.share() * float64(max(e.ledger.kind.bundle, 1))
 		if !e.ledger.kind.apart {
 			r /= float64(len(d.eps))
 		}
--- a/wrenford.go
+++ b/wrenford.go
@@ -55,6 +55,7 @@
 type Kind struct {
 	Name      string
 	OwnLimits bool // its endpoints are routes apart: own limit, pace and outages each
+	Bundle    int  // messages that one call carries: those sent to an endpoint in one Step; up to 1 for one alone
 }
 
 // Zone is a place where endpoints stand.
