--- a/cmd/slatemux/config.go
+++ b/cmd/slatemux/config.go
@@ -129,9 +129,6 @@
 	if c.settings, err = settings.Parse(f.Settings); err != nil {
 		return c, err
 	}
-	for i := range c.settings.Kinds {
-		c.settings.Kinds[i].Bundle = 0 // flows carry one transaction each
-	}
 	if len(f.Known) > 0 && string(f.Known) != "null" {
 		if c.known, err = pool.Parse(f.Known); err != nil {
 			return c, fmt.Errorf("known: %w", err)
--- /dev/null
+++ b/internal/flow/batch.go
@@ -0,0 +1,75 @@
+package flow
+
+import (
+	"bytes"
+	"slices"
+	"strconv"
+	"time"
+
+	"wrenford/internal/flow/http1"
+	"wrenford/internal/traffic"
+)
+
+// A call may carry several transactions, where the pool member's kind takes that. It has one fate on its way, and its answer says
+// how each of them ended.
+
+// answerBatch bounds the answer: a line of some tens of bytes for each transaction.
+const answerBatch = 64 << 10
+
+// appendBatch encodes the call of a flow and those that travel with it.
+func appendBatch(dst []byte, f *traffic.Flow, now time.Time) []byte {
+	var body []byte
+	for _, x := range f.All() {
+		key := x.Key
+		if key == "" {
+			key = "-"
+		}
+		body = append(body, x.ID+" "+key+" "...)
+		body = strconv.AppendInt(body, int64(len(x.Body)), 10)
+		body = append(body, "\r\n"...)
+		body = append(append(body, x.Body...), "\r\n"...)
+	}
+	left := max(f.Deadline.Sub(now).Milliseconds(), 1)
+	return http1.AppendRequest(dst, "POST", "/hook/batch", f.Member,
+		[]http1.Field{{Name: "X-Time-Left-Ms", Value: strconv.FormatInt(left, 10)}}, body)
+}
+
+var batchEnds = map[string]traffic.FlowStatus{"delivered": traffic.Delivered, "failed": traffic.Errored, "refused": traffic.TurnedAway,
+	"over": traffic.Over, "spent": traffic.Spent}
+
+// decodeBatch reads how each transaction ended. Those whose end a line does not give, or that are named twice with two ends, may
+// have run; a line about another is passed over.
+func decodeBatch(body []byte) map[string]traffic.FlowStatus {
+	ends := map[string]traffic.FlowStatus{}
+	for line := range bytes.Lines(body) {
+		id, word, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(" "))
+		end, ok := batchEnds[string(word)]
+		if was, twice := ends[string(id)]; !ok || twice && was != end {
+			end = traffic.Broken
+		}
+		ends[string(id)] = end
+	}
+	return ends
+}
+
+// ends are the ends of all that a flow carried, those first that say most of the pool member: what it turned away, then what failed.
+func (r *running) ends(end traffic.FlowEnd, of map[string]traffic.FlowStatus) []traffic.FlowEnd {
+	if len(r.With) == 0 {
+		return []traffic.FlowEnd{end}
+	}
+	var list []traffic.FlowEnd
+	for _, x := range r.All() {
+		one := end
+		one.ID, one.Attempt = x.ID, x.Attempt
+		if of != nil {
+			status, told := of[x.ID]
+			if one.Status = status; !told {
+				one.Status = traffic.Broken
+			}
+		}
+		list = append(list, one)
+	}
+	rank := map[traffic.FlowStatus]int{traffic.TurnedAway: -2, traffic.Errored: -1}
+	slices.SortStableFunc(list, func(a, b traffic.FlowEnd) int { return rank[a.Status] - rank[b.Status] })
+	return list
+}
--- /dev/null
+++ b/internal/flow/batch_test.go
@@ -0,0 +1,147 @@
+package flow
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wrenford/internal/cuts"
+	"wrenford/internal/traffic"
+)
+
+// readBatch reads a call that carries several up to the end of its body, and returns that.
+func (r *rig) readBatch(nc net.Conn) string {
+	r.t.Helper()
+	var text []byte
+	buf := make([]byte, 1)
+	for {
+		if _, err := nc.Read(buf); err != nil {
+			r.t.Fatal(err)
+		}
+		text = append(text, buf...)
+		head, body, whole := strings.Cut(string(text), "\r\n\r\n")
+		if !whole {
+			continue
+		}
+		var n int
+		for _, line := range strings.Split(head, "\r\n") {
+			_, _ = fmt.Sscanf(line, "Content-Length: %d", &n)
+		}
+		if len(body) == n {
+			if !strings.HasPrefix(head, "POST /hook/batch HTTP/1.1\r\n") || !strings.Contains(head, "X-Time-Left-Ms: ") {
+				r.t.Errorf("head %q", head)
+			}
+			return body
+		}
+	}
+}
+
+// several is a flow that three transactions share.
+func (r *rig) several() {
+	r.start("a", func(f *traffic.Flow) {
+		f.Join(traffic.Flow{ID: "b", Attempt: 2, Member: "m", Body: []byte("\r\nx"), Deadline: f.Deadline.Add(-time.Second)})
+		f.Join(traffic.Flow{ID: "c", Member: "m", Key: "kc", Deadline: f.Deadline.Add(time.Second)})
+	})
+}
+
+// What a call that carries several is answered, and how each of them ends: message by message where the answer tells them apart,
+// all alike where it does not. What it does not tell may have run; nothing is delivered by an answer that is not whole.
+func TestSeveralInOneCall(t *testing.T) {
+	head := func(body string, more string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n%s", len(body), more, body)
+	}
+	const delivered, errored, away, over, spent, broken, unsent = traffic.Delivered, traffic.Errored, traffic.TurnedAway, traffic.Over,
+		traffic.Spent, traffic.Broken, traffic.Unsent
+	for what, c := range map[string]struct {
+		answer string
+		ends   [3]traffic.FlowStatus // of a, b and c
+		wait   time.Duration
+	}{
+		"each":                       {head("c refused\r\nb failed\r\na delivered\r\n", "X-Retry-In-Ms: 70\r\n"), [3]traffic.FlowStatus{delivered, errored, away}, 70 * time.Millisecond},
+		"over and spent":             {head("a over\nb spent\nc delivered", ""), [3]traffic.FlowStatus{over, spent, delivered}, 0},
+		"one missing, one unasked":   {head("a delivered\r\nzz delivered\r\nc delivered\r\n", ""), [3]traffic.FlowStatus{delivered, broken, delivered}, 0},
+		"a word that is none":        {head("a delivered\r\nb perhaps\r\nc\r\n", ""), [3]traffic.FlowStatus{delivered, broken, broken}, 0},
+		"two ends of one":            {head("a delivered\r\na refused\r\nb delivered\r\nc delivered\r\n", ""), [3]traffic.FlowStatus{broken, delivered, delivered}, 0},
+		"an empty answer":            {head("", ""), [3]traffic.FlowStatus{broken, broken, broken}, 0},
+		"torn":                       {head("a delivered\r\nb delivered\r\nc delivered\r\n", "")[:70], [3]traffic.FlowStatus{broken, broken, broken}, 0},
+		"all turned away":            {"HTTP/1.1 429 Busy\r\nX-Retry-In-Ms: 50\r\nContent-Length: 0\r\n\r\n", [3]traffic.FlowStatus{away, away, away}, 50 * time.Millisecond},
+		"all in error":               {"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n", [3]traffic.FlowStatus{errored, errored, errored}, 0},
+		"too many, none has run":     {"HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n", [3]traffic.FlowStatus{unsent, unsent, unsent}, 0},
+		"not readable, none has run": {"HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n", [3]traffic.FlowStatus{unsent, unsent, unsent}, 0},
+	} {
+		t.Run(what, func(t *testing.T) {
+			r := newRig(t)
+			r.several()
+			nc := <-r.conns
+			if got := r.readBatch(nc); got != "a k 4\r\nbody\r\nb - 3\r\n\r\nx\r\nc kc 0\r\n\r\n" {
+				t.Errorf("body %q", got)
+			}
+			_, _ = io.WriteString(nc, c.answer)
+			if what == "torn" {
+				nc.Close()
+			}
+			got := map[string]traffic.FlowEnd{}
+			first := traffic.FlowEnd{Status: -1}
+			for range 3 {
+				e := <-r.ends
+				if got[e.ID] = e; first.Status < 0 {
+					first = e
+				}
+			}
+			for i, id := range []string{"a", "b", "c"} {
+				if e := got[id]; e.Status != c.ends[i] || e.Attempt != map[string]int{"b": 2}[id] || e.Wait != c.wait {
+					t.Errorf("%s ends as %v, want %v", id, e, c.ends[i])
+				}
+			}
+			if c.ends[2] == away && first.Status != away {
+				t.Errorf("first of all is told %+v", first)
+			}
+			if c.wait > 0 { // it binds the next call
+				r.start("d")
+				if e := <-r.ends; e.Status != unsent {
+					t.Errorf("into the wait: %+v", e)
+				}
+			}
+			r.g.mu.Lock()
+			defer r.g.mu.Unlock()
+			if r.g.calls != 0 || len(r.g.flows) != 0 {
+				t.Errorf("kept: %d calls, %v", r.g.calls, r.g.flows)
+			}
+		})
+	}
+}
+
+// A call that carries several counts as one of those that may be out, and each of them calls it off.
+func TestSeveralAreOneCall(t *testing.T) {
+	r := newRig(t)
+	r.several()
+	nc := <-r.conns
+	r.readBatch(nc)
+	r.start("d")
+	r.read(<-r.conns) // the second of two
+	r.start("e")
+	r.want("e", traffic.NoSlot)
+	r.g.Cancel("b", 2)
+	for range 3 {
+		if e := <-r.ends; e.Status != traffic.CalledOff || e.ID == "d" {
+			t.Errorf("%+v", e)
+		}
+	}
+}
+
+// Whatever an answer holds, nothing is delivered that it does not say so of in a line of its own.
+func TestGarbageDeliversNothing(t *testing.T) {
+	cuts.Check(t, func(t *rapid.T) {
+		text := cuts.Garbage(t, []byte("aa delivered\r\nbb refused\r\ncc failed\r\n"))
+		for id, end := range decodeBatch(text) {
+			if end == traffic.Delivered && !strings.Contains("\n"+string(text)+"\n", "\n"+id+" delivered") {
+				t.Fatalf("%q is delivered by %q", id, text)
+			}
+		}
+	})
+}
--- a/internal/flow/call.go
+++ b/internal/flow/call.go
@@ -27,22 +27,28 @@
 	noSlot bool
 	wait   time.Duration
 	report *traffic.Report
+
+	several bool                          // the call carried several
+	each    map[string]traffic.FlowStatus // how each of them ended, where the answer tells them apart
 }
 
 // decode reads an answer, whole or spoilt. A 200 counts from its first line on: the message is delivered
 // then, whatever becomes of the rest. Of any other answer that is not whole, nothing is to be believed: the call
-// may have run, also where a 503 seems to deny it.
-func decode(r *http1.Response) answer {
-	if !r.Done() && r.Status != 200 {
+// may have run, also where a 503 seems to deny it. Where a call carried several, a 200 counts when it is whole, too.
+func decode(r *http1.Response, several bool) answer {
+	if !r.Done() && (r.Status != 200 || several) {
 		return answer{}
 	}
-	a := answer{status: r.Status, noSlot: r.Header("X-No-Slot") == "1"}
+	a := answer{several: several, status: r.Status, noSlot: r.Header("X-No-Slot") == "1"}
 	if r.HeadDone() {
 		a.report = parseReport(r.Header("X-Backend-Load"))
 	}
 	if ms, err := strconv.ParseFloat(r.Header("X-Retry-In-Ms"), 64); err == nil && ms > 0 && ms < 1e9 {
 		a.wait = time.Duration(math.Ceil(ms)) * time.Millisecond
 	}
+	if several && a.status == 200 {
+		a.each = decodeBatch(r.Body)
+	}
 	return a
 }
 
@@ -77,6 +83,9 @@
 	switch {
 	case a.status == 200:
 		end.Status = traffic.Delivered
+		if a.several {
+			end.Wait = a.wait // it binds as any
+		}
 	case a.status == 429:
 		end.Status, end.Wait = traffic.TurnedAway, a.wait
 	case a.status == 503 && a.noSlot:
@@ -87,6 +96,8 @@
 		end.Status = traffic.Spent
 	case a.status == 410:
 		end.Status = traffic.Over
+	case a.several && (a.status == 400 || a.status == 413):
+		end.Status = traffic.Unsent // none of them has run
 	default:
 		end.Status = traffic.Errored
 	}
--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -22,14 +22,15 @@
 	lent      bool      // to a flow
 	warm      bool      // that flow is not the first on it
 
-	mu    sync.Mutex
-	dead  bool            // over, or not to be used again
-	resp  *http1.Response // of the call that is out; nil between calls
-	tail  conns.End       // how the newest call ended
-	heard bool            // something came for it
-	noisy bool            // something came without a call
-	stuck bool            // the peer acknowledges nothing
-	wrote time.Time       // when the call that is out was written; zero between calls
+	mu      sync.Mutex
+	dead    bool            // over, or not to be used again
+	resp    *http1.Response // of the call that is out; nil between calls
+	several bool            // that call carries several transactions
+	tail    conns.End       // how the newest call ended
+	heard   bool            // something came for it
+	noisy   bool            // something came without a call
+	stuck   bool            // the peer acknowledges nothing
+	wrote   time.Time       // when the call that is out was written; zero between calls
 
 	timed bool          // a read deadline is set; of the reader alone
 	over  chan struct{} // closed by the reader at its end
@@ -45,10 +46,19 @@
 	if c.dead {
 		return false
 	}
-	c.resp, c.got, c.result, c.heard, c.tail = &http1.Response{}, make(chan struct{}), answer{}, false, conns.Dead
+	c.resp, c.got, c.result, c.heard, c.tail, c.several = &http1.Response{}, make(chan struct{}), answer{}, false, conns.Dead, false
 	return true
 }
 
+// carriesSeveral has the answer say how each of them ended.
+func (c *conn) carriesSeveral() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.several = true; c.resp != nil {
+		c.resp.Keep = answerBatch
+	}
+}
+
 // writing notes that the call is about to be written.
 func (c *conn) writing(at time.Time) {
 	c.mu.Lock()
@@ -170,7 +180,7 @@
 		case c.heard:
 			c.tail = conns.Broken
 		}
-		c.result = decode(c.resp)
+		c.result = decode(c.resp, c.several)
 		c.resp = nil
 		close(c.got)
 	}
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -87,6 +87,7 @@
 	members map[string]*member
 	waits   map[traffic.Group]time.Time // nothing is written before
 	flows   map[flowID]*running
+	calls   int // of them; one may carry several
 	opener  *opener
 	dialer  *dialer
 	conns   *conns.Pool
@@ -159,20 +160,23 @@
 	r := &running{Flow: f, cancel: cancel}
 	g.mu.Lock()
 	r.m = g.members[f.Member]
-	full := len(g.flows) >= g.cfg.MostFlows
+	full := g.calls >= g.cfg.MostFlows
 	var l lease
 	if !full && r.m != nil {
-		g.flows[flowID{f.ID, f.Attempt}] = r
+		g.calls++
+		for _, x := range f.All() {
+			g.flows[flowID{x.ID, x.Attempt}] = r
+		}
 		l = g.ask(f.Member, g.conns.Call)
 	}
 	g.mu.Unlock()
 	switch {
 	case r.m == nil:
 		cancel()
-		g.done(r.end(traffic.Unsent))
+		g.tell(r, r.end(traffic.Unsent), nil)
 	case full:
 		cancel()
-		g.done(r.end(traffic.NoSlot))
+		g.tell(r, r.end(traffic.NoSlot), nil)
 	default:
 		go g.run(ctx, r, l)
 	}
@@ -250,14 +254,17 @@
 // run carries one flow from its connection to its end.
 func (g *Manager) run(ctx context.Context, r *running, l lease) {
 	r.queued = time.Since(r.Begun)
-	end := g.attempt(ctx, r, l)
+	end, each := g.attempt(ctx, r, l)
 	if g.cfg.OwnDelay != nil {
 		end.Took = max(end.Took-g.cfg.OwnDelay(), 0)
 	}
 	r.cancel()
 	g.mu.Lock()
-	delete(g.flows, flowID{r.ID, r.Attempt})
-	if end.Status == traffic.TurnedAway && end.Wait > 0 {
+	g.calls--
+	for _, x := range r.All() {
+		delete(g.flows, flowID{x.ID, x.Attempt})
+	}
+	if (end.Status == traffic.TurnedAway || each != nil) && end.Wait > 0 {
 		// At once, not by way of the relay: a call still being connected must not be written into the wait.
 		if until := time.Now().Add(end.Wait); until.After(g.waits[r.Group]) {
 			g.waits[r.Group] = until
@@ -267,37 +274,51 @@
 		}
 	}
 	g.mu.Unlock()
-	if g.cfg.Fleet != nil {
-		g.cfg.Fleet.Ended(r.Flow, end)
+	g.tell(r, end, each)
+}
+
+// tell hands on the ends of a flow and of those that travelled with it.
+func (g *Manager) tell(r *running, end traffic.FlowEnd, each map[string]traffic.FlowStatus) {
+	for i, one := range r.ends(end, each) {
+		if g.cfg.Fleet != nil && i == 0 {
+			g.cfg.Fleet.Ended(r.Flow, one)
+		}
+		g.done(one)
 	}
-	g.done(end)
 }
 
-func (g *Manager) attempt(ctx context.Context, r *running, l lease) traffic.FlowEnd {
+// attempt makes the call and says how it ended; where it carried several, how each of them did, if the answer tells.
+func (g *Manager) attempt(ctx context.Context, r *running, l lease) (traffic.FlowEnd, map[string]traffic.FlowStatus) {
 	if end, told := g.toldElsewhere(r); told {
 		g.giveBack(l)
-		return end
+		return end, nil
 	}
 	if g.barred(r.Group, time.Now()) {
 		g.giveBack(l)
-		return r.end(traffic.Unsent)
+		return r.end(traffic.Unsent), nil
 	}
 	c, err := g.get(ctx, r, l)
 	if err == errHeld {
-		return r.end(traffic.Unsent) // by this program itself: the member has nothing to do with it
+		return r.end(traffic.Unsent), nil // by this program itself: the member has nothing to do with it
 	} else if err != nil {
 		slog.Debug("no connection", "member", r.Member, "id", r.ID, "err", err)
-		return r.end(traffic.NotConnected)
+		return r.end(traffic.NotConnected), nil
 	}
 	if end, told := g.toldElsewhere(r); told {
 		g.unused(c)
-		return end
+		return end, nil
 	}
 	if !g.mayWrite(ctx, r) {
 		g.unused(c)
-		return r.end(traffic.Unsent)
+		return r.end(traffic.Unsent), nil
+	}
+	var call []byte
+	if len(r.With) == 0 {
+		call = appendCall(nil, &r.Flow, time.Now())
+	} else {
+		call = appendBatch(nil, &r.Flow, time.Now())
+		c.carriesSeveral()
 	}
-	call := appendCall(nil, &r.Flow, time.Now())
 	from := time.Now()
 	c.writing(from)
 	stop := context.AfterFunc(ctx, func() { // also ends a write that hangs
@@ -307,7 +328,7 @@
 	if n, err := c.nc.Write(call); n < len(call) {
 		g.over(c, c.ending(stop()), time.Since(from))
 		slog.Debug("call not written", "member", r.Member, "id", r.ID, "err", err)
-		return r.end(traffic.NotConnected)
+		return r.end(traffic.NotConnected), nil
 	}
 	<-c.got            // the reader always closes it: kill ends the reader
 	result := c.result // before the connection is given back: its next call begins by clearing it
@@ -320,7 +341,7 @@
 	} else if ctx.Err() != nil {
 		end.Status = traffic.CalledOff
 	}
-	return end
+	return end, result.each
 }
 
 // toldElsewhere ends a flow whose group the other process of a hand-over was told to wait for as turned away
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -339,7 +339,7 @@
 	cuts.Check(t, func(t *rapid.T) {
 		var resp http1.Response
 		_, _ = resp.Feed(cuts.Garbage(t, []byte(ok)))
-		a := decode(&resp)
+		a := decode(&resp, false)
 		if rep := a.report; rep != nil && !(rep.Left >= 0 && rep.Limit >= 0) || a.wait < 0 {
 			t.Fatalf("%+v", a)
 		}
--- a/internal/relay/order.go
+++ b/internal/relay/order.go
@@ -11,13 +11,28 @@
 // platform when the notice has its answer, which the module does not hear of: until then the flow waits here, as it might for a
 // connection. The answer comes at once as a rule; where it does not, the flow ends when its time is up, unsent.
 
-// start begins a flow, or has it wait.
+// start begins a flow, or has those of its transactions wait that have to.
 func (r *Relay) start(f traffic.Flow) {
-	if h := r.open[f.ID]; h != nil && h.Order != "" && len(r.noticed) > 0 && r.awaits(h.Order) {
-		r.parked[h.Order] = append(r.parked[h.Order], f)
+	if len(r.noticed) == 0 {
+		r.cfg.Flows.Start(f)
 		return
 	}
-	r.cfg.Flows.Start(f)
+	var free []traffic.Flow
+	for _, x := range f.All() {
+		x.With = nil
+		if h := r.open[x.ID]; h != nil && h.Order != "" && r.awaits(h.Order) {
+			r.parked[h.Order] = append(r.parked[h.Order], x)
+		} else {
+			free = append(free, x)
+		}
+	}
+	if len(free) > 0 {
+		first := free[0]
+		for _, x := range free[1:] {
+			first.Join(x)
+		}
+		r.cfg.Flows.Start(first)
+	}
 }
 
 // awaits says whether a notice of a key has no answer yet.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -131,6 +131,7 @@
 	origin  time.Time // of the module's time
 	classes map[string]*wrenford.Class
 	apart   map[string]bool
+	bundles map[string]int // by kind of member: how many transactions one call carries
 	pool    roster
 	open    map[string]*held
 	bytes   int64
@@ -208,7 +209,7 @@
 		cfg.Meters = noMeters{}
 	}
 	r := &Relay{cfg: cfg, squeeze: squeeze{messages: cfg.Settings.MaxOpen, byteScale: 1}, sender: sender, origin: time.Now(), classes: map[string]*wrenford.Class{},
-		apart: map[string]bool{}, waiting: map[int]int{}, noticed: map[string]string{}, parked: map[string][]traffic.Flow{}, pool: newRoster(), open: map[string]*held{}, tally: newTally(),
+		apart: map[string]bool{}, bundles: map[string]int{}, waiting: map[int]int{}, noticed: map[string]string{}, parked: map[string][]traffic.Flow{}, pool: newRoster(), open: map[string]*held{}, tally: newTally(),
 		signal: make(chan struct{}, 1)}
 	r.bans, r.shut, r.outs, r.heard = maps.Clone(cfg.Banned), maps.Clone(cfg.Banned), map[string]bool{}, map[string]bool{}
 	if cfg.Fleet != nil {
@@ -219,6 +220,7 @@
 	}
 	for _, k := range cfg.Settings.Kinds {
 		r.apart[k.Name] = k.OwnLimits
+		r.bundles[k.Name] = k.Bundle
 	}
 	return r, nil
 }
@@ -640,6 +642,7 @@
 			}
 		}
 	}
+	together := map[string]*traffic.Flow{} // the newest call to each member
 	for _, a := range actions {
 		switch a := a.(type) {
 		case wrenford.Send:
@@ -651,7 +654,13 @@
 			r.demands.note(&h.Transaction, 0, -1)
 			r.out++
 			changes = append(changes, traffic.FlowBegun{ID: f.ID, Attempt: f.Attempt, At: now})
-			after = append(after, deed{flow: &f})
+			if with := together[f.Member]; with != nil && len(with.With)+1 < r.bundles[r.pool.members[f.Member].Class] &&
+				with.Carried()+f.Carried() <= traffic.MostCarried {
+				with.Join(f) // the module counts what goes to a member in one step as one call
+			} else {
+				together[f.Member] = &f
+				after = append(after, deed{flow: &f})
+			}
 		case wrenford.Cancel:
 			after = append(after, deed{do: func() { r.cancel(a.ID, a.Attempt) }})
 		case wrenford.Refuse:
@@ -670,7 +679,7 @@
 		if d.do != nil {
 			d.do()
 		} else if saved {
-			r.count.Flows++
+			r.count.Flows += int64(1 + len(d.flow.With))
 			r.start(*d.flow)
 		}
 	}
@@ -781,12 +790,14 @@
 		if d.flow == nil {
 			continue
 		}
-		end := traffic.FlowEnd{ID: d.flow.ID, Attempt: d.flow.Attempt, Member: d.flow.Member, Status: traffic.Unsent}
-		if dropped[end.ID] {
-			r.out--
-			follow = append(follow, outcome(end))
-		} else {
-			r.post(end)
+		for _, f := range d.flow.All() {
+			end := traffic.FlowEnd{ID: f.ID, Attempt: f.Attempt, Member: f.Member, Status: traffic.Unsent}
+			if dropped[end.ID] {
+				r.out--
+				follow = append(follow, outcome(end))
+			} else {
+				r.post(end)
+			}
 		}
 	}
 	if len(follow) > 0 {
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -136,6 +136,33 @@
 	Begun    time.Time
 	Deadline time.Time // the answer is waited for until then
 	WriteBy  time.Time // the last byte must be out before; zero if that does not matter
+	With     []Flow    // others that travel with it in one call; their times are in this one's
+}
+
+// All are the flow and those that travel with it.
+func (f *Flow) All() []Flow { return append([]Flow{*f}, f.With...) }
+
+// MostCarried is the most that the body of a call may hold that carries several.
+const MostCarried = 64 << 10
+
+// Carried is what the flow takes in it, with those that travel with it.
+func (f *Flow) Carried() (n int) {
+	for _, x := range f.All() {
+		n += len(x.ID) + len(x.Key) + len(x.Body) + 16
+	}
+	return n
+}
+
+// Join has another flow to the same member travel with this one.
+func (f *Flow) Join(o Flow) {
+	f.With = append(f.With, o)
+	f.Worth = max(f.Worth, o.Worth)
+	if o.Deadline.Before(f.Deadline) {
+		f.Deadline = o.Deadline
+	}
+	if !o.WriteBy.IsZero() && (f.WriteBy.IsZero() || o.WriteBy.Before(f.WriteBy)) {
+		f.WriteBy = o.WriteBy
+	}
 }
 
 // FlowStatus says how a flow ended.
