--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -8,10 +8,12 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"wrenford"
 	"wrenford/internal/flow"
 	"wrenford/internal/front"
 	"wrenford/internal/governor"
@@ -25,6 +27,7 @@
 	"wrenford/internal/relay"
 	"wrenford/internal/secure"
 	"wrenford/internal/traffic"
+	"wrenford/internal/turns"
 	"wrenford/internal/vitals"
 	"wrenford/internal/waits"
 )
@@ -56,6 +59,11 @@
 	return s
 }
 
+// keepsOrder says whether any class keeps the order of keys.
+func keepsOrder(set *wrenford.Settings) bool {
+	return slices.ContainsFunc(set.Classes, func(c wrenford.Class) bool { return c.OrderedByKey })
+}
+
 // run serves until a signal ends it. It reads its configuration again when asked to, and tells where it
 // listens once it is ready.
 func run(cfg config, in signals, reread func() (config, error), ready func(net.Addr)) error {
@@ -126,6 +134,15 @@
 		defer table.Close()
 		shared = table
 	}
+	var inTurn relay.Turns // as well
+	if keepsOrder(&cfg.settings) {
+		if table, err := turns.Open(os.TempDir(), fmt.Sprint(os.Getpid(), cfg.began.UnixNano())); err != nil {
+			slog.Warn("the order of keys is not shared with a successor", "err", err)
+		} else {
+			defer table.Close()
+			inTurn = table
+		}
+	}
 	var r *relay.Relay
 	part, err := join(&cfg, func() *relay.Relay { return r })
 	if err != nil {
@@ -156,7 +173,7 @@
 	learned := recall.Open(cfg.state, most.learned, time.Now())
 	notices := notice.New(discovery, func(ids []string) { r.NoticesAnswered(ids) })
 	r, err = relay.New(relay.Config{Meters: meters, Settings: cfg.settings, Seed: cfg.seed, MostBytes: most.openBytes, Store: store,
-		Flows: flows, Notices: notices, Ahead: ahead, Lessons: learned, Heir: store, Fleet: amongRelays, Banned: bans})
+		Flows: flows, Notices: notices, Ahead: ahead, Lessons: learned, Heir: store, Fleet: amongRelays, Turns: inTurn, Banned: bans})
 	if err != nil {
 		return err
 	}
--- a/internal/relay/order.go
+++ b/internal/relay/order.go
@@ -4,9 +4,56 @@
 	"slices"
 	"time"
 
+	"wrenford"
 	"wrenford/internal/traffic"
 )
 
+// Turns keep the order of keys between the processes of one relay, while one replaces the other. Nothing blocks.
+type Turns interface {
+	// Take gives an open transaction of a key its turn; one that another process had keeps its own.
+	Take(key, id string, now, until time.Time)
+	// Waits says whether another process still holds an earlier one.
+	Waits(key, id string, now time.Time) bool
+	Done(key, id string)
+}
+
+// turnEvery is how often it is asked, and lastCall how many of the module's least steps before its time is up a transaction that
+// still waits is given to the module all the same: so late that it sends nothing and ends it.
+const turnEvery, lastCall = 20 * time.Millisecond, 5
+
+// ordered says whether a transaction has to keep its place among those of its key.
+func (r *Relay) ordered(t *traffic.Transaction) bool {
+	c := r.classes[t.Class]
+	return c != nil && c.OrderedByKey && t.Order != ""
+}
+
+// offer tells the module of a transaction that was taken on, at once or when its turn has come.
+func (r *Relay) offer(h *held, now time.Time, events []wrenford.Event) []wrenford.Event {
+	if r.cfg.Turns != nil && r.ordered(&h.Transaction) {
+		r.cfg.Turns.Take(h.Order, h.ID, now, h.Deadline)
+		before := slices.ContainsFunc(r.later, func(o *held) bool { return o.Order == h.Order })
+		if before || r.cfg.Turns.Waits(h.Order, h.ID, now) {
+			r.later = append(r.later, h)
+			return events
+		}
+	}
+	return append(events, r.request(&h.Open, now))
+}
+
+// offerAgain looks at those that wait.
+func (r *Relay) offerAgain(now time.Time, events []wrenford.Event) []wrenford.Event {
+	waits := map[string]bool{}
+	r.later = slices.DeleteFunc(r.later, func(h *held) bool {
+		if h.Deadline.Sub(now) > lastCall*r.cfg.Settings.Resolution && (waits[h.Order] || r.cfg.Turns.Waits(h.Order, h.ID, now)) {
+			waits[h.Order] = true
+			return false
+		}
+		events = append(events, r.request(&h.Open, now))
+		return true
+	})
+	return events
+}
+
 // The module lets the next transaction of a key go once the one before it is over. One that ends by a notice is over for the
 // platform when the notice has its answer, which the module does not hear of: until then the flow waits here, as it might for a
 // connection. The answer comes at once as a rule; where it does not, the flow ends when its time is up, unsent.
@@ -53,6 +100,9 @@
 			continue
 		}
 		delete(r.noticed, id)
+		if r.cfg.Turns != nil {
+			r.cfg.Turns.Done(key, id)
+		}
 		if r.awaits(key) {
 			continue
 		}
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -67,3 +68,72 @@
 		t.Errorf("kept %v", r.parked)
 	}
 }
+
+// turn is a table in which another process holds what a test says.
+type turn struct {
+	waits       map[string]bool
+	taken, done []string
+}
+
+func (x *turn) Take(key, id string, _, _ time.Time)    { x.taken = append(x.taken, key+" "+id) }
+func (x *turn) Waits(key, id string, _ time.Time) bool { return x.waits[id] }
+func (x *turn) Done(key, id string)                    { x.done = append(x.done, key+" "+id) }
+
+// While another process holds an earlier one of its key, a transaction is taken on, journalled and answered, but not sent; nor are
+// those behind it. It goes when its turn has come, and ends with its time if that does not come.
+func TestTurnsOfAnotherProcess(t *testing.T) {
+	w, x := &world{}, &turn{waits: map[string]bool{"a": true, "d": true}}
+	set := settingsForTest()
+	set.Classes[0].OrderedByKey = true
+	r, err := New(Config{Settings: set, MostBytes: 1 << 20, Store: w, Flows: w, Notices: w, Turns: x})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Start(known, nil, nil, nil)
+	now := r.origin.Add(10 * time.Millisecond)
+	put := func(id, key string, lasts time.Duration) {
+		tr := transaction(id, set.Classes[0].Name, now.Add(lasts))
+		tr.Order = key
+		if a := hand(t, r, now, tr); a.Verdict != traffic.Accepted {
+			t.Fatalf("%s: %+v", id, a)
+		}
+	}
+	put("a", "k1", 20*time.Second)
+	put("b", "k1", 20*time.Second)
+	put("c", "k2", 20*time.Second)
+	if got := w.took(); len(w.flows) != 1 || w.last().ID != "c" || strings.Count(got, "Taken") != 3 {
+		t.Fatalf("did %s, started %+v", got, w.flows)
+	}
+	step := func() {
+		now = now.Add(10 * time.Millisecond)
+		r.step(now, taken(r))
+	}
+	step()
+	if len(w.flows) != 1 || len(r.later) != 2 {
+		t.Fatalf("started %+v, %d wait", w.flows, len(r.later))
+	}
+	x.waits["a"] = false
+	step()
+	if len(w.flows) != 2 || w.last().ID != "a" || len(r.later) != 0 {
+		t.Fatalf("its turn has come: started %+v, %d wait", w.flows, len(r.later))
+	}
+	r.FlowEnded(traffic.FlowEnd{ID: "a", Member: w.last().Member, Status: traffic.Delivered, Took: time.Millisecond})
+	step()
+	if w.last().ID != "b" || len(x.done) != 1 || x.done[0] != "k1 a" {
+		t.Errorf("behind it: started %+v, over %v", w.last(), x.done)
+	}
+	put("d", "k3", 300*time.Millisecond) // a turn that never comes
+	for range 60 {
+		step()
+	}
+	if w.last().ID == "d" || r.open["d"] != nil || len(r.later) != 0 {
+		t.Errorf("its time is up: started %+v, open %v", w.last(), r.open["d"])
+	}
+	if r.NoticesAnswered([]string{"d"}); r.noticed["d"] != "k3" {
+		t.Errorf("notices %v", r.noticed)
+	}
+	step()
+	if x.done[len(x.done)-1] != "k3 d" {
+		t.Errorf("over %v", x.done)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,6 +94,7 @@
 	Lessons   Lessons         // nil for nobody
 	Heir      Heir            // nil for nobody
 	Fleet     Fleet           // nil for a relay alone
+	Turns     Turns           // nil where the order of keys is this process's alone
 	Banned    map[string]bool // members that operators had taken down at the start
 }
 
@@ -140,6 +142,7 @@
 	unsaved []traffic.Change // ends that the store has not taken yet
 	wakes   []time.Time
 	squeeze squeeze
+	later   []*held                   // transactions that wait for another process's turn, in the order of their coming
 	noticed map[string]string         // transactions of a class in order whose notice has no answer yet, and their keys
 	parked  map[string][]traffic.Flow // by key: flows that wait for such answers
 	waiting map[int]int               // transactions without a flow, by destination; those that are told of with 0 go at the next telling
@@ -179,8 +182,9 @@
 // held is an open transaction.
 type held struct {
 	traffic.Open
-	begun time.Time               // of the flow that is out; zero without one
-	fresh []chan<- traffic.Answer // waiting for the answer to the hand-in; in its first step alone
+	begun   time.Time               // of the flow that is out; zero without one
+	fresh   []chan<- traffic.Answer // waiting for the answer to the hand-in; in its first step alone
+	noticed bool                    // it ends by a notice
 }
 
 // handIn, flowEnd, and so on are what the inbox holds.
@@ -249,7 +253,7 @@
 		r.waiting[o.Destination]++
 		r.demands.note(&o.Transaction, 0, 1)
 		r.count.Recovered++
-		events = append(events, r.request(&h.Open, now))
+		events = r.offer(h, now, events)
 	}
 	for _, n := range notices {
 		r.cfg.Notices.Send(n) // of which key it was is not known any more; its call is on its way before any other
@@ -385,6 +389,9 @@
 		if at, ok := r.demands.due(); ok && at.Before(next) {
 			next = at
 		}
+		if len(r.later) > 0 && next.After(last.Add(turnEvery)) {
+			next = last.Add(turnEvery) // so does another process's turn
+		}
 		timer.Reset(time.Until(next))
 	}
 }
@@ -461,12 +468,12 @@
 		}
 	}
 	r.wakes = due
-	events = r.adopt(now, events)
+	events = r.offerAgain(now, r.adopt(now, events))
 	for _, in := range batch {
 		switch in := in.(type) {
 		case handIn:
 			if h := r.admit(in, now); h != nil {
-				events = append(events, r.request(&h.Open, now))
+				events = r.offer(h, now, events)
 			}
 		case traffic.FlowEnd:
 			events, changes = r.flowEnd(in, events, changes)
@@ -610,6 +617,9 @@
 	if h.fresh == nil {
 		r.ended++
 	}
+	if r.cfg.Turns != nil && !h.noticed && r.ordered(&h.Transaction) {
+		r.cfg.Turns.Done(h.Order, h.ID)
+	}
 }
 
 // deed is what may be done once the journal has the step; a flow is not started where that failed.
@@ -624,7 +634,14 @@
 	var actions []wrenford.Action
 	r.cfg.Meters.Section(func() { actions = r.sender.Step(now.Sub(r.origin), events) })
 	var after []deed // in the module's order
+	var taken []*held
 	ended := map[string]bool{}
+	for _, h := range r.later { // taken on, though the module has not heard of them
+		if h.fresh != nil {
+			taken = append(taken, h)
+			changes = append(changes, traffic.Taken{Transaction: h.Transaction})
+		}
+	}
 	for _, a := range actions {
 		switch a := a.(type) {
 		case wrenford.Refuse:
@@ -633,7 +650,6 @@
 			ended[a.ID] = true
 		}
 	}
-	var taken []*held
 	for _, ev := range events {
 		if req, ok := ev.(wrenford.Request); ok && !ended[req.ID] {
 			if h := r.open[req.ID]; h.fresh != nil {
@@ -721,6 +737,7 @@
 // end gives a transaction its final answer: to the client that just handed it in, or by a notice.
 func (r *Relay) end(n traffic.Notice, changes []traffic.Change, after *[]deed) []traffic.Change {
 	h := r.open[n.ID]
+	h.noticed = h.fresh == nil
 	r.forget(h)
 	if h.fresh != nil { // not taken on: nothing is owed and nothing journalled
 		answer := traffic.Answer{Verdict: traffic.Busy, RetryIn: n.RetryIn}
@@ -741,7 +758,7 @@
 		r.count.HandedBack++
 		r.counted(h.Class, r.tally.overload)
 	}
-	if c := r.classes[h.Class]; c != nil && c.OrderedByKey && h.Order != "" {
+	if r.ordered(&h.Transaction) {
 		r.noticed[n.ID] = h.Order
 	}
 	*after = append(*after, deed{do: func() { r.cfg.Notices.Send(n) }})
@@ -780,6 +797,7 @@
 	var follow []wrenford.Event
 	for _, h := range taken {
 		dropped[h.ID] = true
+		r.later = slices.DeleteFunc(r.later, func(o *held) bool { return o == h })
 		r.forget(h)
 		r.count.Full++
 		r.answeredAs(h.Class, traffic.Answer{Verdict: traffic.Busy})
--- /dev/null
+++ b/internal/turns/turns.go
@@ -0,0 +1,158 @@
+// Package turns keeps the order of a key between the processes of one relay. During a hand-over two processes take messages on,
+// each the next of a key as it comes, and the order is the relay's: each open message of a key has a ticket in a table that both
+// processes map from $TMPDIR, and a process does not begin with one while another process holds an earlier one. What a process that
+// ends leaves is taken up by its successor with its tickets. A restart empties $TMPDIR, and the journal's order is what remains.
+package turns
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+	"unsafe"
+)
+
+// slots is how many open messages the table has room for, and near how many of one key, and of those whose hashes lie beside it. One
+// that finds no room keeps the order of its own process alone. The file is sparse.
+const slots, near = 8192, 128
+
+const headBytes, slotBytes = 64, 40
+
+// slot is an open message. A ticket of 0 is a free slot; one whose time is over is as good as free.
+type slot struct{ ticket, key, id, owner, until atomic.Uint64 }
+
+// Table is the shared table. A nil Table shares nothing.
+type Table struct {
+	owner uint64
+
+	mu  sync.RWMutex // held for writing to unmap
+	mem []byte       // nil once closed
+}
+
+// Open maps the table of a folder, made where there is none, for a process of this name.
+func Open(dir, owner string) (*Table, error) {
+	f, err := os.OpenFile(filepath.Join(dir, "slatemux-turns"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("turns: %w", err)
+	}
+	defer f.Close()
+	const size = headBytes + slots*slotBytes
+	if err := f.Truncate(size); err != nil {
+		return nil, fmt.Errorf("turns: %w", err)
+	}
+	mem, err := syscall.Mmap(int(f.Fd()), 0, size, syscall.PROT_READ|syscall.PROT_WRITE, syscall.MAP_SHARED)
+	if err != nil {
+		return nil, fmt.Errorf("turns: %w", err)
+	}
+	return &Table{owner: hash(owner), mem: mem}, nil
+}
+
+// Close unmaps it. From then on it shares nothing.
+func (t *Table) Close() error {
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	mem := t.mem
+	if t.mem = nil; mem == nil {
+		return nil
+	}
+	return syscall.Munmap(mem)
+}
+
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	var b [8]byte
+	h.Write(binary.LittleEndian.AppendUint64(b[:0], uint64(len(text))))
+	return max(h.Sum64(), 1)
+}
+
+// each calls f with the slots in which a message of a key may stand, until it says that it is done.
+func (t *Table) each(key uint64, f func(s *slot) (done bool)) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for n := range uint64(near) {
+		if t.mem == nil || f((*slot)(unsafe.Pointer(&t.mem[headBytes+(key+n)%slots*slotBytes]))) {
+			return
+		}
+	}
+}
+
+// Take gives an open message of a key its ticket, or takes over the one that it has. It holds until the message's time is over.
+func (t *Table) Take(key, id string, now, until time.Time) {
+	if t == nil {
+		return
+	}
+	k, m, found := hash(key), hash(id), false
+	t.each(k, func(s *slot) bool {
+		found = s.ticket.Load() != 0 && s.key.Load() == k && s.id.Load() == m
+		if found {
+			s.owner.Store(t.owner)
+			s.until.Store(uint64(until.UnixNano()))
+		}
+		return found
+	})
+	if found {
+		return
+	}
+	t.each(k, func(s *slot) bool {
+		was := s.ticket.Load()
+		if was != 0 && s.until.Load() > uint64(now.UnixNano()) {
+			return false
+		}
+		ticket := (*atomic.Uint64)(unsafe.Pointer(&t.mem[0])).Add(1)
+		s.until.Store(0) // as long as it is not whole it holds nobody back
+		if !s.ticket.CompareAndSwap(was, ticket) {
+			return false
+		}
+		s.key.Store(k)
+		s.id.Store(m)
+		s.owner.Store(t.owner)
+		s.until.Store(uint64(until.UnixNano()))
+		return true
+	})
+}
+
+// Waits says whether another process holds an earlier message of the key that is still open.
+func (t *Table) Waits(key, id string, now time.Time) bool {
+	if t == nil {
+		return false
+	}
+	k, m, own, others := hash(key), hash(id), uint64(0), uint64(1<<64-1)
+	t.each(k, func(s *slot) bool {
+		ticket := s.ticket.Load()
+		if ticket == 0 || s.key.Load() != k || s.until.Load() <= uint64(now.UnixNano()) {
+			return false
+		}
+		if s.id.Load() == m {
+			own = ticket
+		} else if s.owner.Load() != t.owner {
+			others = min(others, ticket)
+		}
+		return false
+	})
+	return own != 0 && others < own
+}
+
+// Done says that a message is over.
+func (t *Table) Done(key, id string) {
+	if t == nil {
+		return
+	}
+	k, m := hash(key), hash(id)
+	t.each(k, func(s *slot) bool {
+		found := s.ticket.Load() != 0 && s.key.Load() == k && s.id.Load() == m
+		if found {
+			s.id.Store(0)
+			s.until.Store(0)
+		}
+		return found
+	})
+}
