--- a/internal/lab/partner/partner.go
+++ b/internal/lab/partner/partner.go
@@ -12,6 +12,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -108,6 +109,7 @@
 	Seed   uint64
 	Share  float64 // the rate that the list gives; 0 for that of the first phase, 20 at least
 	Report string  // of X-Backend-Load; empty for a report of the present limit
+	Batch  int     // how many a call may carry; 0 for one alone
 
 	TLS *tls.Config // of a server; nil for plain
 
@@ -317,9 +319,10 @@
 
 // request is what a call's head says.
 type request struct {
-	id   uint64
-	body int
-	gone bool // Connection: close
+	id    uint64
+	body  int
+	gone  bool // Connection: close
+	batch bool // it carries several
 }
 
 // readHead reads a call's head. first is when its first byte was there.
@@ -335,7 +338,7 @@
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if n == 0 {
-			if !bytes.HasPrefix(line, []byte("POST /hook HTTP/1.1")) {
+			if req.batch = bytes.HasPrefix(line, []byte("POST /hook/batch HTTP/1.1")); !req.batch && !bytes.HasPrefix(line, []byte("POST /hook HTTP/1.1")) {
 				return req, first, errCall
 			}
 			continue
@@ -360,6 +363,27 @@
 	}
 }
 
+// several reads the body of a call that carries several: a line for each, with its id, key and length, and its bytes.
+func several(r *bufio.Reader, n int) (ids []string, err error) {
+	text := make([]byte, n)
+	if _, err := io.ReadFull(r, text); err != nil {
+		return nil, err
+	}
+	for len(text) > 0 {
+		line, rest, ok := bytes.Cut(text, []byte("\r\n"))
+		parts := bytes.Split(line, []byte(" "))
+		if !ok || len(parts) != 3 || slices.Contains(ids, string(parts[0])) {
+			return nil, errCall
+		}
+		size, err := strconv.Atoi(string(parts[2]))
+		if err != nil || size < 0 || len(rest) < size+2 || string(rest[size:size+2]) != "\r\n" {
+			return nil, errCall
+		}
+		ids, text = append(ids, string(parts[0])), rest[size+2:]
+	}
+	return ids, nil
+}
+
 // body reads past a body, and says whether it is one that is to be refused.
 func (s *Server) body(r *bufio.Reader, n int) (refuse bool, err error) {
 	if n != len(s.cfg.Refuse) || n == 0 {
@@ -427,12 +451,33 @@
 			}
 			return
 		}
-		refuse, err := s.body(r, req.body)
+		var ids []string
+		var refuse bool
+		if req.batch {
+			if ids, err = several(r, req.body); err == nil && len(ids) > s.cfg.Batch {
+				err = errCall
+			}
+		} else {
+			refuse, err = s.body(r, req.body)
+		}
 		if err != nil {
+			if errors.Is(err, errCall) {
+				_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+			}
 			return
 		}
 		s.busy(raw, true, gen)
 		call := ledger.Call{ID: req.id, Dest: s.cfg.Dest, Member: s.cfg.Name, First: first, Arrived: time.Now()}
+		record := func() { // a call for each that it carried
+			for _, id := range ids {
+				one := call
+				one.ID, _ = strconv.ParseUint(id, 16, 64)
+				book.Calls = append(book.Calls, one)
+			}
+			if !req.batch {
+				book.Calls = append(book.Calls, call)
+			}
+		}
 		v := s.rule(rng)
 		if refuse {
 			v.status, v.after, v.wait = 429, 0, max(v.wait, s.cfg.Life[0].Wait)
@@ -443,26 +488,32 @@
 		}
 		switch v.mode {
 		case Silent:
-			book.Calls = append(book.Calls, call)
+			record()
 			_, _ = io.Copy(io.Discard, r) // until the relay gives up
 			return
 		case Resetting:
-			book.Calls = append(book.Calls, call)
+			record()
 			if tc, ok := raw.(*net.TCPConn); ok {
 				_ = tc.SetLinger(0)
 			}
 			return
 		}
 		call.Status, call.Wait = v.status, v.wait
-		text := fmt.Appendf(nil, "HTTP/1.1 %d .\r\nContent-Length: 0\r\nX-Backend-Load: %s\r\n", v.status, v.report)
+		var body []byte
+		if v.status == 200 {
+			for _, id := range ids {
+				body = append(body, id+" delivered\r\n"...)
+			}
+		}
+		text := fmt.Appendf(nil, "HTTP/1.1 %d .\r\nContent-Length: %d\r\nX-Backend-Load: %s\r\n", v.status, len(body), v.report)
 		if v.wait > 0 {
 			text = fmt.Appendf(text, "X-Retry-In-Ms: %d\r\n", v.wait.Milliseconds())
 		}
-		_, err = c.Write(append(text, "\r\n"...))
+		_, err = c.Write(append(append(text, "\r\n"...), body...))
 		if call.Answered = time.Now(); err != nil {
 			call.Status, call.Answered = 0, time.Time{}
 		}
-		book.Calls = append(book.Calls, call)
+		record()
 		if s.cfg.OnCall != nil {
 			s.cfg.OnCall(call)
 		}
--- a/internal/lab/settings_test.go
+++ b/internal/lab/settings_test.go
@@ -23,7 +23,9 @@
 		classes []Class
 		tenants []Tenant
 		grace   time.Duration
-		report  string // of each answer; empty for one of the limit
+		report  string  // of each answer; empty for one of the limit
+		limit   float64 // calls a second at each partner; 0 for none
+		batch   int     // messages in a call
 		edit    func(settings map[string]any)
 	}{
 		"asked for, 0.5 s, routes apart": {classes: one("fee", "unsafe"), tenants: []Tenant{{Name: "a", Share: 0.7}, {Name: "b", Share: 0.3}}, grace: 500 * time.Millisecond,
@@ -32,6 +34,10 @@
 				in(s, "family-info")["own-limits"] = []bool{true, false}
 				in(s, "safety")["ask-every-ms"] = 1000
 			}},
+		"twenty in a call, four calls a second": {classes: one("notice", "keyed"), tenants: []Tenant{{Name: "t", Share: 1}}, grace: time.Second, limit: 4, batch: 20,
+			edit: func(s map[string]any) {
+				in(s, "family-info")["bundle-max"], in(s, "family-info")["own-limits"] = []int{20, 20}, []bool{true, true}
+			}},
 		"pushed, 0.5 s, one safe class": {classes: one("x", "safe"), tenants: []Tenant{{Name: "t", Share: 1}}, grace: 500 * time.Millisecond, edit: func(s map[string]any) {
 			s["peers-total"] = 1024
 			s["resolution-ms"] = 1
@@ -58,8 +64,8 @@
 					c.edit(s)
 				}}
 			for n := range 4 {
-				p.Partners = append(p.Partners, partner.Config{Name: fmt.Sprint("p", n), Dest: n / 2, Seed: uint64(n), Report: c.report,
-					Life: []partner.Phase{{Latency: partner.Latency{Mean: 20 * time.Millisecond, CV: 0.5}}}})
+				p.Partners = append(p.Partners, partner.Config{Name: fmt.Sprint("p", n), Dest: n / 2, Seed: uint64(n), Report: c.report, Batch: c.batch,
+					Life: []partner.Phase{{Rate: c.limit, Latency: partner.Latency{Mean: 20 * time.Millisecond, CV: 0.5}}}})
 			}
 			d, err := Put(t.TempDir(), p)
 			if err != nil {
