--- a/internal/relay/order.go
+++ b/internal/relay/order.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,8 +11,8 @@
 
 // Turns keep the order of keys between the processes of one relay, while one replaces the other. Nothing blocks.
 type Turns interface {
-	// Take gives an open transaction of a key its turn; one that another process had keeps its own.
-	Take(key, id string, now, until time.Time)
+	// Take gives an open transaction of a key its turn; one that another process had keeps its own. 0 for none to be had.
+	Take(key, id string, now, until time.Time) uint64
 	// Waits says whether another process still holds an earlier one.
 	Waits(key, id string, now time.Time) bool
 	Done(key, id string)
@@ -30,10 +31,11 @@
 // offer tells the module of a transaction that was taken on, at once or when its turn has come.
 func (r *Relay) offer(h *held, now time.Time, events []wrenford.Event) []wrenford.Event {
 	if r.cfg.Turns != nil && r.ordered(&h.Transaction) {
-		r.cfg.Turns.Take(h.Order, h.ID, now, h.Deadline)
-		before := slices.ContainsFunc(r.later, func(o *held) bool { return o.Order == h.Order })
+		h.turn = r.cfg.Turns.Take(h.Order, h.ID, now, h.Deadline) - 1 // none to be had is the last of all
+		before := slices.ContainsFunc(r.later, func(o *held) bool { return o.Order == h.Order && o.turn < h.turn })
 		if before || r.cfg.Turns.Waits(h.Order, h.ID, now) {
-			r.later = append(r.later, h)
+			at, _ := slices.BinarySearchFunc(r.later, h.turn, func(o *held, turn uint64) int { return cmp.Compare(o.turn, turn) })
+			r.later = slices.Insert(r.later, at, h) // what an ended process leaves may go before what has come here since
 			return events
 		}
 	}
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -75,7 +75,14 @@
 	taken, done []string
 }
 
-func (x *turn) Take(key, id string, _, _ time.Time)    { x.taken = append(x.taken, key+" "+id) }
+func (x *turn) Take(key, id string, _, _ time.Time) uint64 {
+	x.taken = append(x.taken, key+" "+id)
+	if id == "left" { // by a process that has ended
+		return 1
+	}
+	return uint64(len(x.taken) + 1)
+}
+
 func (x *turn) Waits(key, id string, _ time.Time) bool { return x.waits[id] }
 func (x *turn) Done(key, id string)                    { x.done = append(x.done, key+" "+id) }
 
@@ -122,6 +129,23 @@
 	if w.last().ID != "b" || len(x.done) != 1 || x.done[0] != "k1 a" {
 		t.Errorf("behind it: started %+v, over %v", w.last(), x.done)
 	}
+	for _, f := range w.flows {
+		if f.ID != "a" {
+			r.FlowEnded(traffic.FlowEnd{ID: f.ID, Member: f.Member, Status: traffic.Delivered, Took: time.Millisecond})
+		}
+	}
+	step()
+	// What an ended process left goes before what has come here since and has waited for it.
+	x.waits["e"] = true
+	put("e", "k4", 20*time.Second)
+	before := len(w.flows)
+	x.waits["e"] = false
+	left := transaction("left", set.Classes[0].Name, now.Add(20*time.Second))
+	left.Order = "k4"
+	r.decide(now, r.offerAgain(now, r.takeUp([]traffic.Open{{Transaction: left}}, nil, now, nil)), nil)
+	if len(w.flows) != before+1 || w.last().ID != "left" {
+		t.Errorf("started %+v", w.flows[before:])
+	}
 	put("d", "k3", 300*time.Millisecond) // a turn that never comes
 	for range 60 {
 		step()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -142,7 +142,7 @@
 	unsaved []traffic.Change // ends that the store has not taken yet
 	wakes   []time.Time
 	squeeze squeeze
-	later   []*held                   // transactions that wait for another process's turn, in the order of their coming
+	later   []*held                   // transactions that wait for another process's turn, in the order of their turns
 	noticed map[string]string         // transactions of a class in order whose notice has no answer yet, and their keys
 	parked  map[string][]traffic.Flow // by key: flows that wait for such answers
 	waiting map[int]int               // transactions without a flow, by destination; those that are told of with 0 go at the next telling
@@ -185,6 +185,7 @@
 	begun   time.Time               // of the flow that is out; zero without one
 	fresh   []chan<- traffic.Answer // waiting for the answer to the hand-in; in its first step alone
 	noticed bool                    // it ends by a notice
+	turn    uint64                  // its place among those of its key, in all processes of this relay
 }
 
 // handIn, flowEnd, and so on are what the inbox holds.
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -85,39 +85,43 @@
 	}
 }
 
-// Take gives an open message of a key its ticket, or takes over the one that it has. It holds until the message's time is over.
-func (t *Table) Take(key, id string, now, until time.Time) {
+// Take gives an open message of a key its ticket, or takes over the one that it has, and returns it: 0 where there is no room. It
+// holds until the message's time is over.
+func (t *Table) Take(key, id string, now, until time.Time) (ticket uint64) {
 	if t == nil {
-		return
+		return 0
 	}
 	k, m, found := hash(key), hash(id), false
 	t.each(k, func(s *slot) bool {
 		found = s.ticket.Load() != 0 && s.key.Load() == k && s.id.Load() == m
 		if found {
+			ticket = s.ticket.Load()
 			s.owner.Store(t.owner)
 			s.until.Store(uint64(until.UnixNano()))
 		}
 		return found
 	})
 	if found {
-		return
+		return ticket
 	}
 	t.each(k, func(s *slot) bool {
 		was := s.ticket.Load()
 		if was != 0 && s.until.Load() > uint64(now.UnixNano()) {
 			return false
 		}
-		ticket := (*atomic.Uint64)(unsafe.Pointer(&t.mem[0])).Add(1)
+		next := (*atomic.Uint64)(unsafe.Pointer(&t.mem[0])).Add(1)
 		s.until.Store(0) // as long as it is not whole it holds nobody back
-		if !s.ticket.CompareAndSwap(was, ticket) {
+		if !s.ticket.CompareAndSwap(was, next) {
 			return false
 		}
+		ticket = next
 		s.key.Store(k)
 		s.id.Store(m)
 		s.owner.Store(t.owner)
 		s.until.Store(uint64(until.UnixNano()))
 		return true
 	})
+	return ticket
 }
 
 // Waits says whether another process holds an earlier message of the key that is still open.
