Endpoints without a limit have their window of calls back: without it calls went out while one was out

Change: the window again, in a shorter form: it grows by a call a window of successes and shrinks to 0.7 with a time-out; what stays out is its following the best latency.

--- a/sender.go
+++ b/sender.go
@@ -42,8 +42,8 @@
 	// Tries in an outage come half its age apart, up to tryMost of the cold time, or as coldGap says. Where
 	// senders hear of each other's they come fleetTry of it apart, up to fleetMost.
 	tryMost, sparseTries, fleetTry, fleetMost = 0.2, 5.0, 0.25, 0.05
-	// startCalls may be out at an endpoint that has not answered yet.
-	startCalls = 2
+	// startCalls may be out at an endpoint at first, more with each that goes well; a time-out leaves shrink.
+	startCalls, shrink = 2, 0.7
 	// timeoutAim is the least time-out of a repeatable call, and paceCost the price of the usual latency
 	// against other prices, both in aims.
 	// Endpoints that are alike cost up to leanMost more or less, by chance: many senders, each of which keeps
@@ -234,7 +234,7 @@
 			if d.shared == nil || k.apart {
 				d.shared = &ledger{kind: k, peers: float64(s.set.Peers), bold: float64(s.set.Peers)}
 			}
-			e = &endpoint{id: row.ID, dest: d, ledger: d.shared,
+			e = &endpoint{id: row.ID, dest: d, ledger: d.shared, window: startCalls,
 				lean: leanMost * s.leaning.Float64()}
 			s.endpoints[row.ID] = e
 			d.eps, e.ledger.eps = append(d.eps, e), append(e.ledger.eps, e)
@@ -492,6 +492,7 @@
 	flights         []*flight       // out, in order of sending
 	idle            []time.Duration // idle connections, by the time they fell idle
 	mean, spread    float64         // usual latency in seconds; 0 = unmet
+	window          float64         // calls that may be out while no limit is known
 	lean            float64         // decides where all else is equal
 	lastSend        time.Duration
 	lastGood        time.Duration // sending time of the newest call that was answered well
@@ -661,6 +662,7 @@
 	l.okCount++
 	l.okAt, l.refusals, l.kind.span = s.now, 0, min(l.kind.span*spanGrow, budgetWindow)
 	e.took(latency)
+	e.window += 1 / e.window
 	if e.outage {
 		e.outage, e.ramp, e.rampFrom, e.failing = false, true, s.now, rampDoubt
 		s.log("back, ramping: " + e.id)
@@ -728,7 +730,7 @@
 		gap := s.patience(e)
 		return s.now-e.lastSend >= gap && m.dest.out < startCalls
 	}
-	return e.ledger.limit > 0 || e.mean > 0 || out < startCalls
+	return e.ledger.limit > 0 || float64(out) < e.window
 }
 
 // idleConns counts the open connections without a call.
@@ -847,11 +849,7 @@
 	}
 	if worst != nil {
 		worst.flight.off = true
-		for _, m := range s.flying {
-			if m.flight == worst.flight { // all that it carries
-				s.act(Cancel{ID: m.id, Attempt: m.attempts - 1})
-			}
-		}
+		s.act(Cancel{ID: worst.id, Attempt: worst.attempts - 1})
 	}
 }
 
@@ -872,6 +870,7 @@
 			e.took(s.now - f.sent)
 		}
 		s.failed(e, f, ev)
+		e.window = max(e.window*shrink, 1)
 	}
 	if ev.Status == OK || ev.Status == Full || ev.Status == Errored {
 		e.idle = append(e.idle, s.now)
--- a/sender_test.go
+++ b/sender_test.go
@@ -1169,7 +1169,7 @@
 	set.MaxCalls = 40
 	s := newSender(t, set, ep("e", 1), ep("f", 1))
 	s.takeOut(s.endpoints["f"])
-	s.endpoints["e"].mean = 0.05
+	s.endpoints["e"].window = 20
 	s.Step(0, []Event{req("a", "safe", 1), req("b", "safe", 1), req("c", "safe", 1)})
 	if got := len(s.endpoints["e"].flights); got != 3 {
 		t.Fatalf("%d calls out", got)
