--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -257,7 +257,7 @@
 		events = r.offer(h, now, events)
 	}
 	for _, n := range notices {
-		r.cfg.Notices.Send(n) // of which key it was is not known any more; its call is on its way before any other
+		r.cfg.Notices.Send(n) // of which key it was is not known any more (docs/deployments.md)
 	}
 	return events
 }
