--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -8,13 +8,12 @@
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
-	"os"
 	"path/filepath"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 	"unsafe"
+
+	"wrenford/internal/mapped"
 )
 
 // slots is how many open messages the table has room for, and near how many of one key, and of those whose hashes lie beside it. One
@@ -29,27 +28,16 @@
 // Table is the shared table. A nil Table shares nothing.
 type Table struct {
 	owner uint64
-
-	mu  sync.RWMutex // held for writing to unmap
-	mem []byte       // nil once closed
+	file  *mapped.File
 }
 
 // Open maps the table of a folder, made where there is none, for a process of this name.
 func Open(dir, owner string) (*Table, error) {
-	f, err := os.OpenFile(filepath.Join(dir, "slatemux-turns"), os.O_CREATE|os.O_RDWR, 0o600)
+	file, err := mapped.Open(filepath.Join(dir, "slatemux-turns"), headBytes+slots*slotBytes)
 	if err != nil {
 		return nil, fmt.Errorf("turns: %w", err)
 	}
-	defer f.Close()
-	const size = headBytes + slots*slotBytes
-	if err := f.Truncate(size); err != nil {
-		return nil, fmt.Errorf("turns: %w", err)
-	}
-	mem, err := syscall.Mmap(int(f.Fd()), 0, size, syscall.PROT_READ|syscall.PROT_WRITE, syscall.MAP_SHARED)
-	if err != nil {
-		return nil, fmt.Errorf("turns: %w", err)
-	}
-	return &Table{owner: hash(owner), mem: mem}, nil
+	return &Table{owner: hash(owner), file: file}, nil
 }
 
 // Close unmaps it. From then on it shares nothing.
@@ -57,13 +45,7 @@
 	if t == nil {
 		return nil
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	mem := t.mem
-	if t.mem = nil; mem == nil {
-		return nil
-	}
-	return syscall.Munmap(mem)
+	return t.file.Close()
 }
 
 func hash(text string) uint64 {
@@ -74,15 +56,16 @@
 	return max(h.Sum64(), 1)
 }
 
-// each calls f with the slots in which a message of a key may stand, until it says that it is done.
-func (t *Table) each(key uint64, f func(s *slot) (done bool)) {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	for n := range uint64(near) {
-		if t.mem == nil || f((*slot)(unsafe.Pointer(&t.mem[headBytes+(key+n)%slots*slotBytes]))) {
-			return
+// each calls f with the slots in which a message of a key may stand, until it says that it is done. next gives a new ticket.
+func (t *Table) each(key uint64, f func(s *slot, next func() uint64) (done bool)) {
+	t.file.Use(func(mem []byte) {
+		next := func() uint64 { return (*atomic.Uint64)(unsafe.Pointer(&mem[0])).Add(1) }
+		for n := range uint64(near) {
+			if f((*slot)(unsafe.Pointer(&mem[headBytes+(key+n)%slots*slotBytes])), next) {
+				return
+			}
 		}
-	}
+	})
 }
 
 // Take gives an open message of a key its ticket, or takes over the one that it has, and returns it: 0 where there is no room. It
@@ -92,7 +75,7 @@
 		return 0
 	}
 	k, m, found := hash(key), hash(id), false
-	t.each(k, func(s *slot) bool {
+	t.each(k, func(s *slot, next func() uint64) bool {
 		found = s.ticket.Load() != 0 && s.key.Load() == k && s.id.Load() == m
 		if found {
 			ticket = s.ticket.Load()
@@ -104,17 +87,17 @@
 	if found {
 		return ticket
 	}
-	t.each(k, func(s *slot) bool {
+	t.each(k, func(s *slot, next func() uint64) bool {
 		was := s.ticket.Load()
 		if was != 0 && s.until.Load() > uint64(now.UnixNano()) {
 			return false
 		}
-		next := (*atomic.Uint64)(unsafe.Pointer(&t.mem[0])).Add(1)
+		fresh := next()
 		s.until.Store(0) // as long as it is not whole it holds nobody back
-		if !s.ticket.CompareAndSwap(was, next) {
+		if !s.ticket.CompareAndSwap(was, fresh) {
 			return false
 		}
-		ticket = next
+		ticket = fresh
 		s.key.Store(k)
 		s.id.Store(m)
 		s.owner.Store(t.owner)
@@ -130,7 +113,7 @@
 		return false
 	}
 	k, m, own, others := hash(key), hash(id), uint64(0), uint64(1<<64-1)
-	t.each(k, func(s *slot) bool {
+	t.each(k, func(s *slot, next func() uint64) bool {
 		ticket := s.ticket.Load()
 		if ticket == 0 || s.key.Load() != k || s.until.Load() <= uint64(now.UnixNano()) {
 			return false
@@ -151,7 +134,7 @@
 		return
 	}
 	k, m := hash(key), hash(id)
-	t.each(k, func(s *slot) bool {
+	t.each(k, func(s *slot, next func() uint64) bool {
 		found := s.ticket.Load() != 0 && s.key.Load() == k && s.id.Load() == m
 		if found {
 			s.id.Store(0)
--- a/internal/waits/waits.go
+++ b/internal/waits/waits.go
@@ -7,14 +7,12 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"os"
 	"path/filepath"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 	"unsafe"
 
+	"wrenford/internal/mapped"
 	"wrenford/internal/traffic"
 )
 
@@ -26,27 +24,15 @@
 const slotBytes = 16 // the group's hash, then the wait's end in Unix nanoseconds
 
 // Table is the shared table. A nil Table shares nothing.
-type Table struct {
-	mu  sync.RWMutex // held for writing to unmap: flows that are just ending must not read what is gone
-	mem []byte       // nil once closed
-}
+type Table struct{ file *mapped.File }
 
 // Open maps the table of a folder, made where there is none.
 func Open(dir string) (*Table, error) {
-	path := filepath.Join(dir, "slatemux-waits-2")
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
-	if err != nil {
-		return nil, fmt.Errorf("waits: %w", err)
-	}
-	defer f.Close()
-	if err := f.Truncate(slots * slotBytes); err != nil {
-		return nil, fmt.Errorf("waits: %w", err)
-	}
-	mem, err := syscall.Mmap(int(f.Fd()), 0, slots*slotBytes, syscall.PROT_READ|syscall.PROT_WRITE, syscall.MAP_SHARED)
+	file, err := mapped.Open(filepath.Join(dir, "slatemux-waits-2"), slots*slotBytes)
 	if err != nil {
 		return nil, fmt.Errorf("waits: %w", err)
 	}
-	return &Table{mem: mem}, nil
+	return &Table{file}, nil
 }
 
 // Close unmaps it. From then on it shares nothing.
@@ -54,17 +40,11 @@
 	if t == nil {
 		return nil
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	mem := t.mem
-	if t.mem = nil; mem == nil {
-		return nil
-	}
-	return syscall.Munmap(mem)
+	return t.file.Close()
 }
 
-func (t *Table) slot(i int) (hash, until *uint64) {
-	base := unsafe.Pointer(&t.mem[i*slotBytes])
+func slot(mem []byte, i int) (hash, until *uint64) {
+	base := unsafe.Pointer(&mem[i*slotBytes])
 	return (*uint64)(base), (*uint64)(unsafe.Add(base, 8))
 }
 
@@ -82,16 +62,14 @@
 	if t == nil {
 		return
 	}
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	if t.mem == nil {
-		return
-	}
-	k, end := key(group), uint64(until.UnixNano())
+	t.file.Use(func(mem []byte) { tell(mem, key(group), uint64(until.UnixNano())) })
+}
+
+func tell(mem []byte, k, end uint64) {
 	victim, least := 0, uint64(1<<64-1)
 	for n := range near {
 		i := at(k, n)
-		h, u := t.slot(i)
+		h, u := slot(mem, i)
 		if atomic.LoadUint64(h) == k {
 			for old := atomic.LoadUint64(u); old < end && !atomic.CompareAndSwapUint64(u, old, end); old = atomic.LoadUint64(u) {
 			}
@@ -101,30 +79,28 @@
 			victim, least = i, v
 		}
 	}
-	h, u := t.slot(victim)
+	h, u := slot(mem, victim)
 	atomic.StoreUint64(u, 0) // while the hash changes, the slot holds nothing back
 	atomic.StoreUint64(h, k)
 	atomic.StoreUint64(u, end)
 }
 
 // Until says until when the group waits; zero where it does not.
-func (t *Table) Until(group traffic.Group, now time.Time) time.Time {
+func (t *Table) Until(group traffic.Group, now time.Time) (until time.Time) {
 	if t == nil {
-		return time.Time{}
-	}
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	if t.mem == nil {
-		return time.Time{}
+		return until
 	}
 	k, from := key(group), uint64(now.UnixNano())
-	for n := range near {
-		h, u := t.slot(at(k, n))
-		if atomic.LoadUint64(h) == k {
-			if end := atomic.LoadUint64(u); end > from {
-				return time.Unix(0, int64(end))
+	t.file.Use(func(mem []byte) {
+		for n := range near {
+			h, u := slot(mem, at(k, n))
+			if atomic.LoadUint64(h) == k {
+				if end := atomic.LoadUint64(u); end > from {
+					until = time.Unix(0, int64(end))
+					return
+				}
 			}
 		}
-	}
-	return time.Time{}
+	})
+	return until
 }
