--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -51,7 +51,7 @@
 	traffic.FlowBegun{ID: "c", Attempt: 0, At: at.Add(4 * time.Second)},
 	traffic.FlowEnded{ID: "c", Attempt: 0},
 	traffic.Taken{Transaction: transaction("d", 1)},
-	traffic.Ended{ID: "d", Notice: &traffic.Notice{ID: "d", Outcome: traffic.HandedBack, RetryIn: time.Second}},
+	traffic.Ended{ID: "d", Notice: &traffic.Notice{Order: "key", ID: "d", Outcome: traffic.HandedBack, RetryIn: time.Second}},
 	traffic.Taken{Transaction: transaction("e", 1)},
 	traffic.Ended{ID: "e"},
 	traffic.Taken{Transaction: transaction("f", 1)},
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -88,6 +88,9 @@
 			n = *ch.Notice
 		}
 		head(kindEnded, ch.ID, int64(n.Outcome), n.RetryIn.Microseconds())
+		if n.Order != "" { // else the record is as it always was
+			b = appendText(b, n.Order)
+		}
 	case traffic.Answered:
 		head(kindAnswered, ch.ID)
 	case summary:
@@ -165,6 +168,9 @@
 	case kindEnded:
 		n := traffic.Notice{ID: id, Outcome: traffic.NoticeOutcome(r.number()),
 			RetryIn: time.Duration(r.number()) * time.Microsecond}
+		if len(r.b) > 0 {
+			n.Order = string(r.bytes())
+		}
 		ended := traffic.Ended{ID: id}
 		if n.Outcome != 0 {
 			ended.Notice = &n
--- a/internal/relay/order.go
+++ b/internal/relay/order.go
@@ -22,6 +22,10 @@
 // still waits is given to the module all the same: so late that it sends nothing and ends it.
 const turnEvery, lastCall = 20 * time.Millisecond, 5
 
+// noticeWithin is how long another process waits at the most for the answer to a notice that an ended one left: the platform answers
+// at once.
+const noticeWithin = 5 * time.Second
+
 // ordered says whether a transaction has to keep its place among those of its key.
 func (r *Relay) ordered(t *traffic.Transaction) bool {
 	c := r.classes[t.Class]
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -161,3 +161,34 @@
 		t.Errorf("over %v", x.done)
 	}
 }
+
+// A notice that an ended process left without an answer holds back what follows it, at a start and where it is taken over.
+func TestNoticeOfAnEndedProcess(t *testing.T) {
+	for _, atStart := range []bool{true, false} {
+		w, x := &world{}, &turn{}
+		set := settingsForTest()
+		set.Classes[0].OrderedByKey = true
+		r, err := New(Config{Settings: set, MostBytes: 1 << 20, Store: w, Flows: w, Notices: w, Turns: x})
+		if err != nil {
+			t.Fatal(err)
+		}
+		next := transaction("b", set.Classes[0].Name, r.origin.Add(20*time.Second))
+		next.Order = "k1"
+		open, owed := []traffic.Open{{Transaction: next}}, []traffic.Notice{{ID: "a", Outcome: traffic.GivenUp, Order: "k1"}}
+		now := r.origin.Add(10 * time.Millisecond)
+		if atStart {
+			r.Start(known, nil, open, owed)
+		} else {
+			r.Start(known, nil, nil, nil)
+			r.decide(now, r.takeUp(open, owed, now, nil), nil)
+		}
+		if len(w.flows) != 0 || len(r.parked["k1"]) != 1 {
+			t.Errorf("at a start %v: started %+v", atStart, w.flows)
+		}
+		r.NoticesAnswered([]string{"a"})
+		r.step(now.Add(10*time.Millisecond), taken(r))
+		if len(w.flows) != 1 || w.last().ID != "b" || len(x.done) != 1 {
+			t.Errorf("at a start %v, behind the answer: started %+v, over %v", atStart, w.flows, x.done)
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -257,7 +257,13 @@
 		events = r.offer(h, now, events)
 	}
 	for _, n := range notices {
-		r.cfg.Notices.Send(n) // of which key it was is not known any more (docs/deployments.md)
+		if n.Order != "" { // what follows it waits here, too
+			r.noticed[n.ID] = n.Order
+			if r.cfg.Turns != nil {
+				r.cfg.Turns.Take(n.Order, n.ID, now, now.Add(noticeWithin))
+			}
+		}
+		r.cfg.Notices.Send(n)
 	}
 	return events
 }
@@ -760,6 +766,7 @@
 		r.counted(h.Class, r.tally.overload)
 	}
 	if r.ordered(&h.Transaction) {
+		n.Order = h.Order
 		r.noticed[n.ID] = h.Order
 	}
 	*after = append(*after, deed{do: func() { r.cfg.Notices.Send(n) }})
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -48,6 +48,7 @@
 	ID      string
 	Outcome NoticeOutcome
 	RetryIn time.Duration // with HandedBack: 0 if nothing is told
+	Order   string        // the transaction's, which is over when the platform has answered; empty where it keeps no order
 }
 
 // Change is one change of what the relay owes: Taken, FlowBegun, FlowEnded, Ended or Answered.
