Split internal/fleet/fleet.go by job, with standard names and short functions

Items of the inbox are typed events with an apply method in place of a switch over any. What callers and the driver share stands in one struct beside its lock. Config: State, Agree, Exchange, Bytes, Divide are StateDir, Quorum, ExchangeInterval, BytesPerSecond, DivideLimits. Tests changed by name only. Behaviour, packets, JSON names, settings and log lines are as before.

--- a/cmd/slatemux/fleet.go
+++ b/cmd/slatemux/fleet.go
@@ -34,9 +34,21 @@
 	if !own.Enabled {
 		return nil, nil
 	}
-	return fleet.New(fleet.Config{Name: own.Name, Self: cfg.name, Bind: own.Bind, Advertise: own.Advertise, Join: own.Join, KeyFile: own.KeyFile,
-		State: cfg.state, Seed: uint64(cfg.seed), Agree: own.Agree, Exchange: own.Exchange, Bytes: own.Bytes,
-		Divide: own.DivideLimits, Relays: cfg.settings.Peers}, r)
+	return fleet.New(fleet.Config{
+		Name:             own.Name,
+		Self:             cfg.name,
+		Bind:             own.Bind,
+		Advertise:        own.Advertise,
+		Join:             own.Join,
+		KeyFile:          own.KeyFile,
+		StateDir:         cfg.state,
+		Seed:             uint64(cfg.seed),
+		Quorum:           own.Agree,
+		ExchangeInterval: own.Exchange,
+		BytesPerSecond:   own.Bytes,
+		DivideLimits:     own.DivideLimits,
+		Relays:           cfg.settings.Peers,
+	}, r)
 }
 
 // fleetCommand asks a relay's operators' address what it knows of its fleet.
--- /dev/null
+++ b/internal/fleet/driver.go
@@ -0,0 +1,127 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wrenford/internal/verdicts"
+)
+
+const (
+	// inboxPackets bounds the inbox for packets; what arrives beyond it is dropped and counted.
+	inboxPackets = 2048
+	// inboxEvents bounds the inbox for events of this relay itself.
+	inboxEvents = 4 * inboxPackets
+	// sweepInterval is how often statements are searched for expired ones, and figures are published.
+	sweepInterval = 100 * time.Millisecond
+	// divideInterval is how often the division of limits is looked at beside what arrives.
+	divideInterval = 50 * time.Millisecond
+)
+
+// event is an item of the inbox.
+type event interface {
+	// apply updates the driver's state. It runs in the driver goroutine.
+	apply(f *Fleet, now time.Duration, r *stepResult)
+}
+
+// stepResult collects the consequences of one batch of events.
+type stepResult struct {
+	announcements []verdicts.Statement // of this relay, to be sent to all
+	restraints    []verdicts.Restraint // for the relay
+	barsChanged   bool                 // the list of barred members may have changed
+}
+
+// Run takes part in the fleet until ctx ends, and then leaves it.
+func (f *Fleet) Run(ctx context.Context) {
+	var goroutines sync.WaitGroup
+	goroutines.Go(func() { f.maintainMembership(ctx) })
+	f.drive(ctx)
+	goroutines.Wait()
+}
+
+// enqueue puts an event into the inbox. Packets are dropped at a lower bound than events of this relay itself.
+func (f *Fleet) enqueue(e event) {
+	f.shared.Lock()
+	defer f.shared.Unlock()
+	bound := inboxEvents
+	if _, ok := e.(packetReceived); ok {
+		bound = inboxPackets
+	}
+	if len(f.shared.inbox) >= bound {
+		f.drops.Overrun.Add(1)
+		return
+	}
+	f.shared.inbox = append(f.shared.inbox, e)
+	if isRoutine(e) {
+		return
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// isRoutine reports whether an event may wait for the next sweep: most calls succeed, and need not wake the driver.
+func isRoutine(e event) bool {
+	outcome, ok := e.(callOutcome)
+	return ok && outcome.Sighted == verdicts.WentWell
+}
+
+// drive runs the goroutine that owns the decisions.
+func (f *Fleet) drive(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.wake:
+		case <-timer.C:
+		}
+		f.step(f.takeInbox())
+		timer.Reset(f.untilNextStep())
+	}
+}
+
+// takeInbox empties the inbox.
+func (f *Fleet) takeInbox() []event {
+	f.shared.Lock()
+	defer f.shared.Unlock()
+	batch := f.shared.inbox
+	f.shared.inbox = nil
+	return batch
+}
+
+// untilNextStep is how long the driver may sleep when nothing arrives.
+func (f *Fleet) untilNextStep() time.Duration {
+	wait := min(f.spread.Due()-f.now(), sweepInterval)
+	if f.allocator != nil {
+		wait = min(wait, divideInterval)
+	}
+	return wait
+}
+
+// step applies a batch of events, then does what is due.
+func (f *Fleet) step(batch []event) {
+	var r stepResult
+	for _, e := range batch {
+		e.apply(f, f.now(), &r)
+	}
+	now := f.now()
+	sweep := now-f.lastSweep >= sweepInterval
+	if sweep {
+		expired := f.book.Sweep(now)
+		r.restraints = append(r.restraints, f.judge.Lost(now, expired)...)
+		f.announceDue(now, &r)
+	}
+	f.send(f.spread.Tell(now, r.announcements))
+	f.send(f.spread.Tick(now))
+	f.restrain(r.restraints)
+	f.divideLimits(now)
+	if sweep || r.barsChanged {
+		f.lastSweep = now
+		f.updateBars(now)
+		f.publish(now)
+	}
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -99,7 +99,7 @@
 
 func free(t *testing.T) netip.AddrPort {
 	t.Helper()
-	tr, err := listen(&net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	tr, err := openTransport(&net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -110,8 +110,8 @@
 func join(t *testing.T, name string, change func(*Config), to ...*part) *part {
 	t.Helper()
 	p := &part{heard: &heard{}, dir: t.TempDir()}
-	cfg := Config{Name: "tbilisi", Self: name, Bind: free(t), KeyFile: keyFile(t, p.dir, keys[0]), State: p.dir, Seed: uint64(len(name)),
-		Agree: 2, Exchange: 100 * time.Millisecond, Bytes: 1e5}
+	cfg := Config{Name: "tbilisi", Self: name, Bind: free(t), KeyFile: keyFile(t, p.dir, keys[0]), StateDir: p.dir, Seed: uint64(len(name)),
+		Quorum: 2, ExchangeInterval: 100 * time.Millisecond, BytesPerSecond: 1e5}
 	for _, o := range to {
 		cfg.Join = append(cfg.Join, o.cfg.Bind)
 	}
@@ -176,9 +176,9 @@
 	})
 	b.end()
 	until(t, "who left is no member", func() bool { return a.Figures().Members == 2 && c.Figures().Members == 2 })
-	again := join(t, "bb", func(cfg *Config) { cfg.State = b.dir; cfg.KeyFile = b.cfg.KeyFile }, a)
+	again := join(t, "bb", func(cfg *Config) { cfg.StateDir = b.dir; cfg.KeyFile = b.cfg.KeyFile }, a)
 	until(t, "it is back at another address", func() bool { return c.Figures().Members == 3 })
-	if got := again.inc.Load(); got != 2 {
+	if got := again.incarnation.Load(); got != 2 {
 		t.Errorf("incarnation %d at the second start", got)
 	}
 	again.Ended(traffic.Flow{Group: traffic.Group{Destination: 9}}, traffic.FlowEnd{Status: traffic.TurnedAway, Wait: 900 * time.Millisecond})
@@ -259,7 +259,7 @@
 	}{
 		"forged":    {write(label), func(d Drops) int64 { return d.Forged }},
 		"foreign":   {write(foreign), func(d Drops) int64 { return d.Foreign }},
-		"oversized": {write(make([]byte, packetMost+1)), func(d Drops) int64 { return d.Oversized }},
+		"oversized": {write(make([]byte, maxPacket+1)), func(d Drops) int64 { return d.Oversized }},
 		"a stream of more than a fleet's state": {func() {
 			nc, err := net.Dial("tcp", a.cfg.Bind.String())
 			if err != nil {
@@ -269,7 +269,7 @@
 			defer nc.Close()
 			head, _ := memberlist.AddLabelHeaderToPacket([]byte{10, 0, 0xff, 0xff, 0xff}, "tbilisi") // sealed, and 16 MB to come
 			nc.Write(head)
-			nc.Write(make([]byte, 2*streamMost))
+			nc.Write(make([]byte, 2*maxStream))
 		}, func(d Drops) int64 { return d.Oversized + d.Form }},
 		"version":  {inner(say("bb", 1), wire.Version+1), func(d Drops) int64 { return d.Version }},
 		"form":     {func() { delegate{a.Fleet}.NotifyMsg([]byte{wire.Version, 0xff, 0xff}) }, func(d Drops) int64 { return d.Form }},
@@ -348,7 +348,7 @@
 // A relay with all of the load gets nearly all of a limit, and a relay of the fleet that has none of it lends its part; who goes
 // ends no more than its own.
 func TestLimitsAreDivided(t *testing.T) {
-	three := func(c *Config) { c.Divide, c.Relays = true, 3 }
+	three := func(c *Config) { c.DivideLimits, c.Relays = true, 3 }
 	a := join(t, "a", three)
 	b := join(t, "b", three, a)
 	c := join(t, "c", three, a)
--- /dev/null
+++ b/internal/fleet/incarnation.go
@@ -0,0 +1,65 @@
+package fleet
+
+import (
+	"errors"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"wrenford/internal/verdicts"
+)
+
+const (
+	// incarnationFile holds the number of starts of this relay, in its state directory.
+	incarnationFile = "fleet-starts"
+	// incarnationBits bounds the number that is read from incarnationFile.
+	incarnationBits = 62
+	// firstIncarnation is used where the file cannot be read.
+	firstIncarnation = 1
+)
+
+// nextIncarnation counts one more start. Where the count is lost it begins at 1 again; other members then answer with
+// the higher incarnation that they know.
+func nextIncarnation(dir string) (uint64, error) {
+	raw, err := os.ReadFile(filepath.Join(dir, incarnationFile))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return firstIncarnation, err
+	}
+	// A file that was written in part counts as 0.
+	previous, _ := strconv.ParseUint(strings.TrimSpace(string(raw)), 10, incarnationBits)
+	incarnation := previous + 1
+	return incarnation, saveIncarnation(dir, incarnation)
+}
+
+// saveIncarnation replaces the incarnation file atomically.
+func saveIncarnation(dir string, incarnation uint64) error {
+	path := filepath.Join(dir, incarnationFile)
+	temporary := path + ".new"
+	text := strconv.FormatUint(incarnation, 10) + "\n"
+	if err := os.WriteFile(temporary, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(temporary, path)
+}
+
+// supersede moves to an incarnation above one that another member knows of this relay's name: another process used the
+// name, or the incarnation file was lost. It does nothing for a version that this process has announced itself.
+func (f *Fleet) supersede(now time.Duration, known verdicts.Version) {
+	if !f.announcer.Above(known) {
+		return
+	}
+	incarnation := f.announcer.Incarnation()
+	slog.Warn("fleet: another start under this name is known", "incarnation", incarnation)
+	f.spread.Incarnation(incarnation)
+	f.mayHaveLent = true
+	if f.allocator != nil {
+		// The numbers of the new allocator begin above those that other members have seen.
+		f.startAllocator(now, f.spread.Live())
+	}
+	if err := saveIncarnation(f.cfg.StateDir, incarnation); err != nil {
+		slog.Warn("fleet: starts not counted", "err", err)
+	}
+}
--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -16,8 +16,8 @@
 // keyBytes is the length of a key, for AES-256.
 const keyBytes = 32
 
-// mostKeys is how many keys may open at once: each that does not fit costs every packet a try.
-const mostKeys = 8
+// maxKeys is how many keys may open at once: each that does not fit costs every packet a try.
+const maxKeys = 8
 
 // ReadKeys reads a key file: one key a line, 32 bytes in base64. The first seals, all open. Empty lines and those
 // that begin with # say nothing. The file is its owner's alone.
@@ -55,15 +55,15 @@
 	if len(keys) == 0 {
 		return nil, fmt.Errorf("key_file: %s has no key", path)
 	}
-	if len(keys) > mostKeys {
-		return nil, fmt.Errorf("key_file: %s has %d keys, more than %d", path, len(keys), mostKeys)
+	if len(keys) > maxKeys {
+		return nil, fmt.Errorf("key_file: %s has %d keys, more than %d", path, len(keys), maxKeys)
 	}
 	return keys, nil
 }
 
-// change makes a ring hold these keys, the first as the one that seals. At no moment does the ring lack a key that is in
+// replaceKeys makes a ring hold these keys, the first as the one that seals. At no moment does the ring lack a key that is in
 // both the old and the new set.
-func change(ring *memberlist.Keyring, keys [][]byte) error {
+func replaceKeys(ring *memberlist.Keyring, keys [][]byte) error {
 	var errs []error
 	for _, k := range keys {
 		errs = append(errs, ring.AddKey(k))
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -13,15 +13,15 @@
 )
 
 const (
-	// packetMost is the longest packet that is read; what is longer is none of ours.
-	packetMost = 1500
+	// maxPacket is the longest packet that is read; what is longer is none of ours.
+	maxPacket = 1500
 	// readBuffer bounds what the system keeps of packets that this relay has not looked at.
 	readBuffer = 256 << 10
-	// streamMost bounds what one stream may bring: the members of a fleet of some thousand. memberlist would take 20 MB
+	// maxStream bounds what one stream may bring: the members of a fleet of some thousand. memberlist would take 20 MB
 	// from anybody before it looks at the seal, more than the smallest relay has.
-	streamMost = 512 << 10
-	// streamsMost bounds how many streams are open at once.
-	streamsMost = 8
+	maxStream = 512 << 10
+	// maxStreams bounds how many streams are open at once.
+	maxStreams = 8
 )
 
 // transport carries memberlist's packets and streams over UDP and TCP on one address. It counts, bounds, and sends from
@@ -35,15 +35,15 @@
 	closed  chan struct{}
 	once    sync.Once
 
-	sent, received           atomic.Int64 // bytes
-	oversized, streamsTurned atomic.Int64
-	open                     atomic.Int64 // streams that came and are open
+	sent, received            atomic.Int64 // bytes
+	oversized, streamsRefused atomic.Int64
+	open                      atomic.Int64 // streams that came and are open
 }
 
 var _ memberlist.NodeAwareTransport = (*transport)(nil)
 
-// listen opens both. A process that ends closes them, so an address in use is that of another that lives.
-func listen(addr *net.UDPAddr) (*transport, error) {
+// openTransport opens both. A process that ends closes them, so an address in use is that of another that lives.
+func openTransport(addr *net.UDPAddr) (*transport, error) {
 	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: addr.IP, Port: addr.Port})
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
@@ -54,14 +54,20 @@
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	_ = udp.SetReadBuffer(readBuffer) // the system's own size otherwise
-	t := &transport{tcp: tcp, udp: udp, packets: make(chan *memberlist.Packet), streams: make(chan net.Conn), closed: make(chan struct{})}
+	t := &transport{
+		tcp:     tcp,
+		udp:     udp,
+		packets: make(chan *memberlist.Packet),
+		streams: make(chan net.Conn),
+		closed:  make(chan struct{}),
+	}
 	t.wg.Go(t.readPackets)
 	t.wg.Go(t.accept)
 	return t, nil
 }
 
 func (t *transport) readPackets() {
-	buf := make([]byte, packetMost+1)
+	buf := make([]byte, maxPacket+1)
 	for {
 		n, from, err := t.udp.ReadFrom(buf)
 		if err != nil {
@@ -73,7 +79,7 @@
 			}
 		}
 		t.received.Add(int64(n))
-		if n > packetMost || n == 0 {
+		if n > maxPacket || n == 0 {
 			t.oversized.Add(1)
 			continue
 		}
@@ -97,14 +103,14 @@
 				continue
 			}
 		}
-		if t.open.Load() >= streamsMost {
-			t.streamsTurned.Add(1)
+		if t.open.Load() >= maxStreams {
+			t.streamsRefused.Add(1)
 			c.Close()
 			continue
 		}
 		t.open.Add(1)
 		select {
-		case t.streams <- &stream{Conn: c, t: t, left: streamMost, came: true}:
+		case t.streams <- &stream{Conn: c, t: t, left: maxStream, came: true}:
 		case <-t.closed:
 			c.Close()
 			return
@@ -186,7 +192,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &stream{Conn: c, t: t, left: streamMost}, nil
+	return &stream{Conn: c, t: t, left: maxStream}, nil
 }
 
 // reuse lets the system choose a port although connections of this address linger.
