--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -77,6 +77,7 @@
 			m.Grant.Share = append(m.Grant.Share, &fleetv1.Share{Destination: int32(s.Destination), Rate: s.Rate, Limit: s.Limit})
 		}
 	}
+	m.Configuration = configurationMessage(p.Configuration)
 	return m
 }
 
@@ -124,6 +125,10 @@
 			Length: span(s.LengthUs), List: s.List, Age: span(s.AgeUs), Life: span(s.LifeUs)})
 	}
 	p.Claim, p.Grant = claim(m.Claim), grant(m.Grant)
+	var err error
+	if p.Configuration, err = decodeConfiguration(m.Configuration); err != nil {
+		return spread.Packet{}, err
+	}
 	return p, nil
 }
 
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wrenford/internal/allowance"
+	"wrenford/internal/configsync"
 	"wrenford/internal/verdicts"
 )
 
@@ -74,6 +75,8 @@
 	// Claim and Grant are of the limits that relays divide. Spread carries them, and nothing more.
 	Claim *allowance.Claim
 	Grant *allowance.Grant
+	// Configuration is of the replication of configuration, which has a byte budget of its own. Spread carries it, too.
+	Configuration *configsync.Message
 }
 
 // Send is a packet on its way.
@@ -95,7 +98,7 @@
 	Asked     int64 `json:"asked"`     // comparisons begun
 	Answered  int64 `json:"answered"`  // of them, those that were answered
 	Late      int64 `json:"late"`      // packets that came more than a second late
-	Posted    int64 `json:"posted"`    // claims and grants sent
+	Posted    int64 `json:"posted"`    // claims, grants and messages of configuration sent
 	Differed  int64 `json:"differed"`  // comparisons with one who knows of other members
 }
 
@@ -270,6 +273,15 @@
 	return s.out
 }
 
+// PostConfiguration sends a message of the replication of configuration.
+func (s *Spread) PostConfiguration(now time.Duration, to string, message *configsync.Message) []Send {
+	s.out = nil
+	if to != s.cfg.Self && s.Member(to) {
+		s.send(now, to, Packet{Configuration: message})
+	}
+	return s.out
+}
+
 // Receive takes a packet in: the book learns what is new, which is returned, and packets go out. Statements of this
 // relay's own that another process said under its name, or that it has forgotten, come back in own.
 func (s *Spread) Receive(now time.Duration, p Packet) (news, own []verdicts.Statement, out []Send) {
@@ -405,7 +417,7 @@
 		}
 		news = news[len(p.News):]
 		size := s.cfg.Size(&p)
-		posted := p.Claim != nil || p.Grant != nil
+		posted := p.Claim != nil || p.Grant != nil || p.Configuration != nil
 		if size > s.cfg.Packet || float64(size) > s.tokens && !posted {
 			s.count.Short++
 			return
