--- /dev/null
+++ b/internal/fleet/directive/directive_test.go
@@ -0,0 +1,55 @@
+package directive
+
+import "testing"
+
+func TestParse(t *testing.T) {
+	for _, c := range []struct {
+		key, value string
+		want       Directive
+		known      bool
+	}{
+		{"endpoint/s-5be2a07c", "down", Directive{Kind: EndpointDown, Endpoint: "s-5be2a07c"}, true},
+		{"endpoint/a/b", "down", Directive{Kind: EndpointDown, Endpoint: "a/b"}, true},
+		{"destination/0", "closed", Directive{Kind: DestinationClosed}, true},
+		{"destination/7", "closed", Directive{Kind: DestinationClosed, Destination: 7}, true},
+		{key: "endpoint/s-5be2a07c", value: "up"},
+		{key: "endpoint/s-5be2a07c"},
+		{key: "endpoint/", value: "down"},
+		{key: "endpoint", value: "down"},
+		{key: "Endpoint/x", value: "down"},
+		{key: "destination/7", value: "down"},
+		{key: "destination/07", value: "closed"},
+		{key: "destination/+7", value: "closed"},
+		{key: "destination/-7", value: "closed"},
+		{key: "destination/99999999999", value: "closed"},
+		{key: "destination/", value: "closed"},
+		{key: "rate/7", value: "100"},
+		{},
+	} {
+		got, known := Parse(c.key, []byte(c.value))
+		if known != c.known || known && got != c.want {
+			t.Errorf("%q, %q: %+v, %v", c.key, c.value, got, known)
+		}
+	}
+}
+
+func TestSet(t *testing.T) {
+	var set Set
+	if !set.Empty() || set.Bars("m", 7) {
+		t.Error("an empty set bars")
+	}
+	set.Add(Directive{Kind: EndpointDown, Endpoint: "m"})
+	set.Add(Directive{Kind: DestinationClosed, Destination: 7})
+	for _, c := range []struct {
+		endpoint    string
+		destination int
+		want        bool
+	}{{"m", 1, true}, {"n", 7, true}, {"m", 7, true}, {"n", 1, false}, {"", 0, false}} {
+		if got := set.Bars(c.endpoint, c.destination); got != c.want {
+			t.Errorf("%q of %d: %v", c.endpoint, c.destination, got)
+		}
+	}
+	if set.Empty() {
+		t.Error("the set bars something and is empty")
+	}
+}
