--- /dev/null
+++ b/internal/fleet/capability.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/binary"
+)
+
+// capabilityVersion is the form in which a relay announces with its membership that it replicates configuration. A build
+// without announces nothing; bytes after the zone are for later builds.
+const capabilityVersion = 1
+
+// maxLocationBytes bounds the name of a region or zone, so that the announcement fits memberlist's 512 bytes.
+const maxLocationBytes = 64
+
+// location is where a relay stands.
+type location struct {
+	region, zone string
+}
+
+// encodeCapability returns what a relay announces that replicates configuration.
+func encodeCapability(at location) []byte {
+	b := []byte{capabilityVersion}
+	b = appendText(b, at.region)
+	return appendText(b, at.zone)
+}
+
+// decodeCapability reads what a member announces; false for a member that replicates no configuration.
+func decodeCapability(meta []byte) (at location, ok bool) {
+	version, rest, ok := cutByte(meta)
+	if !ok || version != capabilityVersion {
+		return location{}, false
+	}
+	if at.region, rest, ok = cutText(rest); !ok {
+		return location{}, false
+	}
+	if at.zone, _, ok = cutText(rest); !ok {
+		return location{}, false
+	}
+	return at, true
+}
+
+func appendText(b []byte, text string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(text)))
+	return append(b, text...)
+}
+
+func cutByte(b []byte) (first byte, rest []byte, ok bool) {
+	if len(b) == 0 {
+		return 0, nil, false
+	}
+	return b[0], b[1:], true
+}
+
+func cutText(b []byte) (text string, rest []byte, ok bool) {
+	length, b, ok := uvarint(b)
+	if !ok || length > maxLocationBytes || length > uint64(len(b)) || bytes.IndexByte(b[:length], 0) >= 0 {
+		return "", nil, false
+	}
+	return string(b[:length]), b[length:], true
+}
--- a/internal/fleet/configfile/configfile.go
+++ b/internal/fleet/configfile/configfile.go
@@ -114,6 +114,9 @@
 // Whole reports whether everything that was handed to Save is kept.
 func (f *File) Whole() bool { return !f.broken }
 
+// Rewrite has the next Save replace the file.
+func (f *File) Rewrite() { f.broken = true }
+
 // Size returns the length of the file in bytes.
 func (f *File) Size() int64 { return f.size }
 
--- /dev/null
+++ b/internal/fleet/configuration_figures.go
@@ -0,0 +1,161 @@
+package fleet
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+
+	"wrenford/internal/configsync"
+	"wrenford/internal/fleet/directive"
+)
+
+// ConfigurationFigures are what operators are shown of the replication of configuration among the fleet's figures.
+type ConfigurationFigures struct {
+	Members int `json:"members"` // live relays that replicate, this one included
+	Entries int `json:"entries"` // kept, removed ones included
+	Applied int `json:"applied_entries"`
+	Unknown int `json:"unknown_entries"` // in force, kept and passed on, and without a meaning in this build
+	// Kept says that everything in force outlives this process.
+	Kept      bool                `json:"kept"`
+	FileBytes int64               `json:"file_bytes"`
+	Counters  configsync.Counters `json:"counters"`
+}
+
+// LogValue names the figures in a log line.
+func (g *ConfigurationFigures) LogValue() slog.Value {
+	if g == nil {
+		return slog.StringValue("off")
+	}
+	c := g.Counters
+	return slog.GroupValue(slog.Int("members", g.Members), slog.Int("entries", g.Entries), slog.Int("applied_entries", g.Applied),
+		slog.Int("unknown_entries", g.Unknown), slog.Bool("kept", g.Kept), slog.Int64("sent_packets", c.SentPackets),
+		slog.Int64("sent_bytes", c.SentBytes), slog.Int64("pushes", c.Pushes), slog.Int64("retries", c.Retries),
+		slog.Int64("abandoned", c.Abandoned), slog.Int64("exchanges", c.Exchanges), slog.Int64("repaired", c.Repaired),
+		slog.Int64("applied", c.Applied), slog.Int64("duplicates", c.Duplicates), slog.Int64("untrusted", c.Untrusted),
+		slog.Int64("invalid", c.Invalid), slog.Int64("strangers", c.Strangers), slog.Int64("over_budget", c.OverBudget),
+		slog.Int64("diverged", c.Diverged), slog.Int64("full", c.Full))
+}
+
+// ConfigurationChange is a signed change in the form of JSON, as operators hand it in.
+type ConfigurationChange struct {
+	Source    string `json:"source"`
+	Sequence  uint64 `json:"sequence"`
+	Revision  uint64 `json:"revision"`
+	Key       string `json:"key"`
+	Value     string `json:"value,omitempty"`
+	Removed   bool   `json:"removed,omitempty"`
+	Signature []byte `json:"signature"`
+}
+
+// Change returns the change that is meant.
+func (c *ConfigurationChange) Change() configsync.Change {
+	change := configsync.Change{Source: c.Source, Sequence: c.Sequence, Revision: c.Revision, Key: c.Key, Removed: c.Removed, Signature: c.Signature}
+	if c.Value != "" {
+		change.Value = []byte(c.Value)
+	}
+	return change
+}
+
+// ConfigurationEntry is an entry as operators see it.
+type ConfigurationEntry struct {
+	Key      string `json:"key"`
+	Value    string `json:"value"`
+	Removed  bool   `json:"removed"`
+	Source   string `json:"source"`
+	Sequence uint64 `json:"sequence"`
+	Revision uint64 `json:"revision"`
+	Applied  bool   `json:"applied"` // it has a meaning in this build, and restrains this relay
+}
+
+// ConfigurationSource is a control machine as operators see it.
+type ConfigurationSource struct {
+	Name         string `json:"name"`
+	Trusted      bool   `json:"trusted"` // its key is in the file
+	NextSequence uint64 `json:"next_sequence"`
+	NextRevision uint64 `json:"next_revision"`
+}
+
+// ConfigurationState is what operators are shown of the replicated configuration.
+type ConfigurationState struct {
+	Versions configsync.VersionVector `json:"versions"`
+	Digest   string                   `json:"digest"` // hexadecimal
+	Sources  []ConfigurationSource    `json:"sources"`
+	Members  []string                 `json:"members"`
+	Entries  []ConfigurationEntry     `json:"entries"`
+	Figures  ConfigurationFigures     `json:"figures"`
+}
+
+// Configuration returns what was published last; nil for a relay that replicates none.
+func (f *Fleet) Configuration() *ConfigurationState {
+	if f.configuration == nil {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	shown := f.shownConfiguration
+	return &shown
+}
+
+// publishConfiguration shows operators what there is. It needs no lock.
+func (f *Fleet) publishConfiguration() {
+	c := f.configuration
+	if c == nil {
+		return
+	}
+	state := f.shownConfiguration // of this goroutine; others read it alone
+	if c.stale {
+		c.stale = false
+		state = c.state()
+	}
+	state.Figures.Counters = c.replica.Counters()
+	state.Figures.Kept = c.file != nil && c.saveError == nil
+	if c.file != nil {
+		state.Figures.FileBytes = c.file.Size()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shownConfiguration = state
+}
+
+// configurationFigures are those that were published last. It needs the lock.
+func (f *Fleet) configurationFigures() *ConfigurationFigures {
+	if f.configuration == nil {
+		return nil
+	}
+	figures := f.shownConfiguration.Figures
+	return &figures
+}
+
+func (c *configuration) state() ConfigurationState {
+	entries := c.store.Entries()
+	state := ConfigurationState{Versions: c.store.Versions(), Digest: fmt.Sprintf("%016x", c.store.Digest()), Sources: c.sources(),
+		Members: slices.Clone(c.members), Entries: make([]ConfigurationEntry, 0, len(entries))}
+	state.Figures.Members, state.Figures.Entries = len(c.members), len(entries)
+	for _, entry := range entries {
+		_, known := directive.Parse(entry.Key, entry.Value)
+		applied := known && !entry.Removed
+		state.Entries = append(state.Entries, ConfigurationEntry{Key: entry.Key, Value: string(entry.Value), Removed: entry.Removed,
+			Source: entry.Source, Sequence: entry.Sequence, Revision: entry.Revision, Applied: applied})
+		if applied {
+			state.Figures.Applied++
+		} else if !entry.Removed {
+			state.Figures.Unknown++
+		}
+	}
+	return state
+}
+
+// sources lists the control machines that are trusted or have changed something.
+func (c *configuration) sources() []ConfigurationSource {
+	trusted := *c.keys.names.Load()
+	names := slices.AppendSeq(slices.Clone(trusted), maps.Keys(c.store.Versions()))
+	slices.Sort(names)
+	var list []ConfigurationSource
+	for _, name := range slices.Compact(names) {
+		source := ConfigurationSource{Name: name, Trusted: slices.Contains(trusted, name)}
+		source.NextSequence, source.NextRevision = c.store.Next(name)
+		list = append(list, source)
+	}
+	return list
+}
--- a/internal/fleet/figures.go
+++ b/internal/fleet/figures.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
 	"log/slog"
@@ -59,6 +60,8 @@
 	Judged        verdicts.Counters `json:"judged"`
 	// Divided counts what the dividing of limits took; nothing where it is off.
 	Divided allowance.Counters `json:"divided"`
+	// Configuration tells of the replication of configuration; nothing where it is off.
+	Configuration *ConfigurationFigures `json:"configuration,omitempty"`
 }
 
 // Drops count what was not believed or not taken in.
@@ -83,6 +86,8 @@
 	Since time.Time `json:"since"`
 	RTTMS float64   `json:"rtt_ms"` // of the newest probe; 0 for none
 	Self  bool      `json:"self,omitempty"`
+
+	meta []byte // as announced with its membership
 }
 
 // noted keeps what memberlist says of a member.
@@ -97,7 +102,7 @@
 	if m.State != state {
 		m.State, m.Since = state, time.Now()
 	}
-	m.Addr = n.Address()
+	m.Addr, m.meta = n.Address(), bytes.Clone(n.Meta)
 	f.mu.Unlock()
 	if n.Name != f.cfg.Self {
 		slog.Info("fleet member", "name", n.Name, "state", state, "addr", n.Address())
@@ -131,11 +136,12 @@
 	if f.desk != nil {
 		limits, divided = f.desk.States(now), f.desk.Counters()
 	}
+	f.publishConfiguration()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.said, f.limits = said, limits
 	f.shown = Figures{Members: len(f.nodes), StalenessMS: float64(f.spread.Staleness(now)) / float64(time.Millisecond), Verdicts: len(said),
-		Spread: sc, Judged: f.judge.Counters(), Divided: divided, Drops: Drops{Forged: f.drops.Forged.Load(), Replayed: sc.Replayed, Foreign: f.drops.Foreign.Load(),
+		Configuration: f.configurationFigures(), Spread: sc, Judged: f.judge.Counters(), Divided: divided, Drops: Drops{Forged: f.drops.Forged.Load(), Replayed: sc.Replayed, Foreign: f.drops.Foreign.Load(),
 			Version: f.drops.Version.Load(), Form: f.drops.Form.Load(), Oversized: f.drops.Oversized.Load(), Strangers: sc.Strangers,
 			Overrun: f.drops.Overrun.Load(), Conflict: f.drops.Conflict.Load(), Short: sc.Short}}
 	if f.net != nil {
@@ -209,7 +215,8 @@
 		slog.Int64("unagreed", g.Judged.Unagreed), slog.Int64("claims", g.Divided.Claims), slog.Int64("grants", g.Divided.Grants),
 		slog.Int64("stray_grants", g.Divided.Strays), slog.Int64("owners_avoided", g.Divided.Avoided), slog.Int64("forged", d.Forged), slog.Int64("replayed", d.Replayed), slog.Int64("foreign", d.Foreign),
 		slog.Int64("version", d.Version), slog.Int64("form", d.Form), slog.Int64("oversized", d.Oversized), slog.Int64("strangers", d.Strangers),
-		slog.Int64("overrun", d.Overrun), slog.Int64("conflict", d.Conflict), slog.Int64("short", d.Short))
+		slog.Int64("overrun", d.Overrun), slog.Int64("conflict", d.Conflict), slog.Int64("short", d.Short),
+		slog.Any("configuration", g.Configuration))
 }
 
 func uvarint(b []byte) (x uint64, rest []byte, ok bool) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,6 +47,8 @@
 	Bytes     float64 // a second
 	Divide    bool    // the limits
 	Relays    int     // that divide them, whether they live or not
+	// Configuration says how the operators' configuration is replicated; nil for not at all.
+	Configuration *ConfigurationConfig
 }
 
 // Relay is told what the fleet's word comes to. Nothing of it blocks.
@@ -106,6 +108,8 @@
 	limits  []allowance.State    // likewise
 	reads   map[int]read         // as last handed on
 
+	shownConfiguration ConfigurationState // as last published
+
 	// Of the goroutine alone.
 	desk     *allowance.Desk // nil until the address is had, or where limits are not divided
 	recalled map[int]float64 // limits of a process before
@@ -122,6 +126,8 @@
 	rng      *rand.Rand
 	stoodAt  time.Duration
 	lookedAt time.Duration
+
+	configuration *configuration // nil where none is replicated
 }
 
 // saying is something that all relays learn alike, to be said at a time of this one's own.
@@ -188,6 +194,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
+	if f.configuration, err = newConfiguration(&cfg); err != nil {
+		return nil, err
+	}
 	return f, nil
 }
 
@@ -311,6 +320,7 @@
 	if err == nil {
 		err = change(f.ring, keys)
 	}
+	err = errors.Join(err, f.reloadTrustedKeys())
 	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
@@ -457,6 +467,7 @@
 func (f *Fleet) loop(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	defer f.configuration.close()
 	for {
 		select {
 		case <-ctx.Done():
@@ -473,7 +484,7 @@
 		if f.desk != nil {
 			wait = min(wait, divideEvery)
 		}
-		timer.Reset(wait)
+		timer.Reset(f.configurationDue(f.now(), wait))
 	}
 }
 
@@ -514,6 +525,10 @@
 					f.desk.Demand(now, d.Destination, d.Arrived, d.Waiting)
 				}
 			}
+		case publication:
+			f.configuration.publish(now, in)
+		case keysChanged:
+			f.configuration.stale = true
 		case read:
 			if f.desk != nil {
 				f.desk.Read(now, in.destination, in.limit)
@@ -529,6 +544,7 @@
 	f.send(f.spread.Tick(now))
 	f.handOn(now, t.come)
 	f.divide(now)
+	f.stepConfiguration(now)
 	if now-f.lookedAt >= lookEvery || t.look {
 		f.lookedAt = now
 		f.bar(now)
@@ -578,6 +594,9 @@
 		t.look = t.look || s.Kind == verdicts.Drain || s.Kind == verdicts.Ban
 	}
 	f.send(out)
+	if f.spread.Counters().Received > before.Received {
+		f.configurationReceived(now, p.From, p.Configuration)
+	}
 	if f.desk != nil && f.spread.Counters().Received > before.Received {
 		if p.Claim != nil {
 			f.desk.Claimed(now, p.From, *p.Claim)
@@ -684,6 +703,7 @@
 	}
 	f.nodes = live
 	f.spread.Members(names)
+	f.configurationMembersChanged(now)
 	if f.desk == nil {
 		f.openDesk(now, names)
 	} else {
@@ -811,6 +831,7 @@
 		m := f.pool[name]
 		bars = append(bars, traffic.Bar{Member: name, Banned: f.words(now, verdicts.Subject{Kind: verdicts.Ban, Destination: m.Destination, Member: name}) > 0})
 	}
+	bars = f.configuration.bars(bars, f.pool)
 	if !slices.Equal(bars, f.barred) {
 		f.barred = bars
 		f.relay.Bar(slices.Clone(bars))
@@ -820,7 +841,7 @@
 // delegate is what memberlist calls. Nothing of it blocks, and nothing keeps the bytes that it is lent.
 type delegate struct{ f *Fleet }
 
-func (d delegate) NodeMeta(int) []byte             { return nil }
+func (d delegate) NodeMeta(int) []byte             { return d.f.configuration.announcement() }
 func (d delegate) NotifyMsg(b []byte)              { d.f.post(packet(append([]byte(nil), b...))) }
 func (d delegate) GetBroadcasts(_, _ int) [][]byte { return nil }
 func (d delegate) LocalState(bool) []byte          { return nil }
