Store, push tree and anti-entropy of internal/configsync

The store merges signed changes, the replica pushes them down a tree of acknowledged hops and repairs by exchanges of version vectors under two byte budgets. Not measured yet: the tests follow.

--- /dev/null
+++ b/internal/configsync/exchange.go
@@ -0,0 +1,261 @@
+package configsync
+
+import "time"
+
+// An exchange is at most three packets. The request carries a version vector; the answer what the requester lacks and, if the
+// answerer lacks something as well, its vector; the conclusion what the answerer lacks. So both end with the union, as far as
+// packets and the repair budget reach, and an exchange of equals costs one packet.
+
+// rewindInterval is how often everything may be pulled anew.
+const rewindInterval = time.Minute
+
+// beginExchange sends this relay's version vector to a random member.
+func (r *Replica) beginExchange(now time.Duration) {
+	spread := 1 + exchangeJitter*(2*r.random.Float64()-1)
+	r.nextExchange = now + time.Duration(spread*float64(r.config.Exchange))
+	if r.others() == 0 {
+		return
+	}
+	index := r.random.IntN(r.others())
+	if r.self >= 0 && index >= r.self {
+		index++
+	}
+	request := r.comparison()
+	request.Reply = true
+	if r.send(now, r.membership.members[index].Name, Message{Exchange: request}) {
+		r.counters.Exchanges++
+	}
+}
+
+// comparison returns an exchange with this relay's vector.
+func (r *Replica) comparison() *Exchange {
+	return &Exchange{Versions: r.store.said(), Digest: r.store.Digest(), Ahead: r.store.ahead()}
+}
+
+// receiveExchange takes in the deltas and answers the vector of an exchange.
+func (r *Replica) receiveExchange(now time.Duration, from string, exchange *Exchange) []Change {
+	var applied []Change
+	for i := range exchange.Deltas {
+		applied = append(applied, r.mergeDelta(&exchange.Deltas[i])...)
+	}
+	if (exchange.Reply || len(exchange.Versions) > 0) && !r.store.planted.noAnswer {
+		r.compare(now, from, exchange)
+	}
+	return applied
+}
+
+// mergeDelta applies the changes of a delta, and takes over its claim to be complete as far as its changes have been taken in.
+// The claim reaches no further than the last of their signatures: a relay that claims more than the source has signed would
+// make its victims refuse what the source signs later.
+func (r *Replica) mergeDelta(delta *Delta) []Change {
+	var applied []Change
+	through := delta.After
+	for i := range delta.Changes {
+		change := &delta.Changes[i]
+		result, err := r.merge(change)
+		if err != nil {
+			through = min(through, change.Sequence-1)
+			break
+		}
+		through = change.Sequence
+		if result.inForce {
+			applied = append(applied, *change)
+		}
+		if !result.known {
+			r.counters.Repaired++
+		}
+	}
+	if r.store.planted.trustThrough {
+		through = delta.Through
+	}
+	r.store.cover(delta.Source, delta.After, through)
+	return applied
+}
+
+// compare answers a vector: with the changes that its sender lacks, and with this relay's own vector if it was asked for and
+// this relay lacks something too.
+func (r *Replica) compare(now time.Duration, from string, theirs *Exchange) {
+	lacking := r.lacks(theirs.Versions)
+	diverged := r.diverged(theirs)
+	answer := &Exchange{}
+	if theirs.Reply && (lacking || diverged) {
+		answer = r.comparison()
+		answer.Versions = withSources(answer.Versions, theirs.Versions)
+	}
+	r.addDeltas(now, answer, theirs.Versions)
+	if diverged {
+		r.counters.Diverged++
+		r.rewind(now)
+	}
+	r.sendAnswer(now, from, answer)
+}
+
+// lacks reports whether a vector covers something that this relay's does not.
+func (r *Replica) lacks(theirs VersionVector) bool {
+	ours := r.store.said()
+	for source, version := range theirs {
+		if version > ours[source] {
+			return true
+		}
+	}
+	return false
+}
+
+// diverged reports whether two stores differ that should be equal.
+func (r *Replica) diverged(theirs *Exchange) bool {
+	if theirs.Digest == r.store.Digest() || theirs.Ahead != 0 || r.store.planted.digestIgnored {
+		return false
+	}
+	return equalVersions(r.store.said(), theirs.Versions) && r.store.ahead() == 0
+}
+
+func equalVersions(a, b VersionVector) bool {
+	for source, version := range a {
+		if b[source] != version {
+			return false
+		}
+	}
+	for source, version := range b {
+		if a[source] != version {
+			return false
+		}
+	}
+	return true
+}
+
+// withSources returns a vector that names all sources of another one: a vector that names none means that nothing is to be
+// compared.
+func withSources(ours, theirs VersionVector) VersionVector {
+	named := ours
+	for source := range theirs {
+		if _, ok := ours[source]; ok || len(named) >= maxSources {
+			continue
+		}
+		if len(named) == len(ours) { // still the shared one
+			named = make(VersionVector, len(ours)+1)
+			for ourSource, version := range ours {
+				named[ourSource] = version
+			}
+		}
+		named[source] = 0
+	}
+	return named
+}
+
+// rewind has everything pulled anew, if that was not done lately.
+func (r *Replica) rewind(now time.Duration) {
+	if now < r.nextRewind {
+		return
+	}
+	r.nextRewind = now + rewindInterval
+	r.store.rewind()
+}
+
+// addDeltas adds to an answer what a vector lacks, as far as a packet and the budgets reach. Where not even one change fits beside
+// the answer's own vector, the vector gives way.
+func (r *Replica) addDeltas(now time.Duration, answer *Exchange, theirs VersionVector) {
+	builder := deltaBuilder{store: r.store, size: r.config.Size, limit: r.deltaLimit(now)}
+	if builder.limit == 0 || len(r.store.names) == 0 {
+		return
+	}
+	first := r.random.IntN(len(r.store.names))
+	builder.build(answer, theirs, first)
+	if len(answer.Deltas) == 0 && builder.full && len(answer.Versions) > 0 {
+		alone := Exchange{}
+		builder.build(&alone, theirs, first)
+		if len(alone.Deltas) > 0 {
+			*answer = alone
+		}
+	}
+}
+
+// deltaLimit returns how large a packet with deltas may be now.
+func (r *Replica) deltaLimit(now time.Duration) int {
+	if r.store.planted.unlimitedRepair {
+		return r.config.PacketBytes
+	}
+	available := r.bytes.available(now)
+	if available < repairShare*r.bytes.capacity {
+		return 0
+	}
+	return int(min(float64(r.config.PacketBytes), r.repair.available(now), r.spendable(now)))
+}
+
+// sendAnswer sends an answer that says anything.
+func (r *Replica) sendAnswer(now time.Duration, to string, answer *Exchange) {
+	if len(answer.Versions) == 0 && len(answer.Deltas) == 0 {
+		return
+	}
+	message := Message{Exchange: answer}
+	if r.send(now, to, message) && len(answer.Deltas) > 0 {
+		r.repair.take(r.config.Size(&message))
+	}
+}
+
+// deltaBuilder fills an exchange with deltas up to a size.
+type deltaBuilder struct {
+	store   *Store
+	size    func(*Message) int
+	limit   int
+	changes int
+	full    bool // something did not fit
+}
+
+// build adds the deltas that a vector lacks, beginning with one of the sources, until the exchange is full.
+func (b *deltaBuilder) build(exchange *Exchange, theirs VersionVector, first int) {
+	b.changes, b.full = 0, false
+	names := b.store.names
+	for i := range names {
+		if b.full {
+			return
+		}
+		source := names[(first+i)%len(names)]
+		if theirs[source] < b.store.sources[source].watermark {
+			b.addDelta(exchange, source, theirs[source])
+		}
+	}
+}
+
+// addDelta adds the changes of one source after a sequence.
+func (b *deltaBuilder) addDelta(exchange *Exchange, source string, after uint64) {
+	index := b.store.sources[source]
+	exchange.Deltas = append(exchange.Deltas, Delta{Source: source, After: after, Through: after})
+	delta := &exchange.Deltas[len(exchange.Deltas)-1]
+	b.store.each(source, after, index.watermark, func(change *Change) bool {
+		if !b.addChange(exchange, delta, change) {
+			cutBefore(delta, change.Sequence)
+		}
+		return !b.full
+	})
+	// Only the last signature proves how far the source has come, even if that change was superseded.
+	if !b.full && index.head != nil && index.head.Sequence == index.watermark && delta.Through < index.watermark {
+		b.addChange(exchange, delta, index.head)
+	}
+	if len(delta.Changes) == 0 {
+		exchange.Deltas = exchange.Deltas[:len(exchange.Deltas)-1]
+	}
+}
+
+// addChange adds a change to a delta if it fits.
+func (b *deltaBuilder) addChange(exchange *Exchange, delta *Delta, change *Change) bool {
+	before := delta.Through
+	delta.Changes, delta.Through = append(delta.Changes, *change), change.Sequence
+	if b.changes < maxChangesPerMessage && b.size(&Message{Exchange: exchange}) <= b.limit {
+		b.changes++
+		return true
+	}
+	delta.Changes, delta.Through = delta.Changes[:len(delta.Changes)-1], before
+	b.full = true
+	return false
+}
+
+// cutBefore removes the changes of a sequence that is not in the delta as a whole.
+func cutBefore(delta *Delta, sequence uint64) {
+	for len(delta.Changes) > 0 && delta.Changes[len(delta.Changes)-1].Sequence == sequence {
+		delta.Changes = delta.Changes[:len(delta.Changes)-1]
+	}
+	delta.Through = delta.After
+	if len(delta.Changes) > 0 {
+		delta.Through = delta.Changes[len(delta.Changes)-1].Sequence
+	}
+}
--- a/internal/configsync/replica.go
+++ b/internal/configsync/replica.go
@@ -1,38 +1,13 @@
 package configsync
 
-import "time"
-
-// Config holds the parameters of one relay's replica.
-type Config struct {
-	// Self is the relay's name, unique in the fleet.
-	Self string
-	// Exchange is the mean interval between two anti-entropy exchanges.
-	Exchange time.Duration
-	// AckTimeout is how long a push waits for its acknowledgement before another member of its scope is tried.
-	AckTimeout time.Duration
-	// Attempts is how many members of one scope are tried at most.
-	Attempts int
-	// FanOut is into how many parts a relay divides its scope.
-	FanOut int
-	// BytesPerSecond bounds everything that this relay sends, as Size counts it.
-	BytesPerSecond float64
-	// RepairBytesPerSecond bounds the part of it that deltas may use, so that a reunion causes no storm.
-	RepairBytesPerSecond float64
-	// PacketBytes is the largest packet.
-	PacketBytes int
-	// Size returns the bytes that a message takes on the network, with all headers.
-	Size func(*Message) int
-	// Seed initialises the random numbers.
-	Seed uint64
-}
-
-// Defaults returns the parameters that the relay uses unless its settings say otherwise; Self, Size and Seed are unset.
-func Defaults() Config { return Config{} }
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
 
-// Member is a live relay that replicates configuration.
-type Member struct {
-	Name, Region, Zone string
-}
+	"github.com/cespare/xxhash/v2"
+)
 
 // Counters count since the start of the replica.
 type Counters struct {
@@ -53,35 +28,211 @@
 	Full        int64 `json:"full"`        // changes dropped for want of room
 }
 
-// Replica is one relay's part in the replication.
-type Replica struct{}
+// Replica is one relay's part in the replication. It is not safe for concurrent use.
+type Replica struct {
+	config     Config
+	store      *Store
+	random     *rand.Rand
+	membership *Membership
+	self       int // this relay's number in membership, -1 if it is no member
+	bytes      tokenBucket
+	repair     tokenBucket
+	counters   Counters
+	out        []Send // of the call that runs
+
+	queue     []Change // published and not yet sent
+	lastFlush time.Duration
+	postponed []postponedPush
+
+	lastNumber uint64
+	deliveries deliveryQueue
+	handled    recentScopes
+	scratch    []candidate
+
+	nextExchange time.Duration
+	nextRewind   time.Duration
+}
 
 // NewReplica returns a replica over a store that its caller shares only with it.
 func NewReplica(config Config, now time.Duration, store *Store) (*Replica, error) {
-	return &Replica{}, nil
+	if err := config.validate(); err != nil {
+		return nil, err
+	}
+	if store == nil {
+		return nil, errors.New("configsync: no store")
+	}
+	r := &Replica{
+		config:     config,
+		store:      store,
+		random:     rand.New(rand.NewPCG(config.Seed, xxhash.Sum64String(config.Self))),
+		membership: NewMembership(nil),
+		self:       -1,
+		bytes:      newTokenBucket(now, config.BytesPerSecond, burstSeconds*config.BytesPerSecond),
+		repair:     newTokenBucket(now, config.RepairBytesPerSecond, float64(repairBurstPackets*config.PacketBytes)),
+		lastFlush:  now - batchWait,
+		deliveries: newDeliveryQueue(),
+		handled:    newRecentScopes(),
+		nextRewind: now,
+	}
+	r.nextExchange = now + r.soon()
+	return r, nil
 }
 
 // Members replaces the set of live members; this relay's own entry, which tells its region and zone, has to be among them.
-func (r *Replica) Members(now time.Duration, members []Member) {}
+func (r *Replica) Members(now time.Duration, members []Member) {
+	r.SetMembership(now, NewMembership(members))
+}
+
+// SetMembership is Members with a set that replicas of one process share, which saves each of them its preparation.
+func (r *Replica) SetMembership(now time.Duration, membership *Membership) {
+	alone := r.others() == 0
+	r.membership, r.self = membership, -1
+	if index, ok := membership.index(r.config.Self); ok {
+		r.self = index
+	}
+	if alone && r.others() > 0 {
+		r.nextExchange = min(r.nextExchange, now+r.soon())
+	}
+}
+
+// others counts the members but this relay.
+func (r *Replica) others() int {
+	if r.self < 0 {
+		return len(r.membership.members)
+	}
+	return len(r.membership.members) - 1
+}
 
 // Publish accepts a change that an operator handed to this relay, and sends it to the fleet. An error names what is wrong with
 // it; nothing has changed then.
-func (r *Replica) Publish(now time.Duration, change Change) ([]Send, error) { return nil, nil }
+func (r *Replica) Publish(now time.Duration, change Change) ([]Send, error) {
+	r.out = nil
+	if err := r.fits(&change); err != nil {
+		r.counters.Invalid++
+		return nil, err
+	}
+	result, err := r.merge(&change)
+	if err != nil || result.known {
+		return nil, err
+	}
+	r.queue = append(r.queue, change)
+	if now >= r.flushAt() {
+		r.flush(now)
+	}
+	return r.out, nil
+}
 
-// Receive takes in a message. It returns the changes that came into force by it.
+// fits reports an error for a change that no packet holds.
+func (r *Replica) fits(change *Change) error {
+	if size := r.pushSize([]Change{*change}); size > r.config.PacketBytes {
+		return fmt.Errorf("%w: it takes a packet of %d bytes, above %d", ErrInvalid, size, r.config.PacketBytes)
+	}
+	return nil
+}
+
+// merge applies a change to the store and counts the outcome.
+func (r *Replica) merge(change *Change) (mergeResult, error) {
+	result, err := r.store.merge(change)
+	switch {
+	case errors.Is(err, ErrFull):
+		r.counters.Full++
+	case errors.Is(err, ErrUntrusted):
+		r.counters.Untrusted++
+	case err != nil:
+		r.counters.Invalid++
+	case result.inForce:
+		r.counters.Applied++
+	case result.known:
+		r.counters.Duplicates++
+	}
+	return result, err
+}
+
+// Receive takes in a message. It returns the changes that came into force by it. The message's slices are kept: nobody may
+// modify them afterwards.
 func (r *Replica) Receive(now time.Duration, from string, message Message) (applied []Change, out []Send) {
-	return nil, nil
+	r.out = nil
+	if _, member := r.membership.index(from); !member || from == r.config.Self {
+		r.counters.Strangers++
+		return nil, nil
+	}
+	if message.validate() != nil {
+		r.counters.Invalid++
+		return nil, nil
+	}
+	switch {
+	case message.Push != nil:
+		applied = r.receivePush(now, from, message.Push)
+	case message.Ack != nil:
+		r.deliveries.acknowledge(message.Ack.Number, from)
+	case message.Exchange != nil:
+		applied = r.receiveExchange(now, from, message.Exchange)
+	}
+	return applied, r.out
 }
 
 // Tick sends what is due: retries, queued pushes and exchanges.
-func (r *Replica) Tick(now time.Duration) []Send { return nil }
+func (r *Replica) Tick(now time.Duration) []Send {
+	r.out = nil
+	if now < r.Due() {
+		return nil
+	}
+	r.retryDeliveries(now)
+	r.resumePostponed(now)
+	if len(r.queue) > 0 && now >= r.flushAt() {
+		r.flush(now)
+	}
+	if now >= r.nextExchange {
+		r.beginExchange(now)
+	}
+	return r.out
+}
 
 // Due is when Tick has something to do.
-func (r *Replica) Due() time.Duration { return 0 }
+func (r *Replica) Due() time.Duration {
+	due := r.nextExchange
+	if deadline, ok := r.deliveries.deadline(); ok {
+		due = min(due, deadline)
+	}
+	if len(r.queue) > 0 {
+		due = min(due, r.flushAt())
+	}
+	if len(r.postponed) > 0 {
+		due = min(due, r.bytes.readyAt(r.postponed[0].bytes))
+	}
+	return due
+}
 
 // Counters returns what was counted.
-func (r *Replica) Counters() Counters { return Counters{} }
+func (r *Replica) Counters() Counters { return r.counters }
 
-// Bound returns the time within which all relays that stay up hold a change, except with a chance of one in 1,000, for a fleet
-// of so many members, a one-way delay that includes a relay's own scheduling, and an independent loss of each packet.
-func (c Config) Bound(members int, delay time.Duration, loss float64) time.Duration { return 0 }
+// soon is a short time, spread lest all relays that start at one moment ask at one moment.
+func (r *Replica) soon() time.Duration {
+	return time.Duration(r.random.Float64() * float64(r.config.Exchange) / 4)
+}
+
+// reserve is how many bytes are left to acknowledgements.
+func (r *Replica) reserve() float64 { return acknowledgementReserve * r.bytes.capacity }
+
+// spendable is how many bytes anything but acknowledgements may take.
+func (r *Replica) spendable(now time.Duration) float64 {
+	return r.bytes.available(now) - r.reserve()
+}
+
+// send sends a message if it fits a packet and the bytes at hand, and reports whether it did.
+func (r *Replica) send(now time.Duration, to string, message Message) bool {
+	size := r.config.Size(&message)
+	available := r.spendable(now)
+	if message.Ack != nil {
+		available += r.reserve()
+	}
+	if size > r.config.PacketBytes || float64(size) > available {
+		r.counters.OverBudget++
+		return false
+	}
+	r.bytes.take(size)
+	r.counters.SentPackets++
+	r.counters.SentBytes += int64(size)
+	r.out = append(r.out, Send{To: to, Message: message})
+	return true
+}
