--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -52,11 +52,14 @@
 	replica *configsync.Replica
 	members []string
 
-	file      *configfile.File // nil until it is opened
-	attached  bool             // the address is had: no process before this one writes the file any more
-	saved     configsync.VersionVector
-	unsaved   []configsync.Change // in force, and not yet in the file
-	skipped   bool                // something came into force while there was no file
+	file     *configfile.File // nil until it is opened
+	attached bool             // the address is had: no process before this one writes the file any more
+	saved    configsync.VersionVector
+	unsaved  []configsync.Change // in force, and not yet in the file
+	// newest is the newest change of each source that was in force here. Also when it is superseded it is kept: its signature
+	// proves to others how far the source has come.
+	newest    map[string]configsync.Change
+	skipped   bool // something came into force while there was no file
 	triedAt   time.Duration
 	saveError error
 
@@ -88,7 +91,8 @@
 	if cfg.Configuration == nil {
 		return nil, nil
 	}
-	c := &configuration{config: *cfg.Configuration, dir: cfg.State, saved: configsync.VersionVector{}, stale: true}
+	c := &configuration{config: *cfg.Configuration, dir: cfg.State, saved: configsync.VersionVector{},
+		newest: map[string]configsync.Change{}, stale: true}
 	if c.config.MaxFileBytes == 0 {
 		c.config.MaxFileBytes = configfile.MaxBytes(c.config.MaxEntries)
 	}
@@ -127,7 +131,9 @@
 	for _, change := range snapshot.Entries {
 		if _, err := c.store.Apply(change); err != nil {
 			refused++
+			continue
 		}
+		c.noteNewest(change)
 	}
 	if refused > 0 {
 		slog.Warn("fleet configuration: kept entries not taken over", "entries", refused)
@@ -240,6 +246,9 @@
 // save keeps what is new before anybody is told of it. It reports whether entries have changed.
 func (c *configuration) save(now time.Duration) bool {
 	changed := len(c.unsaved) > 0
+	for _, change := range c.unsaved {
+		c.noteNewest(change)
+	}
 	versions := c.store.Versions()
 	moved := !maps.Equal(versions, c.saved)
 	c.stale = c.stale || changed || moved
@@ -268,8 +277,19 @@
 	}
 }
 
+func (c *configuration) noteNewest(change configsync.Change) {
+	if c.newest[change.Source].Sequence < change.Sequence {
+		c.newest[change.Source] = change
+	}
+}
+
+// snapshot is all that has to be kept. An entry that is also the newest of its source stands there twice, which merges.
 func (c *configuration) snapshot() configfile.Snapshot {
-	return configfile.Snapshot{Entries: c.store.Entries(), Versions: c.store.Versions()}
+	entries := c.store.Entries()
+	for _, source := range slices.Sorted(maps.Keys(c.newest)) {
+		entries = append(entries, c.newest[source])
+	}
+	return configfile.Snapshot{Entries: entries, Versions: c.store.Versions()}
 }
 
 // interpret works out what the entries in force restrain.
@@ -335,13 +355,10 @@
 	c.tick(now)
 	if c.save(now) {
 		c.interpret()
+		f.publishConfiguration()
 		f.bar(now)
 	}
 	f.sendConfiguration(now)
-	if len(c.replies) == 0 {
-		return
-	}
-	f.publishConfiguration()
 	for _, reply := range c.replies {
 		if reply.err == nil && c.saveError != nil {
 			reply.err = fmt.Errorf("%w: %w", ErrConfigurationNotSaved, c.saveError)
--- a/internal/fleet/wire/configuration.go
+++ b/internal/fleet/wire/configuration.go
@@ -108,9 +108,6 @@
 func EncodeVersions(versions configsync.VersionVector) []*fleetv1.ConfigurationVersion {
 	var encoded []*fleetv1.ConfigurationVersion
 	for source, sequence := range versions {
-		if sequence == 0 {
-			continue
-		}
 		encoded = append(encoded, &fleetv1.ConfigurationVersion{Source: source, Sequence: sequence})
 	}
 	slices.SortFunc(encoded, func(a, b *fleetv1.ConfigurationVersion) int { return strings.Compare(a.Source, b.Source) })
@@ -228,7 +225,7 @@
 	}
 	versions := configsync.VersionVector{}
 	for _, version := range encoded {
-		if _, twice := versions[version.Source]; twice || version.Source == "" || version.Sequence == 0 {
+		if _, twice := versions[version.Source]; twice || version.Source == "" {
 			return nil, fmt.Errorf("%w: version %d of source %q", ErrForm, version.Sequence, version.Source)
 		}
 		versions[version.Source] = version.Sequence
