The driver keeps copies of memberlist's nodes instead of reading them while they change

Cause: go test -race on the new restart test shows memberlist writing a node's address, when a name comes back elsewhere, while the driver's goroutine sends to it. Change: the event delegate copies the node under memberlist's lock; the driver sends to the copy.

--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -390,13 +390,11 @@
 		f.bar(now)
 	}
 	announced := map[string][]byte{}
-	f.mu.Lock()
-	for name := range f.nodes {
-		if member := f.members[name]; member != nil {
-			announced[name] = member.meta
+	for name, node := range f.nodes {
+		if node != nil {
+			announced[name] = node.Meta
 		}
 	}
-	f.mu.Unlock()
 	c.setMembers(now, f.cfg.Self, announced)
 }
 
--- a/internal/fleet/figures.go
+++ b/internal/fleet/figures.go
@@ -87,7 +87,8 @@
 	RTTMS float64   `json:"rtt_ms"` // of the newest probe; 0 for none
 	Self  bool      `json:"self,omitempty"`
 
-	meta []byte // as announced with its membership
+	// node is a copy of memberlist's own, which changes when the member comes back at another address.
+	node *memberlist.Node
 }
 
 // noted keeps what memberlist says of a member.
@@ -102,7 +103,9 @@
 	if m.State != state {
 		m.State, m.Since = state, time.Now()
 	}
-	m.Addr, m.meta = n.Address(), bytes.Clone(n.Meta)
+	node := *n
+	node.Meta = bytes.Clone(n.Meta)
+	m.Addr, m.node = node.Address(), &node
 	f.mu.Unlock()
 	if n.Name != f.cfg.Self {
 		slog.Info("fleet member", "name", n.Name, "state", state, "addr", n.Address())
@@ -110,6 +113,16 @@
 	f.post(changed{})
 }
 
+// copyOf returns a member's node as memberlist told of it last; nil for none.
+func (f *Fleet) copyOf(name string) *memberlist.Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[name]; m != nil {
+		return m.node
+	}
+	return nil
+}
+
 // forgetGone drops members that have been gone for long. It needs the lock.
 func (f *Fleet) forgetGone() {
 	for name, m := range f.members {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -688,7 +688,7 @@
 	live := map[string]*memberlist.Node{}
 	var names []string
 	for _, n := range list.Members() {
-		live[n.Name] = n
+		live[n.Name] = f.copyOf(n.Name)
 		names = append(names, n.Name)
 	}
 	for name := range f.nodes {
