Settings of the replication of configuration, off by default

Cause: the relay had no way to switch it on. Change: fleet.configuration in the gateway's schema, with ranges; defaults are configsync.Defaults().

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	Exchange        time.Duration
 	Bytes           float64 // a second
 	DivideLimits    bool
+	Configuration   Configuration
 }
 
 // Conns holds the settings of connections to pool members.
@@ -88,7 +89,7 @@
 func Default() Config {
 	return Config{Overload: Overload{Brownout: true, Tick: 50 * time.Millisecond, Control: overload.Defaults()},
 		Log: Log{LinesPerSecond: 5}, TLS: TLS{Watch: true, Gate: trust.GateDefaults()}, Conns: Conns{Keep: conns.Defaults(), HeldMost: 250 * time.Millisecond},
-		Fleet: Fleet{Agree: 2, Exchange: time.Second, Bytes: 4096, DivideLimits: true}}
+		Fleet: Fleet{Agree: 2, Exchange: time.Second, Bytes: 4096, DivideLimits: true, Configuration: defaultConfiguration()}}
 }
 
 // Load reads a file. An empty path is no file.
@@ -313,6 +314,7 @@
 	if f.Enabled && f.KeyFile == "" {
 		errs = append(errs, errors.New("fleet.key_file: missing; what relays tell each other is sealed"))
 	}
+	errs = append(errs, f.Configuration.take(p.GetConfiguration(), f.Enabled))
 	return errors.Join(errs...)
 }
 
