Operators show and change the fleet's configuration, by HTTP and command line

Cause: nothing could hand a change to a relay. Change: GET and POST /ops/fleet/configuration, slatemux fleet configuration show|set|remove|keygen, slatemux check; the file's share of the state folder is kept free.

--- a/cmd/slatemux/cli.go
+++ b/cmd/slatemux/cli.go
@@ -104,6 +104,11 @@
 				if _, err := fleet.ReadKeys(f.KeyFile); err != nil {
 					return fmt.Errorf("%s: fleet.%w", cfg.gatewayPath, err)
 				}
+				if c := f.Configuration; c.Enabled {
+					if _, err := fleet.ReadTrustedKeys(c.TrustedKeyFile); err != nil {
+						return fmt.Errorf("%s: fleet.configuration.%w", cfg.gatewayPath, err)
+					}
+				}
 			}
 			if _, err := secure.New(cfg.gateway.TLS.Policies); err != nil {
 				return fmt.Errorf("%s: %w", cfg.gatewayPath, err)
@@ -227,6 +232,12 @@
 	} else {
 		fmt.Fprintf(t, "fleet\toff\n")
 	}
+	if c := replication(&cfg); c != nil {
+		fmt.Fprintf(t, "fleet configuration\ton: keys in %s, region %q, zone %q, an exchange each %v, %.0f bytes a second, of them %.0f of repairs, %d entries\n",
+			c.TrustedKeyFile, c.Region, c.Zone, c.Replication.Exchange, c.Replication.BytesPerSecond, c.Replication.RepairBytesPerSecond, c.MaxEntries)
+	} else {
+		fmt.Fprintf(t, "fleet configuration\toff\n")
+	}
 	for _, p := range cfg.gateway.TLS.Policies {
 		fmt.Fprintf(t, "tls policy %s\tdestinations %v, host %q, plain %v, client certificate %v, %d pins\n", p.Name, p.Destinations, p.Hosts, p.Plain,
 			p.Certificate != "", len(p.Pins))
--- a/cmd/slatemux/config.go
+++ b/cmd/slatemux/config.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"wrenford"
+	"wrenford/internal/fleet/configfile"
 	"wrenford/internal/front"
 	"wrenford/internal/gateway"
 	"wrenford/internal/overload"
@@ -143,6 +144,7 @@
 	heap            int64 // for the collector: files count as memory too
 	openBytes, disk int64
 	learned         int64 // of the folder, beside the journal
+	configuration   int64 // of the folder: the file of the fleet's configuration; 0 where none is replicated
 	flows, members  int   // flows out, connections to pool members
 	clients         front.Limits
 }
@@ -160,11 +162,22 @@
 func (c *config) caps() caps {
 	n := c.sockets - spare
 	learned := min(c.disk/16, learnedMost)
-	return caps{heap: c.memory / 2, openBytes: c.memory / 8, disk: c.disk - learned, learned: learned, flows: min(c.settings.MaxCalls, n/4),
+	configuration := c.configurationFile()
+	const copies = 2 // while it is compacted there are two of it
+	return caps{heap: c.memory / 2, openBytes: c.memory / 8, disk: c.disk - learned - copies*configuration, learned: learned, configuration: configuration, flows: min(c.settings.MaxCalls, n/4),
 		members: n / 4,
 		clients: front.Limits{Clients: n / 2, Used: n / 4, Buffered: c.memory / 8}}
 }
 
+// configurationFile is the bound of the file that keeps the fleet's configuration: what its entries take, and a sixteenth of the
+// folder at most.
+func (c *config) configurationFile() int64 {
+	if !c.gateway.Fleet.Configuration.Enabled {
+		return 0
+	}
+	return min(c.disk/16, configfile.MaxBytes(c.gateway.Fleet.Configuration.MaxEntries))
+}
+
 // fixed names what a newer configuration changes that only a restart can apply. The seed and the known list
 // are for a start alone.
 func (c *config) fixed(newer *config) (names []string) {
--- /dev/null
+++ b/cmd/slatemux/configuration_cli.go
@@ -0,0 +1,328 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"wrenford/internal/configsync"
+	"wrenford/internal/fleet"
+)
+
+const (
+	configurationPath = "/ops/fleet/configuration"
+	// changeAttempts is how often a change is signed anew where another one came first.
+	changeAttempts = 5
+	// changeRetryPause is the pause between two of them.
+	changeRetryPause = 200 * time.Millisecond
+	// lastChangeSuffix names the file beside a control machine's key that keeps its last change. A change whose answer was lost is
+	// handed in again before the next one, so that no sequence is used twice or left out.
+	lastChangeSuffix = ".last"
+)
+
+// configurationCommand shows and changes the configuration that a fleet replicates.
+func configurationCommand(addr *string, raw *bool) *cobra.Command {
+	root := &cobra.Command{
+		Use:   "configuration",
+		Short: "Show or change the configuration that the fleet replicates",
+		Long: `Show what a relay holds of the fleet's configuration, or sign a change of it and hand that to a relay, which passes it on to
+all. docs/operate-fleet.md explains keys and values.`,
+	}
+	signer := &changeSigner{addr: addr}
+	set := &cobra.Command{
+		Use: "set KEY VALUE", Short: "Sign an entry and hand it to a relay", Args: cobra.ExactArgs(2),
+		Example: "  slatemux fleet configuration set endpoint/s-5be2a07c down --ops 127.0.0.1:8600 --source control-1 --key-file control-1.key",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return signer.run(cmd, *raw, fleet.ConfigurationChange{Key: args[0], Value: args[1]})
+		},
+	}
+	remove := &cobra.Command{
+		Use: "remove KEY", Short: "Sign the removal of an entry and hand it to a relay", Args: cobra.ExactArgs(1),
+		Example: "  slatemux fleet configuration remove endpoint/s-5be2a07c --ops 127.0.0.1:8600 --source control-1 --key-file control-1.key",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return signer.run(cmd, *raw, fleet.ConfigurationChange{Key: args[0], Removed: true})
+		},
+	}
+	keygen := &cobra.Command{
+		Use: "keygen", Short: "Write a new private key of a control machine, and print its line of the trusted key file", Args: cobra.NoArgs,
+		Example: "  slatemux fleet configuration keygen --source control-1 --key-file control-1.key >> trusted.keys",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			line, err := generateKey(signer.source, signer.keyFile)
+			if err != nil {
+				return fmt.Errorf("fleet configuration: %w", err)
+			}
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), line)
+			return err
+		},
+	}
+	for _, command := range []*cobra.Command{set, remove, keygen} {
+		command.Flags().StringVar(&signer.source, "source", "", "the control machine's name, as in the trusted key file")
+		command.Flags().StringVar(&signer.keyFile, "key-file", "", "the control machine's private key")
+		_ = command.MarkFlagRequired("source")
+		_ = command.MarkFlagRequired("key-file")
+	}
+	show := &cobra.Command{
+		Use: "show", Short: "List the entries that a relay holds", Args: cobra.NoArgs,
+		Example: "  slatemux fleet configuration show --ops 127.0.0.1:8600",
+		RunE:    func(cmd *cobra.Command, _ []string) error { return showConfiguration(cmd, *addr, *raw) },
+	}
+	root.AddCommand(show, set, remove, keygen)
+	return root
+}
+
+func showConfiguration(cmd *cobra.Command, addr string, raw bool) error {
+	body, err := askConfiguration(cmd.Context(), addr)
+	if err != nil {
+		return err
+	}
+	if raw {
+		_, err = cmd.OutOrStdout().Write(body)
+		return err
+	}
+	var state fleet.ConfigurationState
+	if err := json.Unmarshal(body, &state); err != nil {
+		return fmt.Errorf("fleet configuration: %w", err)
+	}
+	return configurationTable(cmd.OutOrStdout(), &state)
+}
+
+func askConfiguration(ctx context.Context, addr string) ([]byte, error) {
+	if addr == "" {
+		return nil, errors.New("fleet: --ops is missing: the relay's operators' address")
+	}
+	body, err := askOps(ctx, addr, configurationPath)
+	if err != nil {
+		return nil, fmt.Errorf("fleet configuration: %w", err)
+	}
+	return body, nil
+}
+
+func configurationTable(out io.Writer, state *fleet.ConfigurationState) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "digest\t%s\n", state.Digest)
+	fmt.Fprintf(w, "replicating\t%d: %s\n", len(state.Members), strings.Join(state.Members, ", "))
+	for _, source := range state.Sources {
+		trust := "trusted"
+		if !source.Trusted {
+			trust = "not trusted any more"
+		}
+		fmt.Fprintf(w, "source %s\tknown through %d, %s\n", source.Name, state.Versions[source.Name], trust)
+	}
+	fmt.Fprintf(w, "kept over a restart\t%v\n\n", state.Figures.Kept)
+	fmt.Fprintln(w, "KEY\tVALUE\tSOURCE\tSEQUENCE\tREVISION\tSTATE")
+	for _, entry := range state.Entries {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\n", entry.Key, entry.Value, entry.Source, entry.Sequence, entry.Revision, entryState(entry))
+	}
+	return w.Flush()
+}
+
+func entryState(entry fleet.ConfigurationEntry) string {
+	switch {
+	case entry.Removed:
+		return "removed"
+	case entry.Applied:
+		return "applied"
+	}
+	return "unknown here"
+}
+
+// generateKey writes a new private key, which must not exist yet, and returns the line that has relays trust it.
+func generateKey(source, path string) (string, error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return "", err
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	if err != nil {
+		return "", err
+	}
+	_, err = fmt.Fprintln(file, base64.StdEncoding.EncodeToString(private.Seed()))
+	if err := errors.Join(err, file.Close()); err != nil {
+		return "", err
+	}
+	return source + " " + base64.StdEncoding.EncodeToString(public), nil
+}
+
+func readPrivateKey(path string) (ed25519.PrivateKey, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if mode := info.Mode().Perm(); mode&0o077 != 0 {
+		return nil, fmt.Errorf("%s: others may use it (mode %04o); it must be its owner's alone, as 0600", path, mode)
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	seed, err := base64.StdEncoding.DecodeString(strings.TrimSpace(string(raw)))
+	if err != nil || len(seed) != ed25519.SeedSize {
+		return nil, fmt.Errorf("%s: not %d bytes in base64", path, ed25519.SeedSize) // and never what it says
+	}
+	return ed25519.NewKeyFromSeed(seed), nil
+}
+
+// changeSigner signs changes as a control machine and hands them to a relay.
+type changeSigner struct {
+	addr            *string
+	source, keyFile string
+}
+
+func (s *changeSigner) run(cmd *cobra.Command, raw bool, wanted fleet.ConfigurationChange) error {
+	key, err := readPrivateKey(s.keyFile)
+	if err != nil {
+		return fmt.Errorf("fleet configuration: %w", err)
+	}
+	if err := s.finishLast(cmd.Context()); err != nil {
+		return fmt.Errorf("fleet configuration: the change before this one is not in force yet: %w", err)
+	}
+	change, err := s.change(cmd.Context(), key, wanted)
+	if err != nil {
+		return fmt.Errorf("fleet configuration: %w", err)
+	}
+	if raw {
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(change)
+	}
+	_, err = fmt.Fprintf(cmd.OutOrStdout(), "stored and in force at %s: change %d of %s\n", *s.addr, change.Sequence, change.Source)
+	return err
+}
+
+// change signs a change as the next one of its source, anew where another one came first, and hands it in.
+func (s *changeSigner) change(ctx context.Context, key ed25519.PrivateKey, wanted fleet.ConfigurationChange) (fleet.ConfigurationChange, error) {
+	for attempt := 1; ; attempt++ {
+		source, err := s.next(ctx)
+		if err != nil {
+			return wanted, err
+		}
+		wanted.Source, wanted.Sequence, wanted.Revision = s.source, source.NextSequence, source.NextRevision
+		change := wanted.Change()
+		configsync.Sign(&change, key)
+		wanted.Signature = change.Signature
+		if err := s.writeLast(wanted); err != nil {
+			return wanted, err
+		}
+		err = s.post(ctx, wanted)
+		var refused *refusedChange
+		if errors.As(err, &refused) && refused.certain() {
+			err = errors.Join(err, s.forgetLast())
+		}
+		if refused == nil || refused.status != http.StatusConflict || attempt == changeAttempts {
+			return wanted, err
+		}
+		time.Sleep(changeRetryPause)
+	}
+}
+
+// next asks the relay which change it expects next.
+func (s *changeSigner) next(ctx context.Context) (fleet.ConfigurationSource, error) {
+	body, err := askConfiguration(ctx, *s.addr)
+	if err != nil {
+		return fleet.ConfigurationSource{}, err
+	}
+	var state fleet.ConfigurationState
+	if err := json.Unmarshal(body, &state); err != nil {
+		return fleet.ConfigurationSource{}, err
+	}
+	for _, source := range state.Sources {
+		if source.Name == s.source && source.Trusted {
+			return source, nil
+		}
+	}
+	return fleet.ConfigurationSource{}, fmt.Errorf("%s does not trust a source %q", *s.addr, s.source)
+}
+
+// finishLast hands in the last change again where the relay does not know of it.
+func (s *changeSigner) finishLast(ctx context.Context) error {
+	raw, err := os.ReadFile(s.keyFile + lastChangeSuffix)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var last fleet.ConfigurationChange
+	if err := json.Unmarshal(raw, &last); err != nil {
+		return fmt.Errorf("%s: %w", s.keyFile+lastChangeSuffix, err)
+	}
+	source, err := s.next(ctx)
+	if err != nil || last.Source != s.source || source.NextSequence > last.Sequence {
+		return err
+	}
+	err = s.post(ctx, last)
+	var refused *refusedChange
+	if errors.As(err, &refused) && refused.status == http.StatusForbidden { // by a key that is not trusted any more
+		return s.forgetLast()
+	}
+	return err
+}
+
+// writeLast replaces the file of the last change as a whole.
+func (s *changeSigner) writeLast(change fleet.ConfigurationChange) error {
+	raw, err := json.Marshal(change)
+	if err != nil {
+		return err
+	}
+	path := s.keyFile + lastChangeSuffix
+	if err := os.WriteFile(path+".new", append(raw, '\n'), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// forgetLast drops a last change that no relay has taken.
+func (s *changeSigner) forgetLast() error { return os.Remove(s.keyFile + lastChangeSuffix) }
+
+// refusedChange is a relay's answer that it did not take a change.
+type refusedChange struct {
+	addr   string
+	status int
+	reason string
+}
+
+// Error implements error.
+func (r *refusedChange) Error() string {
+	return fmt.Sprintf("%s answered %d: %s", r.addr, r.status, r.reason)
+}
+
+// certain reports whether the relay has nothing of the change.
+func (r *refusedChange) certain() bool { return r.status >= 400 && r.status < 500 }
+
+func (s *changeSigner) post(ctx context.Context, change fleet.ConfigurationChange) error {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(5*time.Second))
+	defer cancel()
+	body, err := json.Marshal(change)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+*s.addr+configurationPath, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 64<<10))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return &refusedChange{*s.addr, resp.StatusCode, strings.TrimSpace(string(text))}
+	}
+	return nil
+}
--- a/cmd/slatemux/desk.go
+++ b/cmd/slatemux/desk.go
@@ -61,6 +61,10 @@
 		return d.fleet.Verdicts()
 	case "limits":
 		return d.fleet.Limits()
+	case "configuration":
+		if state := d.fleet.Configuration(); state != nil {
+			return state
+		}
 	}
 	return nil
 }
--- a/cmd/slatemux/fleet.go
+++ b/cmd/slatemux/fleet.go
@@ -36,7 +36,7 @@
 	}
 	return fleet.New(fleet.Config{Name: own.Name, Self: cfg.name, Bind: own.Bind, Advertise: own.Advertise, Join: own.Join, KeyFile: own.KeyFile,
 		State: cfg.state, Seed: uint64(cfg.seed), Agree: own.Agree, Exchange: own.Exchange, Bytes: own.Bytes,
-		Divide: own.DivideLimits, Relays: cfg.settings.Peers}, r)
+		Divide: own.DivideLimits, Relays: cfg.settings.Peers, Configuration: replication(cfg)}, r)
 }
 
 // fleetCommand asks a relay's operators' address what it knows of its fleet.
@@ -84,7 +84,7 @@
 			_, err := fmt.Fprintln(cmd.OutOrStdout(), base64.StdEncoding.EncodeToString(key))
 			return err
 		},
-	}, show("members", "List the fleet's members", membersTable), show("verdicts", "List what relays have told each other and still holds", verdictsTable),
+	}, configurationCommand(&addr, &raw), show("members", "List the fleet's members", membersTable), show("verdicts", "List what relays have told each other and still holds", verdictsTable),
 		show("limits", "List the limits that the fleet divides, and what this relay has of them", limitsTable))
 	return root
 }
--- /dev/null
+++ b/internal/ops/configure.go
@@ -0,0 +1,58 @@
+package ops
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// maxChangeBytes bounds a change that is handed in.
+const maxChangeBytes = 8 << 10
+
+// Refusal is an error that names the status of its answer.
+type Refusal struct {
+	Status int
+	Reason error
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return r.Reason.Error() }
+
+// Unwrap returns the reason.
+func (r *Refusal) Unwrap() error { return r.Reason }
+
+// configure answers POST /ops/fleet/configuration.
+func configure(relay Relay) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		change, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+		if err != nil {
+			answer(w, http.StatusBadRequest, "the change was not read: "+oneLine(err)+"\n")
+			return
+		}
+		ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(answerWithin))
+		defer cancel()
+		err = relay.Configure(ctx, change)
+		if err == nil {
+			slog.Info("fleet configuration changed by an operator")
+			answer(w, http.StatusOK, "stored and in force\n")
+			return
+		}
+		slog.Warn("fleet configuration change not taken", "err", err)
+		answer(w, statusOf(err), oneLine(err)+"\n")
+	}
+}
+
+// statusOf is what an error is answered with.
+func statusOf(err error) int {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal.Status
+	}
+	return http.StatusServiceUnavailable
+}
+
+func oneLine(err error) string { return strings.ReplaceAll(err.Error(), "\n", " ") }
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -36,12 +36,15 @@
 // ErrUnknown is what Maintenance returns for an endpoint that the pool does not name.
 var ErrUnknown = errors.New("no such endpoint")
 
-// Relay is what the address asks. Nothing of it blocks but Maintain, which ends by ctx.
+// Relay is what the address asks. Nothing of it blocks but Configure and Maintain, which end by ctx.
 type Relay interface {
 	Ready() bool
 	Stats() Stats
 	// Fleet is what is known of the fleet, by name: members or verdicts; nil where there is no such thing.
 	Fleet(what string) any
+	// Configure hands in a signed change of the fleet's configuration, as JSON, and returns when it is kept and in force here.
+	// An error that is a Refusal says why not.
+	Configure(ctx context.Context, change []byte) error
 	// Maintain takes an endpoint down (no more new sending) or brings it up, and returns once that holds.
 	Maintain(ctx context.Context, id string, down bool) error
 }
@@ -95,6 +98,7 @@
 			}
 		}
 	}
+	mux.HandleFunc("POST /ops/fleet/configuration", configure(relay))
 	mux.HandleFunc("POST /ops/endpoints/down/{id}", maintain(true))
 	mux.HandleFunc("POST /ops/endpoints/up/{id}", maintain(false))
 	s := &Server{ln: ln, http: &http.Server{Handler: mux, ReadHeaderTimeout: headerWithin, ReadTimeout: headerWithin,
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -18,6 +18,9 @@
 	bans  map[string]int
 	known map[string]bool
 	block bool // Maintain waits for its deadline
+
+	changes []string // that Configure was handed
+	refusal error    // what it answers
 }
 
 func (f *fakeRelay) Ready() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.ready }
@@ -28,6 +31,13 @@
 	return []string{"n1"}
 }
 
+func (f *fakeRelay) Configure(ctx context.Context, change []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changes = append(f.changes, string(change))
+	return f.refusal
+}
+
 func (f *fakeRelay) Stats() Stats {
 	return Stats{Success: map[string]int64{"order-payment": 812}, Overload: map[string]int64{}, Error: map[string]int64{},
 		Dispatches: 900, Concurrent: 14, Targets: 3, TargetsDisabled: 1}
