--- a/internal/configsync/replica.go
+++ b/internal/configsync/replica.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -216,6 +217,9 @@
 
 // spendable is how many bytes anything but acknowledgements may take.
 func (r *Replica) spendable(now time.Duration) float64 {
+	if r.store.planted.unlimitedBytes {
+		return math.MaxInt32
+	}
 	return r.bytes.available(now) - r.reserve()
 }
 
