--- a/internal/fleet/capability.go
+++ b/internal/fleet/capability.go
@@ -52,7 +52,7 @@
 }
 
 func cutText(b []byte) (text string, rest []byte, ok bool) {
-	length, b, ok := uvarint(b)
+	length, b, ok := readUvarint(b)
 	if !ok || length > maxLocationBytes || length > uint64(len(b)) || bytes.IndexByte(b[:length], 0) >= 0 {
 		return "", nil, false
 	}
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -13,7 +12,6 @@
 	"wrenford/internal/fleet/configfile"
 	"wrenford/internal/fleet/directive"
 	"wrenford/internal/fleet/wire"
-	"wrenford/internal/spread"
 	"wrenford/internal/traffic"
 )
 
@@ -69,18 +67,7 @@
 	stale      bool // what operators are shown is
 }
 
-// What the inbox holds of configuration.
-type (
-	// publication is a change that an operator handed to this relay.
-	publication struct {
-		change configsync.Change
-		done   chan<- error // has room for one
-	}
-	// keysChanged says that other sources are trusted.
-	keysChanged struct{}
-)
-
-// configurationReply tells the outcome of a publication, once that is kept.
+// configurationReply tells the outcome of a published change, once that is kept.
 type configurationReply struct {
 	done chan<- error
 	err  error
@@ -91,13 +78,16 @@
 	if cfg.Configuration == nil {
 		return nil, nil
 	}
-	c := &configuration{config: *cfg.Configuration, dir: cfg.State, saved: configsync.VersionVector{},
+	c := &configuration{config: *cfg.Configuration, dir: cfg.StateDir, saved: configsync.VersionVector{},
 		newest: map[string]configsync.Change{}, stale: true}
 	if c.config.MaxFileBytes == 0 {
 		c.config.MaxFileBytes = configfile.MaxBytes(c.config.MaxEntries)
 	}
+	if len(c.config.Region) > maxLocationBytes || len(c.config.Zone) > maxLocationBytes {
+		return nil, fmt.Errorf("configuration: region or zone has more than %d bytes", maxLocationBytes)
+	}
 	if err := c.keys.load(c.config.TrustedKeyFile); err != nil {
-		return nil, fmt.Errorf("fleet: configuration.%w", err)
+		return nil, fmt.Errorf("configuration.%w", err)
 	}
 	replication := c.config.Replication
 	replication.Self, replication.Seed = cfg.Self, cfg.Seed
@@ -105,7 +95,7 @@
 	c.store = configsync.NewStore(&c.keys, c.config.MaxEntries)
 	var err error
 	if c.replica, err = configsync.NewReplica(replication, 0, c.store); err != nil {
-		return nil, fmt.Errorf("fleet: configuration: %w", err)
+		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	snapshot, err := configfile.Read(c.dir, c.config.MaxFileBytes)
 	if err != nil {
@@ -186,13 +176,8 @@
 	c.outbox = append(c.outbox, out...)
 }
 
-// publish takes in a change of an operator. Its outcome is told when the change is kept.
-func (c *configuration) publish(now time.Duration, in publication) {
-	err := c.accept(now, in.change)
-	c.replies = append(c.replies, configurationReply{in.done, err})
-}
-
-func (c *configuration) accept(now time.Duration, change configsync.Change) error {
+// publish takes in a change of an operator.
+func (c *configuration) publish(now time.Duration, change configsync.Change) error {
 	if c.file == nil {
 		return ErrConfigurationNotReady
 	}
@@ -303,8 +288,8 @@
 	c.stale = true
 }
 
-// bars merges what the configuration restrains into the members that the fleet's word bars, in the order of their names.
-func (c *configuration) bars(bars []traffic.Bar, pool map[string]traffic.Member) []traffic.Bar {
+// addBars merges what the configuration restrains into the members that the fleet's word bars, in the order of their names.
+func (c *configuration) addBars(bars []traffic.Bar, pool map[string]traffic.Member) []traffic.Bar {
 	if c == nil || c.directives.Empty() {
 		return bars
 	}
@@ -330,98 +315,3 @@
 		_ = c.file.Close()
 	}
 }
-
-// Configure hands in a change of an operator, and returns when it is kept and in force here.
-func (f *Fleet) Configure(ctx context.Context, change configsync.Change) error {
-	if f.configuration == nil {
-		return ErrConfigurationOff
-	}
-	done := make(chan error, 1)
-	f.post(publication{change, done})
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", ErrConfigurationNotReady, ctx.Err())
-	}
-}
-
-// stepConfiguration keeps what is new of the configuration, brings it into force, and only then tells of it.
-func (f *Fleet) stepConfiguration(now time.Duration) {
-	c := f.configuration
-	if c == nil {
-		return
-	}
-	c.tick(now)
-	if c.save(now) {
-		c.interpret()
-		f.publishConfiguration()
-		f.bar(now)
-	}
-	f.sendConfiguration(now)
-	for _, reply := range c.replies {
-		if reply.err == nil && c.saveError != nil {
-			reply.err = fmt.Errorf("%w: %w", ErrConfigurationNotSaved, c.saveError)
-		}
-		reply.done <- reply.err
-	}
-	c.replies = nil
-}
-
-func (f *Fleet) sendConfiguration(now time.Duration) {
-	outbox := f.configuration.outbox
-	f.configuration.outbox = nil
-	var packets []spread.Send
-	for i := range outbox {
-		packets = append(packets, f.spread.PostConfiguration(now, outbox[i].To, &outbox[i].Message)...)
-	}
-	f.send(packets)
-}
-
-// configurationMembersChanged is told when members come, go, or announce something else.
-func (f *Fleet) configurationMembersChanged(now time.Duration) {
-	c := f.configuration
-	if c == nil {
-		return
-	}
-	if !c.attached {
-		c.attached = true
-		c.open(now)
-		f.bar(now)
-	}
-	announced := map[string][]byte{}
-	for name, node := range f.nodes {
-		if node != nil {
-			announced[name] = node.Meta
-		}
-	}
-	c.setMembers(now, f.cfg.Self, announced)
-}
-
-// configurationReceived takes in a message of a live member that spread has let through.
-func (f *Fleet) configurationReceived(now time.Duration, from string, message *configsync.Message) {
-	if f.configuration != nil && message != nil {
-		f.configuration.receive(now, from, message)
-	}
-}
-
-// configurationDue is how long the goroutine may wait for the configuration's sake, at most the given time.
-func (f *Fleet) configurationDue(now, wait time.Duration) time.Duration {
-	if f.configuration == nil {
-		return wait
-	}
-	return min(wait, max(f.configuration.replica.Due()-now, 0))
-}
-
-// reloadTrustedKeys reads the keys of the control machines again. A file that makes no sense changes nothing.
-func (f *Fleet) reloadTrustedKeys() error {
-	if f.configuration == nil {
-		return nil
-	}
-	if err := f.configuration.keys.load(f.configuration.config.TrustedKeyFile); err != nil {
-		return fmt.Errorf("configuration.%w", err)
-	}
-	f.post(keysChanged{})
-	slog.Info("fleet configuration keys taken over", "sources", *f.configuration.keys.names.Load())
-	return nil
-}
--- a/internal/fleet/configuration_figures.go
+++ b/internal/fleet/configuration_figures.go
@@ -91,19 +91,19 @@
 	if f.configuration == nil {
 		return nil
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	shown := f.shownConfiguration
-	return &shown
+	f.shared.Lock()
+	defer f.shared.Unlock()
+	state := f.shared.configuration
+	return &state
 }
 
-// publishConfiguration shows operators what there is. It needs no lock.
-func (f *Fleet) publishConfiguration() {
+// publishConfiguration stores what operators see, and returns the figures; nil where no configuration is replicated.
+func (f *Fleet) publishConfiguration() *ConfigurationFigures {
 	c := f.configuration
 	if c == nil {
-		return
+		return nil
 	}
-	state := f.shownConfiguration // of this goroutine; others read it alone
+	state := f.shared.configuration // only this goroutine writes it
 	if c.stale {
 		c.stale = false
 		state = c.state()
@@ -113,18 +113,10 @@
 	if c.file != nil {
 		state.Figures.FileBytes = c.file.Size()
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.shownConfiguration = state
-}
-
-// configurationFigures are those that were published last. It needs the lock.
-func (f *Fleet) configurationFigures() *ConfigurationFigures {
-	if f.configuration == nil {
-		return nil
-	}
-	figures := f.shownConfiguration.Figures
-	return &figures
+	f.shared.Lock()
+	defer f.shared.Unlock()
+	f.shared.configuration = state
+	return &state.Figures
 }
 
 func (c *configuration) state() ConfigurationState {
