A relay that hears unknown senders before it has joined still joins at once

Cause: a relay that starts again while the others still think it alive hears their packets as those of unknown senders. Each such packet had it wait for 1.5 to 4.5 s and then look for a live member to compare with, of which it knew none; the join waited as long as packets came. Change: until it knows another member it heeds the join's timer alone.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -185,6 +185,25 @@
 	until(t, "it is heard", func() bool { return c.Held(traffic.Group{Destination: 9}, time.Now()) })
 }
 
+// A relay that starts again hears at once those that do not know yet that it was gone. It joins as soon as one that hears nobody.
+func TestUnknownSendersDoNotDelayTheJoin(t *testing.T) {
+	a := join(t, "a", nil)
+	b := join(t, "bb", nil, a)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+				b.reportUnknownMember()
+			}
+		}
+	}()
+	until(t, "it has joined", func() bool { return b.Figures().Members == 2 })
+}
+
 // An address that one relay leaves serves another; a name that is used twice is noticed, and the first keeps it.
 func TestReuse(t *testing.T) {
 	a := join(t, "a", nil)
--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -77,12 +77,16 @@
 // awaitJoinAddress waits, and returns the next address to join: after the wait one where no live member is known, or
 // earlier that of a live member, where an unknown one was heard. It returns "" for none, and when ctx ends.
 func (f *Fleet) awaitJoinAddress(ctx context.Context, list *memberlist.Memberlist, wait time.Duration, rng *rand.Rand) string {
+	unknownMember := f.unknownMember
+	if list.NumMembers() < 2 {
+		unknownMember = nil // there is nobody to compare with: all senders are unknown to one that has not joined yet
+	}
 	select {
 	case <-ctx.Done():
 		return ""
 	case <-time.After(jittered(wait, rng)):
 		return f.pickMissingAddress(list, rng)
-	case <-f.unknownMember:
+	case <-unknownMember:
 	}
 	// Not at once: all members may have heard the unknown one.
 	select {
