--- /dev/null
+++ b/cmd/slatemux/configuration_test.go
@@ -0,0 +1,316 @@
+package main
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"wrenford/internal/configsync"
+	"wrenford/internal/fleet"
+	"wrenford/internal/fleet/configfile"
+)
+
+// freeAddress returns an address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// controlMachine is a folder with a control machine's key, and the settings of a relay that trusts it.
+type controlMachine struct {
+	dir, keyFile, trusted, settings string
+}
+
+func newControlMachine(t *testing.T) controlMachine {
+	t.Helper()
+	dir := t.TempDir()
+	c := controlMachine{dir: dir, keyFile: filepath.Join(dir, "control.key"), trusted: filepath.Join(dir, "trusted"),
+		settings: filepath.Join(dir, "gateway.textproto")}
+	line, err := cli(t, nil, "fleet", "configuration", "keygen", "--source", "control", "--key-file", c.keyFile)
+	if err != nil || !strings.HasPrefix(line, "control ") {
+		t.Fatal(line, err)
+	}
+	fleetKey := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{1}, 32))
+	text := fmt.Sprintf("fleet { enabled: true name: \"tbilisi\" bind: %q key_file: %q\n configuration { enabled: true trusted_key_file: %q\n region: \"caucasus\" }\n}",
+		freeAddress(t), filepath.Join(dir, "fleet.key"), c.trusted)
+	for path, content := range map[string]string{c.trusted: line, filepath.Join(dir, "fleet.key"): fleetKey, c.settings: text} {
+		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return c
+}
+
+// change runs set or remove as the control machine.
+func (c controlMachine) change(t *testing.T, ops string, args ...string) (string, error) {
+	t.Helper()
+	args = append([]string{"fleet", "configuration"}, args...)
+	return cli(t, nil, append(args, "--ops", ops, "--source", "control", "--key-file", c.keyFile)...)
+}
+
+// shown is what a relay holds, as soon as it can take changes.
+func shown(t *testing.T, ops string) fleet.ConfigurationState {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		var state fleet.ConfigurationState
+		out, err := cli(t, nil, "fleet", "configuration", "show", "--json", "--ops", ops)
+		if err == nil {
+			err = json.Unmarshal([]byte(out), &state)
+		}
+		if err == nil && state.Figures.Kept {
+			return state
+		}
+		if time.Now().After(end) {
+			t.Fatal(out, err)
+		}
+	}
+}
+
+func disabledTargets(t *testing.T, ops string) int {
+	t.Helper()
+	body, err := askOps(t.Context(), ops, "/ops/stats")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var stats struct {
+		Disabled int `json:"targets_disabled"`
+	}
+	if err := json.Unmarshal(body, &stats); err != nil {
+		t.Fatal(err)
+	}
+	return stats.Disabled
+}
+
+func untilDisabled(t *testing.T, ops string, want int) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); disabledTargets(t, ops) != want; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d targets are disabled, not %d", disabledTargets(t, ops), want)
+		}
+	}
+}
+
+// An operator sets an entry, sees it in force, finds it again after a restart, and removes it.
+func TestConfigurationOfARelay(t *testing.T) {
+	c, a := newControlMachine(t), newAround(t)
+	close(a.release)
+	vars := env(t, a.config)
+	vars["SLATEMUX_CONFIG"], vars["NODE_OPS"] = c.settings, freeAddress(t)
+	ops := vars["NODE_OPS"]
+
+	_, _, end := boot(t, vars)
+	shown(t, ops)
+	untilDisabled(t, ops, 0)
+	out, err := c.change(t, ops, "set", "endpoint/m", "down")
+	if err != nil || !strings.Contains(out, "change 1 of control") {
+		t.Fatal(out, err)
+	}
+	untilDisabled(t, ops, 1)
+	if out, err := c.change(t, ops, "set", "other/key", "a b", "--json"); err != nil || !strings.Contains(out, `"sequence":2`) {
+		t.Error(out, err)
+	}
+	end()
+
+	_, _, end = boot(t, vars)
+	defer end()
+	untilDisabled(t, ops, 1)
+	state := shown(t, ops)
+	if len(state.Entries) != 2 || !state.Entries[0].Applied || state.Entries[1].Applied || state.Versions["control"] != 2 {
+		t.Errorf("%+v", state)
+	}
+	table, err := cli(t, nil, "fleet", "configuration", "show", "--ops", ops)
+	for _, want := range []string{"digest", "source control", "known through 2, trusted", "endpoint/m", "applied", "unknown here", "a b"} {
+		if err != nil || !strings.Contains(table, want) {
+			t.Errorf("%v, no %q in\n%s", err, want, table)
+		}
+	}
+	if out, err := c.change(t, ops, "remove", "endpoint/m"); err != nil {
+		t.Error(out, err)
+	}
+	untilDisabled(t, ops, 0)
+}
+
+// A change whose answer was lost is handed in again before the next one: no sequence is left out or used twice.
+func TestChangeIsHandedInAgain(t *testing.T) {
+	c, a := newControlMachine(t), newAround(t)
+	close(a.release)
+	vars := env(t, a.config)
+	vars["SLATEMUX_CONFIG"], vars["NODE_OPS"] = c.settings, freeAddress(t)
+	ops := vars["NODE_OPS"]
+	_, _, end := boot(t, vars)
+	defer end()
+	shown(t, ops)
+
+	key, err := readPrivateKey(c.keyFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lost := &changeSigner{addr: &ops, source: "control", keyFile: c.keyFile}
+	first := fleet.ConfigurationChange{Source: "control", Sequence: 1, Revision: 1, Key: "lost", Value: "yes"}
+	first.Signature = signature(first, key)
+	if err := lost.writeLast(first); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := c.change(t, ops, "set", "next", "yes"); err != nil || !strings.Contains(out, "change 2 of control") {
+		t.Fatal(out, err)
+	}
+	if state := shown(t, ops); len(state.Entries) != 2 || state.Versions["control"] != 2 {
+		t.Errorf("%+v", state)
+	}
+}
+
+// What is no signed change of a trusted source is refused with the status and one line that say why.
+func TestConfigurationRefusals(t *testing.T) {
+	c, a := newControlMachine(t), newAround(t)
+	close(a.release)
+	vars := env(t, a.config)
+	vars["SLATEMUX_CONFIG"], vars["NODE_OPS"] = c.settings, freeAddress(t)
+	ops := vars["NODE_OPS"]
+	_, _, end := boot(t, vars)
+	defer end()
+	shown(t, ops)
+	key, err := readPrivateKey(c.keyFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	signed := func(sequence uint64, name string) string {
+		change := fleet.ConfigurationChange{Source: "control", Sequence: sequence, Revision: 1, Key: name, Value: "x"}
+		change.Signature = signature(change, key)
+		raw, _ := json.Marshal(change)
+		return string(raw)
+	}
+	for name, r := range map[string]struct {
+		body   string
+		status int
+	}{
+		"no JSON":             {"down", 400},
+		"an unknown field":    {`{"sourc":"control"}`, 400},
+		"two changes":         {signed(1, "k") + signed(2, "k"), 400},
+		"no key":              {signed(1, ""), 400},
+		"too long":            {signed(1, strings.Repeat("k", 9000)), 400},
+		"not signed":          {`{"source":"control","sequence":1,"revision":1,"key":"k","value":"x"}`, 403},
+		"of another source":   {strings.Replace(signed(1, "k"), "control", "contra", 1), 403},
+		"changed on the way":  {strings.Replace(signed(1, "k"), `"x"`, `"y"`, 1), 403},
+		"not the next of all": {signed(5, "k"), 409},
+		"of no number":        {signed(0, "k"), 409},
+	} {
+		resp, err := http.Post("http://"+ops+configurationPath, "application/json", strings.NewReader(r.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != r.status || strings.Count(string(text), "\n") != 1 {
+			t.Errorf("%s: %d %q, not %d", name, resp.StatusCode, text, r.status)
+		}
+	}
+}
+
+func signature(change fleet.ConfigurationChange, key ed25519.PrivateKey) []byte {
+	signed := change.Change()
+	configsync.Sign(&signed, key)
+	return signed.Signature
+}
+
+// Without the fleet's configuration there is nothing to show, and nothing is taken.
+func TestConfigurationIsOff(t *testing.T) {
+	a := newAround(t)
+	close(a.release)
+	vars := env(t, a.config)
+	vars["NODE_OPS"] = freeAddress(t)
+	_, _, end := boot(t, vars)
+	defer end()
+	if out, err := cli(t, nil, "fleet", "configuration", "show", "--ops", vars["NODE_OPS"]); err == nil || !strings.Contains(err.Error(), "404") {
+		t.Error(out, err)
+	}
+	resp, err := http.Post("http://"+vars["NODE_OPS"]+configurationPath, "application/json", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		t.Error(resp.Status)
+	}
+}
+
+// check names the file that is missing, and says what the settings come to.
+func TestCheckConfiguration(t *testing.T) {
+	c := newControlMachine(t)
+	vars := env(t, newAround(t).config)
+	out, err := cli(t, vars, "check", "--config", c.settings)
+	for _, want := range []string{"fleet configuration", `region "caucasus"`, `zone "here"`, "2500 bytes a second", "4096 entries"} {
+		if err != nil || !strings.Contains(out, want) {
+			t.Errorf("%v, no %q in\n%s", err, want, out)
+		}
+	}
+	if err := os.WriteFile(c.trusted, []byte("control short\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := cli(t, vars, "check", "--config", c.settings); err == nil || !strings.Contains(err.Error(), c.settings+": fleet.configuration.trusted_key_file: "+c.trusted+": line 1") {
+		t.Error(err)
+	}
+	if err := os.Remove(c.trusted); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := cli(t, vars, "check", "--config", c.settings); err == nil || !strings.Contains(err.Error(), "fleet.configuration.trusted_key_file") {
+		t.Error(err)
+	}
+}
+
+// A control machine's key is its owner's alone, and never written over.
+func TestControlKeys(t *testing.T) {
+	c := newControlMachine(t)
+	if _, err := cli(t, nil, "fleet", "configuration", "keygen", "--source", "control", "--key-file", c.keyFile); err == nil {
+		t.Error("a key was written over")
+	}
+	if _, err := c.change(t, "127.0.0.1:1", "set", "k"); err == nil {
+		t.Error("a key without a value was taken")
+	}
+	if err := os.Chmod(c.keyFile, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.change(t, "127.0.0.1:1", "set", "k", "v"); err == nil || !strings.Contains(err.Error(), "others may use it") {
+		t.Error(err)
+	}
+	if err := os.WriteFile(c.keyFile, []byte("secret"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Chmod(c.keyFile, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.change(t, "127.0.0.1:1", "remove", "k"); err == nil || strings.Contains(err.Error(), "secret") || !strings.Contains(err.Error(), "32 bytes in base64") {
+		t.Error(err)
+	}
+}
+
+// The file of the configuration has its share of the folder, and only where there is one.
+func TestConfigurationFileShare(t *testing.T) {
+	c := config{disk: 1 << 30}
+	if off := c.caps(); off.configuration != 0 || off.disk+off.learned != c.disk {
+		t.Errorf("%+v", off)
+	}
+	c.gateway.Fleet.Configuration.Enabled = true
+	c.gateway.Fleet.Configuration.MaxEntries = 100
+	if on := c.caps(); on.configuration != configfile.MaxBytes(100) || on.disk+on.learned+2*on.configuration != c.disk {
+		t.Errorf("%+v", on)
+	}
+	c.disk = 16 << 10
+	if small := c.caps(); small.configuration != 1<<10 {
+		t.Errorf("%+v", small)
+	}
+}
--- /dev/null
+++ b/internal/lab/fleets/configuration_test.go
@@ -0,0 +1,121 @@
+package fleets
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"wrenford/internal/configsync"
+	"wrenford/internal/fleet"
+)
+
+// postChange hands a signed change in at a relay.
+func (s *seat) postChange(key ed25519.PrivateKey, change configsync.Change) error {
+	configsync.Sign(&change, key)
+	body, err := json.Marshal(fleet.ConfigurationChange{Source: change.Source, Sequence: change.Sequence, Revision: change.Revision, Key: change.Key,
+		Value: string(change.Value), Signature: change.Signature})
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post("http://"+s.ops+"/ops/fleet/configuration", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s answered %d: %s", s.name, resp.StatusCode, text)
+	}
+	return err
+}
+
+// obeys reports whether a relay has an entry in force, and sends nothing new to one endpoint for it.
+func (s *seat) obeys(key string) bool {
+	var state fleet.ConfigurationState
+	var stats struct {
+		Disabled int `json:"targets_disabled"`
+	}
+	if s.get("/ops/fleet/configuration", &state) != nil || s.get("/ops/stats", &stats) != nil {
+		return false
+	}
+	for _, entry := range state.Entries {
+		if entry.Key == key {
+			return entry.Applied && stats.Disabled == 1
+		}
+	}
+	return false
+}
+
+// A change is handed in at one relay while another is dead, and 1 % of the packets between relays is lost. It is in force at
+// all within 7 s, at the one that was dead too.
+func TestConfigurationReachesAll(t *testing.T) {
+	t.Parallel()
+	const relays, within = 6, 7 * time.Second
+	key := ed25519.NewKeyFromSeed(bytes.Repeat([]byte{3}, ed25519.SeedSize))
+	trusted := filepath.Join(t.TempDir(), "trusted")
+	line := "control " + base64.StdEncoding.EncodeToString(key.Public().(ed25519.PublicKey)) + "\n"
+	if err := os.WriteFile(trusted, []byte(line), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	sc, err := Parse(t.Name(), fmt.Appendf(nil, `relays: %d seed: 21 length_s: 9 load { rate: 60 status: 0.4 }
+partner { name: "p" destination: 0 endpoints: 2 phase { rate: 200 latency_ms: 15 cv: 0.5 } }
+fleet_settings: "configuration { enabled: true trusted_key_file: '%s' region: 'lab' }"
+at { at_s: 0 links { from: "relays" to: "relays" loss: 0.01 delay_ms: 20 } }
+at { at_s: 1 kill { party: "r2" } } at { at_s: 3 start { party: "r2" } }`, relays, trusted))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Put(t.TempDir(), binary, sc, func(line string) { t.Log(line) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	played := make(chan error, 1)
+	go func() { played <- f.Play(context.Background()) }()
+	time.Sleep(1500 * time.Millisecond) // r2 is dead by now
+	posted := time.Now()
+	change := configsync.Change{Source: "control", Sequence: 1, Revision: 1, Key: "endpoint/p-0", Value: []byte("down")}
+	if err := f.seats[0].postChange(key, change); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range f.seats {
+		for !s.obeys(change.Key) {
+			if time.Since(posted) > within {
+				for i, s := range f.seats {
+					g, _ := f.Figures(i)
+					t.Logf("%s: %+v\n%s", s.name, g, s.proc.Log())
+				}
+				t.Fatalf("%s does not obey after %v", s.name, within)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Logf("%s obeys after at most %v", s.name, time.Since(posted))
+	}
+	if err := <-played; err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Settle(time.Now().Add(60 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	r := f.Judge()
+	for _, b := range r.Verdict.Breaches {
+		t.Errorf("%s: message %016x: %s", b.Rule, b.ID, b.Text)
+	}
+	for i, c := range r.Calls {
+		if c.Member == "p-0" && c.First.Sub(posted) > within {
+			t.Errorf("r%d called the endpoint %v after it was taken down", r.Relays[i], c.First.Sub(posted))
+		}
+	}
+}
