Unit and fuzz tests of configsync; Bound with tiny and total loss

Bound computed a logarithm of zero for a loss of 5e-17 and came out negative. Such a loss now takes one exchange, a total one has no bound.

--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -107,7 +107,7 @@
 
 // Bound returns the time within which all relays that stay up hold a change, except with a chance of one in 1,000, for a fleet
 // of so many members, a one-way delay that includes a relay's own scheduling, and an independent loss of each packet. It holds
-// while the byte budgets are not used up.
+// while the byte budgets are not used up; where nothing arrives there is none.
 //
 //	Bound = batchWait + depth*delay + retries*AckTimeout + exchanges*(1+jitter)*Exchange + 3*delay
 //
@@ -129,8 +129,11 @@
 	}
 	depth := treeDepth(members, c.FanOut)
 	bound := batchWait + time.Duration(depth)*delay
-	if loss <= 0 {
+	switch {
+	case loss <= 0:
 		return bound
+	case loss >= 1:
+		return math.MaxInt64
 	}
 	retries := c.boundRetries(members, depth, loss)
 	exchanges := c.boundExchanges(members, depth, loss)
@@ -165,6 +168,9 @@
 func (c Config) boundExchanges(members, depth int, loss float64) float64 {
 	missed := 1 - math.Pow(1-math.Pow(loss, float64(c.Attempts)), float64(depth))
 	failing := 1 - (1-missed)*(1-loss)*(1-loss)
-	needed := math.Log(2/boundMiss*float64(members)*missed) / -math.Log(failing)
-	return max(1, math.Ceil(needed))
+	unrepaired := 2 / boundMiss * float64(members) * missed
+	if unrepaired <= 1 || failing <= 0 {
+		return 1
+	}
+	return max(1, math.Ceil(math.Log(unrepaired)/-math.Log(failing)))
 }
--- /dev/null
+++ b/internal/configsync/replica_test.go
@@ -0,0 +1,508 @@
+package configsync
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wrenford/internal/cuts"
+)
+
+// newTestReplica returns the replica of the first of some members, at time 0 and with a first exchange that has been sent.
+func newTestReplica(t *testing.T, members []Member, adjust func(*Config)) *Replica {
+	t.Helper()
+	config := Defaults()
+	config.Self, config.Size = members[0].Name, messageSize
+	if adjust != nil {
+		adjust(&config)
+	}
+	r, err := NewReplica(config, 0, NewStore(acceptAll{}, 1000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Members(0, members)
+	return r
+}
+
+func quiet(c *Config) { c.Exchange = 24 * time.Hour }
+
+// pushes returns the pushes among sends.
+func pushes(sends []Send) []Send {
+	var found []Send
+	for _, send := range sends {
+		if send.Message.Push != nil {
+			found = append(found, send)
+		}
+	}
+	return found
+}
+
+func TestNewReplicaChecksItsConfig(t *testing.T) {
+	cases := map[string]func(*Config){
+		"self":     func(c *Config) { c.Self = "" },
+		"exchange": func(c *Config) { c.Exchange = 0 },
+		"timeout":  func(c *Config) { c.AckTimeout = 0 },
+		"attempts": func(c *Config) { c.Attempts = 0 },
+		"fan-out":  func(c *Config) { c.FanOut = 1 },
+		"size":     func(c *Config) { c.Size = nil },
+		"packet":   func(c *Config) { c.PacketBytes = 10 },
+		"bytes":    func(c *Config) { c.BytesPerSecond = 100 },
+		"not one":  func(c *Config) { c.BytesPerSecond = math.NaN() },
+		"repair":   func(c *Config) { c.RepairBytesPerSecond = 0 },
+	}
+	for name, spoil := range cases {
+		config := Defaults()
+		config.Self, config.Size = "a", messageSize
+		spoil(&config)
+		if _, err := NewReplica(config, 0, NewStore(acceptAll{}, 1)); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+	config := Defaults()
+	config.Self, config.Size = "a", messageSize
+	if _, err := NewReplica(config, 0, nil); err == nil {
+		t.Error("no store: no error")
+	}
+}
+
+func TestPublishSendsAtOnceThenCollects(t *testing.T) {
+	members := fleetMembers(100, 2, 2)
+	r := newTestReplica(t, members, quiet)
+	out, err := r.Publish(time.Second, change("a", 1, 1, "k1", "v"))
+	if err != nil || len(pushes(out)) != r.config.FanOut {
+		t.Fatalf("%d pushes, error %v", len(pushes(out)), err)
+	}
+	for i := uint64(2); i <= 4; i++ {
+		out, err = r.Publish(time.Second+time.Duration(i)*time.Millisecond, change("a", i, i, fmt.Sprint(i), "v"))
+		if err != nil || len(out) != 0 {
+			t.Fatalf("%d sends within the batch, error %v", len(out), err)
+		}
+	}
+	if due := r.Due(); due != time.Second+batchWait {
+		t.Errorf("due at %v", due)
+	}
+	if out := r.Tick(time.Second + batchWait - 1); len(out) != 0 {
+		t.Errorf("%d sends before they are due", len(out))
+	}
+	sent := pushes(r.Tick(time.Second + batchWait))
+	if len(sent) != r.config.FanOut || len(sent[0].Message.Push.Changes) != 3 {
+		t.Fatalf("%d pushes", len(sent))
+	}
+	if out, err := r.Publish(5*time.Second, change("a", 4, 4, "4", "v")); err != nil || len(out) != 0 {
+		t.Errorf("known change: %d sends, error %v", len(out), err)
+	}
+	if _, err := r.Publish(5*time.Second, change("", 5, 5, "5", "v")); !errors.Is(err, ErrInvalid) {
+		t.Errorf("malformed change: error %v", err)
+	}
+}
+
+func TestPublishRefusesWhatNoPacketHolds(t *testing.T) {
+	r := newTestReplica(t, fleetMembers(3, 1, 1), func(c *Config) { c.PacketBytes = 300 })
+	large := change("a", 1, 1, "k", string(make([]byte, 300)))
+	if out, err := r.Publish(0, large); !errors.Is(err, ErrInvalid) || len(out) > 0 || len(r.store.Entries()) > 0 {
+		t.Errorf("error %v, %d sends, %d entries", err, len(out), len(r.store.Entries()))
+	}
+}
+
+// TestPartsTileTheScope checks that a holder's parts leave no gap, do not overlap, and are of equal count.
+func TestPartsTileTheScope(t *testing.T) {
+	cuts.Check(t, func(rt *rapid.T) {
+		members := fleetMembers(rapid.IntRange(2, 300).Draw(rt, "members"), rapid.IntRange(1, 3).Draw(rt, "regions"), 2)
+		r := newTestReplica(t, members, func(c *Config) {
+			quiet(c)
+			c.FanOut = rapid.IntRange(2, 6).Draw(rt, "fan-out")
+			c.Seed = rapid.Uint64().Draw(rt, "seed")
+		})
+		out, err := r.Publish(time.Second, change("a", 1, 1, "k", "v"))
+		if err != nil {
+			rt.Fatal(err)
+		}
+		want := min(r.config.FanOut, len(members)-1)
+		if len(out) != want {
+			rt.Fatalf("%d pushes, want %d", len(out), want)
+		}
+		covered := map[int]bool{r.self: true}
+		salt := r.deliveries.waiting[0].part.Salt
+		for _, d := range r.deliveries.waiting {
+			found := r.membership.within(nil, Scope{Salt: salt, Low: d.part.Low, High: d.part.High}, r.self)
+			if size := (len(members) - 1) / want; len(found) != size && len(found) != size+1 {
+				rt.Fatalf("a part of %d of %d", len(found), len(members)-1)
+			}
+			for _, c := range found {
+				if covered[c.index] {
+					rt.Fatalf("%s is in two parts", r.membership.members[c.index].Name)
+				}
+				covered[c.index] = true
+			}
+			if d.tried[0].Name != r.membership.members[found[0].index].Name {
+				rt.Fatal("a part's holder is not its first member")
+			}
+		}
+		if len(covered) != len(members) {
+			rt.Fatalf("%d of %d members are covered", len(covered), len(members))
+		}
+	})
+}
+
+// TestRetryPrefersOtherZones follows the attempts to hand over a part that spans zones.
+func TestRetryPrefersOtherZones(t *testing.T) {
+	r := newTestReplica(t, fleetMembers(41, 1, 4), func(c *Config) {
+		quiet(c)
+		c.FanOut = 2
+	})
+	out, _ := r.Publish(time.Second, change("a", 1, 1, "k", "v"))
+	tried := map[uint64][]Member{}
+	note := func(sends []Send) {
+		for _, send := range pushes(sends) {
+			index, _ := r.membership.index(send.To)
+			number := send.Message.Push.Number
+			tried[number] = append(tried[number], r.membership.members[index])
+		}
+	}
+	note(out)
+	for now := time.Second; now < 10*time.Second; now += 50 * time.Millisecond {
+		note(r.Tick(now))
+	}
+	for number, members := range tried {
+		if len(members) != r.config.Attempts {
+			t.Errorf("push %d: %d attempts", number, len(members))
+		}
+		if members[0].Zone == members[1].Zone {
+			t.Errorf("push %d: the second attempt is in the zone of the first", number)
+		}
+	}
+	if counted := r.Counters(); counted.Abandoned != 2 || counted.Retries != 4 || len(r.deliveries.awaiting) != 0 {
+		t.Errorf("%+v, %d awaited", counted, len(r.deliveries.awaiting))
+	}
+}
+
+func TestAcknowledgementEndsADelivery(t *testing.T) {
+	r := newTestReplica(t, fleetMembers(20, 1, 1), quiet)
+	out, _ := r.Publish(time.Second, change("a", 1, 1, "k", "v"))
+	for i, send := range out {
+		from := send.To
+		if i == 0 { // only a member that was handed the part may acknowledge it
+			from = out[1].To
+		}
+		r.Receive(time.Second, from, Message{Ack: &Ack{Number: send.Message.Push.Number}})
+	}
+	again := r.Tick(2 * time.Second)
+	if len(again) != 1 || again[0].Message.Push.Number != out[0].Message.Push.Number || again[0].To == out[0].To {
+		t.Fatalf("sent again: %+v", again)
+	}
+	r.Receive(2*time.Second, out[0].To, Message{Ack: &Ack{Number: out[0].Message.Push.Number}}) // late, from the first
+	if out := r.Tick(time.Minute); len(out) != 0 || len(r.deliveries.awaiting) != 0 {
+		t.Errorf("%d sends after the last acknowledgement", len(out))
+	}
+}
+
+func TestReceivedPushIsAcknowledgedAndPassedOnOnce(t *testing.T) {
+	members := fleetMembers(60, 2, 2)
+	r := newTestReplica(t, members, quiet)
+	from := members[5].Name
+	whole := Scope{Salt: 7, Low: firstPosition, High: lastPosition}
+	message := Message{Push: &Push{Number: 3, Scope: whole, Changes: []Change{change("a", 1, 1, "k", "v")}}}
+	applied, out := r.Receive(time.Second, from, message)
+	if len(applied) != 1 || len(pushes(out)) != r.config.FanOut || len(out) != r.config.FanOut+1 || out[0].Message.Ack.Number != 3 {
+		t.Fatalf("%d applied, sent %+v", len(applied), out)
+	}
+	applied, out = r.Receive(time.Second, from, message)
+	if len(applied) != 0 || len(out) != 1 || out[0].Message.Ack == nil {
+		t.Errorf("again: %d applied, sent %+v", len(applied), out)
+	}
+	message.Push = &Push{Number: 4, Scope: Scope{Salt: 8, Low: whole.Low, High: whole.High}, Changes: message.Push.Changes}
+	if _, out = r.Receive(time.Second, from, message); len(pushes(out)) == 0 {
+		t.Error("known changes of a new scope are not passed on")
+	}
+	leaf := Message{Push: &Push{Number: 5, Changes: []Change{change("a", 2, 2, "k", "v")}}}
+	if _, out = r.Receive(time.Second, from, leaf); len(out) != 1 || out[0].Message.Ack == nil {
+		t.Errorf("leaf: sent %+v", out)
+	}
+}
+
+// TestFullReplicaPassesOn checks that a relay without room still carries its part of the tree.
+func TestFullReplicaPassesOn(t *testing.T) {
+	members := fleetMembers(10, 1, 1)
+	r := newTestReplica(t, members, quiet)
+	r.store.maxEntries = 0
+	push := Push{Number: 1, Scope: Scope{Low: firstPosition, High: lastPosition}, Changes: []Change{change("a", 1, 1, "k", "v")}}
+	applied, out := r.Receive(time.Second, members[1].Name, Message{Push: &push})
+	if len(applied) != 0 || len(pushes(out)) != r.config.FanOut || r.Counters().Full != 1 {
+		t.Errorf("%d applied, %d pushes, %+v", len(applied), len(pushes(out)), r.Counters())
+	}
+}
+
+// TestPushWaitsForBytes takes all bytes away: pushes are passed on to fewer, then wait, and go out when there are bytes.
+func TestPushWaitsForBytes(t *testing.T) {
+	r := newTestReplica(t, fleetMembers(200, 1, 1), quiet)
+	change1 := change("a", 1, 1, "k1", "v")
+	size := r.pushSize([]Change{change1})
+	r.bytes.take(int(r.bytes.capacity-r.reserve()) - 2*size)
+	out, _ := r.Publish(time.Millisecond, change1)
+	if len(out) != 2 {
+		t.Fatalf("%d pushes with the bytes for two", len(out))
+	}
+	r.bytes.take(int(r.bytes.available(time.Millisecond)))
+	if out = r.Tick(batchWait); len(out) != 0 {
+		t.Fatalf("%d sends without bytes", len(out))
+	}
+	if _, err := r.Publish(batchWait+time.Millisecond, change("a", 2, 2, "k2", "v")); err != nil {
+		t.Fatal(err)
+	}
+	sent := 0
+	for range 1000 {
+		now := r.Due()
+		if now > 10*time.Second {
+			break
+		}
+		for _, send := range pushes(r.Tick(now)) {
+			if send.Message.Push.Changes[0].Sequence == 2 {
+				sent++
+			}
+		}
+	}
+	if sent == 0 || len(r.postponed) > 0 || len(r.queue) > 0 {
+		t.Errorf("sent to %d, %d postponed, %d queued", sent, len(r.postponed), len(r.queue))
+	}
+	if r.Counters().OverBudget == 0 {
+		t.Error("nothing counted as over budget")
+	}
+}
+
+func TestStrangersAndMalformedMessagesAreDropped(t *testing.T) {
+	members := fleetMembers(4, 1, 1)
+	r := newTestReplica(t, members, quiet)
+	valid := Message{Push: &Push{Changes: []Change{change("a", 1, 1, "k", "v")}}}
+	for _, from := range []string{"stranger", members[0].Name, ""} {
+		if applied, out := r.Receive(0, from, valid); len(applied)+len(out) > 0 {
+			t.Errorf("from %q: %d applied, %d sent", from, len(applied), len(out))
+		}
+	}
+	if r.Counters().Strangers != 3 {
+		t.Errorf("%+v", r.Counters())
+	}
+	tooMany := VersionVector{}
+	for i := range maxSources + 1 {
+		tooMany[fmt.Sprint(i)] = 1
+	}
+	one := []Change{change("a", 3, 1, "k", "v")}
+	delta := func(d Delta) Message { return Message{Exchange: &Exchange{Deltas: []Delta{d}}} }
+	malformed := []Message{
+		{},
+		{Ack: &Ack{}, Push: valid.Push},
+		{Ack: &Ack{}, Exchange: &Exchange{}},
+		{Push: &Push{}},
+		{Push: &Push{Changes: make([]Change, maxChangesPerMessage+1)}},
+		{Push: &Push{Scope: Scope{Low: "b", High: "a"}, Changes: one}},
+		{Push: &Push{Scope: Scope{Low: "a", High: "a"}, Changes: one}},
+		{Push: &Push{Scope: Scope{Low: "a"}, Changes: one}},
+		{Push: &Push{Scope: Scope{High: Position(make([]byte, maxPositionBytes+1))}, Changes: one}},
+		{Exchange: &Exchange{Ahead: -1}},
+		{Exchange: &Exchange{Versions: tooMany}},
+		{Exchange: &Exchange{Versions: VersionVector{"": 1}}},
+		{Exchange: &Exchange{Versions: VersionVector{"a": math.MaxUint64}}},
+		{Exchange: &Exchange{Deltas: make([]Delta, maxSources+1)}},
+		delta(Delta{Source: "a", After: 1, Through: 3}),
+		delta(Delta{Source: "b", After: 1, Through: 3, Changes: one}),
+		delta(Delta{Source: "a", After: 3, Through: 3, Changes: one}),
+		delta(Delta{Source: "a", After: 1, Through: 4, Changes: one}),
+		delta(Delta{Source: "a", After: 4, Through: 3, Changes: one}),
+		delta(Delta{Source: "a", After: 1, Through: 3, Changes: []Change{one[0], change("a", 2, 1, "k", "v")}}),
+		delta(Delta{Source: "a", After: 1, Through: 3, Changes: make([]Change, maxChangesPerMessage+1)}),
+	}
+	for i, message := range malformed {
+		if applied, out := r.Receive(0, members[1].Name, message); len(applied)+len(out) > 0 {
+			t.Errorf("message %d: %d applied, %d sent", i, len(applied), len(out))
+		}
+	}
+	if got := r.Counters().Invalid; got != int64(len(malformed)) {
+		t.Errorf("%d of %d messages counted as invalid", got, len(malformed))
+	}
+	if len(r.store.Entries()) > 0 || len(r.store.Versions()) > 0 {
+		t.Error("the store has changed")
+	}
+}
+
+// drawMessage returns any message, well-formed or not.
+func drawMessage(rt *rapid.T) Message {
+	name := rapid.OneOf(rapid.SampledFrom([]string{"a", "b", "\xff"}), rapid.StringN(0, 4, 70))
+	number := rapid.OneOf(rapid.Uint64Range(0, 5), rapid.Uint64())
+	changes := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) Change {
+		return Change{Source: name.Draw(rt, "source"), Sequence: number.Draw(rt, "sequence"), Revision: number.Draw(rt, "revision"),
+			Key: name.Draw(rt, "key"), Value: rapid.SliceOfN(rapid.Byte(), 0, 5).Draw(rt, "value"), Removed: rapid.Bool().Draw(rt, "removed")}
+	}), 0, 4)
+	var message Message
+	if rapid.IntRange(0, 2).Draw(rt, "push") == 0 {
+		scope := Scope{Salt: number.Draw(rt, "salt"), Low: Position(name.Draw(rt, "low")), High: Position(name.Draw(rt, "high"))}
+		message.Push = &Push{Number: number.Draw(rt, "number"), Scope: scope, Changes: changes.Draw(rt, "changes")}
+	}
+	if rapid.IntRange(0, 3).Draw(rt, "ack") == 0 {
+		message.Ack = &Ack{Number: number.Draw(rt, "number")}
+	}
+	if rapid.IntRange(0, 1).Draw(rt, "exchange") == 0 {
+		message.Exchange = &Exchange{Reply: rapid.Bool().Draw(rt, "reply"), Digest: number.Draw(rt, "digest"),
+			Ahead:    rapid.IntRange(-1, 3).Draw(rt, "ahead"),
+			Versions: rapid.MapOfN(name, number, 0, 4).Draw(rt, "versions")}
+		for range rapid.IntRange(0, 2).Draw(rt, "deltas") {
+			message.Exchange.Deltas = append(message.Exchange.Deltas, drawDelta(rt, name, number, changes))
+		}
+	}
+	return message
+}
+
+// drawDelta returns any delta, half of the time one whose changes have its source and ascend.
+func drawDelta(rt *rapid.T, name *rapid.Generator[string], number *rapid.Generator[uint64], changes *rapid.Generator[[]Change]) Delta {
+	delta := Delta{Source: name.Draw(rt, "source"), After: number.Draw(rt, "after"), Through: number.Draw(rt, "through"),
+		Changes: changes.Draw(rt, "changes")}
+	if rapid.Bool().Draw(rt, "well-formed") {
+		delta.After %= 100
+		for i := range delta.Changes {
+			delta.Changes[i].Source, delta.Changes[i].Sequence = delta.Source, delta.After+uint64(i)+1
+			delta.Through = delta.Changes[i].Sequence
+		}
+	}
+	return delta
+}
+
+// TestNoMessageCausesPanic feeds one replica whatever may come.
+func TestNoMessageCausesPanic(t *testing.T) {
+	cuts.Check(t, func(rt *rapid.T) {
+		members := fleetMembers(rapid.IntRange(1, 8).Draw(rt, "members"), 2, 2)
+		r := newTestReplica(t, members, nil)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			now += time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(rt, "pause"))
+			from := members[rapid.IntRange(0, len(members)-1).Draw(rt, "from")].Name
+			_, out := r.Receive(now, from, drawMessage(rt))
+			out = append(out, r.Tick(now)...)
+			for i := range out {
+				if size := messageSize(&out[i].Message); size > r.config.PacketBytes || out[i].Message.validate() != nil {
+					rt.Fatalf("sent %d bytes, %v: %+v", size, out[i].Message.validate(), out[i].Message)
+				}
+			}
+			if r.Due() <= now {
+				rt.Fatalf("due at %v after Tick at %v", r.Due(), now)
+			}
+		}
+	})
+}
+
+// TestExchangeEndsWithTheUnion lets two replicas with different changes exchange once.
+func TestExchangeEndsWithTheUnion(t *testing.T) {
+	members := fleetMembers(2, 1, 1)
+	a := newTestReplica(t, members, nil)
+	b := newTestReplica(t, []Member{members[1], members[0]}, nil)
+	mustApply(t, a.store, change("x", 1, 1, "k1", "1"), change("x", 2, 3, "k2", "2"))
+	mustApply(t, b.store, change("y", 1, 2, "k2", "1"), change("y", 2, 4, "k3", "2"), change("y", 3, 5, "k3", "3"))
+	request := a.Tick(time.Second)
+	if len(request) != 1 || !request[0].Message.Exchange.Reply {
+		t.Fatalf("sent %+v", request)
+	}
+	_, answer := b.Receive(time.Second, members[0].Name, request[0].Message)
+	if len(answer) != 1 {
+		t.Fatalf("answered %+v", answer)
+	}
+	_, conclusion := a.Receive(time.Second, members[1].Name, answer[0].Message)
+	if len(conclusion) != 1 || len(conclusion[0].Message.Exchange.Versions) > 0 {
+		t.Fatalf("concluded %+v", conclusion)
+	}
+	if _, more := b.Receive(time.Second, members[0].Name, conclusion[0].Message); len(more) > 0 {
+		t.Fatalf("went on with %+v", more)
+	}
+	if a.store.Digest() != b.store.Digest() || !equalVersions(a.store.Versions(), b.store.Versions()) {
+		t.Errorf("vectors %v and %v", a.store.Versions(), b.store.Versions())
+	}
+	if _, out := b.Receive(2*time.Second, members[0].Name, Message{Exchange: &Exchange{Reply: true, Versions: a.store.Versions(),
+		Digest: a.store.Digest()}}); len(out) != 0 {
+		t.Errorf("equals exchange %+v", out)
+	}
+}
+
+// TestEmptyReplicaAsksForItsLack checks that a replica which knows no source can tell so in an answer.
+func TestEmptyReplicaAsksForItsLack(t *testing.T) {
+	members := fleetMembers(2, 1, 1)
+	empty := newTestReplica(t, members, nil)
+	_, answer := empty.Receive(0, members[1].Name, Message{Exchange: &Exchange{Reply: true, Versions: VersionVector{"x": 4}, Digest: 9}})
+	if len(answer) != 1 || len(answer[0].Message.Exchange.Versions) != 1 || answer[0].Message.Exchange.Reply {
+		t.Errorf("answered %+v", answer)
+	}
+	if len(empty.store.Versions()) != 0 {
+		t.Error("the answer has changed the store's vector")
+	}
+}
+
+// TestDivergenceIsRepairedOnceAMinute gives two replicas equal vectors and different entries.
+func TestDivergenceIsRepairedOnceAMinute(t *testing.T) {
+	members := fleetMembers(2, 1, 1)
+	r := newTestReplica(t, members, nil)
+	mustApply(t, r.store, change("x", 1, 1, "k1", "1"))
+	r.store.SetVersions(VersionVector{"x": 2})
+	same := Message{Exchange: &Exchange{Reply: true, Versions: VersionVector{"x": 2}, Digest: 1}}
+	_, out := r.Receive(time.Second, members[1].Name, same)
+	if len(out) != 1 || out[0].Message.Exchange.Versions["x"] != 2 {
+		t.Fatalf("answered %+v", out)
+	}
+	if r.Counters().Diverged != 1 || r.store.said()["x"] != 0 || r.store.Versions()["x"] != 2 {
+		t.Errorf("%+v, says %v", r.Counters(), r.store.said())
+	}
+	missed := change("x", 2, 2, "k2", "2")
+	delta := Delta{Source: "x", After: 0, Through: 2, Changes: []Change{change("x", 1, 1, "k1", "1"), missed}}
+	r.Receive(time.Second, members[1].Name, Message{Exchange: &Exchange{Deltas: []Delta{delta}}})
+	if _, ok := r.store.Get("k2"); !ok || r.store.said()["x"] != 2 {
+		t.Errorf("after the delta it says %v", r.store.said())
+	}
+	r.Receive(2*time.Second, members[1].Name, same)
+	if r.store.said()["x"] != 2 {
+		t.Error("rewound twice within a minute")
+	}
+	r.Receive(time.Second+rewindInterval, members[1].Name, same)
+	if r.store.said()["x"] != 0 || r.Counters().Diverged != 3 {
+		t.Errorf("not rewound after a minute: %+v", r.Counters())
+	}
+}
+
+func TestFirstExchangeIsSoon(t *testing.T) {
+	members := fleetMembers(3, 1, 1)
+	r := newTestReplica(t, members, nil)
+	if r.Due() > r.config.Exchange/4 {
+		t.Errorf("first due at %v", r.Due())
+	}
+	r.Members(0, members[:1])
+	for range 3 {
+		r.Tick(r.Due())
+	}
+	if r.Counters().Exchanges != 0 {
+		t.Error("an exchange with nobody")
+	}
+	now := r.Due() - r.config.Exchange/2
+	r.Members(now, members)
+	if r.Due() > now+r.config.Exchange/4 {
+		t.Errorf("due %v after members have come", r.Due()-now)
+	}
+}
+
+func TestBoundGrowsWithItsArguments(t *testing.T) {
+	config := Defaults()
+	if config.Bound(1, time.Second, 0.5) != 0 {
+		t.Error("a relay alone waits")
+	}
+	cuts.Check(t, func(rt *rapid.T) {
+		members := rapid.IntRange(2, 4000).Draw(rt, "members")
+		delay := time.Duration(rapid.IntRange(1, 1000).Draw(rt, "delay")) * time.Millisecond
+		loss := rapid.Float64Range(0, 0.3).Draw(rt, "loss")
+		bound := config.Bound(members, delay, loss)
+		if bound < delay || bound > 2*time.Minute {
+			rt.Fatalf("bound %v", bound)
+		}
+		if config.Bound(members, 2*delay, loss) < bound || config.Bound(members*2, delay, loss) < bound || config.Bound(members, delay, loss*1.5) < bound {
+			rt.Fatalf("the bound %v falls", bound)
+		}
+	})
+	if bound := config.Bound(fullFleet, 100*time.Millisecond, 0.01); bound > goalKnownByAll {
+		t.Errorf("bound of the full fleet %v", bound)
+	}
+}
