--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -141,12 +141,18 @@
 	return named
 }
 
-// rewind has everything pulled anew, if that was not done lately.
+// rewind has everything pulled anew, if this relay has found its store diverged before with the same entries, and has not rewound
+// lately. The first time may be chance: a delta covers a change that another source's has superseded, and that one may still be
+// on its way to the receiver. In a fleet with one diverged relay, it is that one which finds itself diverged again before
+// its entries have changed, and hardly any of the others.
 func (r *Replica) rewind(now time.Duration) {
-	if now < r.nextRewind {
+	again := r.divergedBefore && r.divergedDigest == r.store.Digest()
+	r.divergedBefore, r.divergedDigest = true, r.store.Digest()
+	if !again || now < r.nextRewind {
 		return
 	}
 	r.nextRewind = now + rewindInterval
+	r.counters.Rewinds++
 	r.store.rewind()
 }
 
--- a/internal/configsync/replica.go
+++ b/internal/configsync/replica.go
@@ -26,6 +26,7 @@
 	Strangers   int64 `json:"strangers"`   // messages dropped: from no member
 	OverBudget  int64 `json:"over_budget"` // sends put off or dropped for want of bytes
 	Diverged    int64 `json:"diverged"`    // exchanges with equal vectors and different digests
+	Rewinds     int64 `json:"rewinds"`     // times that everything was pulled anew, since stores diverged
 	Full        int64 `json:"full"`        // changes dropped for want of room
 }
 
@@ -52,6 +53,9 @@
 
 	nextExchange time.Duration
 	nextRewind   time.Duration
+	// divergedDigest is the store's digest when it was last found diverged.
+	divergedBefore bool
+	divergedDigest uint64
 }
 
 // NewReplica returns a replica over a store that its caller shares only with it.
