--- a/internal/fleet/configuration_test.go
+++ b/internal/fleet/configuration_test.go
@@ -237,6 +237,53 @@
 	untilBarred(t, []*part{again}, "m")
 }
 
+// A process that takes over from another has in force what that one had when it began, refuses changes while the other one has
+// the address, and learns from the file what came meanwhile.
+func TestConfigurationHandOver(t *testing.T) {
+	c := newControl("control")
+	dir := t.TempDir()
+	before := join(t, "a", configured(t, dir, c))
+	replicating(t, 1, before)
+	before.mustPost(t, c.next(t, before, "endpoint/m", "down"))
+	after := join(t, "a", func(cfg *Config) {
+		configured(t, dir, c)(cfg)
+		cfg.Bind = before.cfg.Bind
+	})
+	after.Pool(1, testPool())
+	untilBarred(t, []*part{after}, "m")
+	if err := after.post(t, c.sign(2, 2, "endpoint/n", "down")); !errors.Is(err, ErrConfigurationNotReady) {
+		t.Errorf("the process without the address: %v", err)
+	}
+	before.mustPost(t, c.next(t, before, "endpoint/n", "down"))
+	before.end()
+	untilBarred(t, []*part{after}, "m", "n")
+	replicating(t, 1, after)
+	after.mustPost(t, c.next(t, after, "endpoint/m", ""))
+	untilBarred(t, []*part{after}, "n")
+}
+
+// A change that can't be kept is in force and said not to be kept; others keep it.
+func TestConfigurationNotKept(t *testing.T) {
+	c := newControl("control")
+	a := join(t, "a", func(cfg *Config) {
+		configured(t, "", c)(cfg)
+		cfg.Configuration.MaxFileBytes = 300 // room for one change
+	})
+	b := join(t, "bb", configured(t, "", c), a)
+	replicating(t, 2, a, b)
+	a.Pool(1, testPool())
+	a.mustPost(t, c.next(t, a, "endpoint/m", "down"))
+	if err := a.post(t, c.next(t, a, "endpoint/n", "down")); !errors.Is(err, ErrConfigurationNotSaved) {
+		t.Errorf("a change that has no room: %v", err)
+	}
+	untilBarred(t, []*part{a}, "m", "n")
+	until(t, "the other one keeps both", func() bool {
+		state := b.Configuration()
+		return state.Versions["control"] == 2 && state.Figures.Kept
+	})
+	until(t, "it is shown", func() bool { return !a.Figures().Configuration.Kept })
+}
+
 // What no trusted source has signed, or is not the next change of its source, is refused with its reason and changes nothing.
 func TestConfigurationRefusals(t *testing.T) {
 	c, stranger := newControl("control"), newControl("stranger")
