--- a/cmd/slatemux/configuration_cli.go
+++ b/cmd/slatemux/configuration_cli.go
@@ -15,6 +15,7 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+	"unicode/utf8"
 
 	"github.com/spf13/cobra"
 
@@ -46,6 +47,9 @@
 		Use: "set KEY VALUE", Short: "Sign an entry and hand it to a relay", Args: cobra.ExactArgs(2),
 		Example: "  slatemux fleet configuration set endpoint/s-5be2a07c down --ops 127.0.0.1:8600 --source control-1 --key-file control-1.key",
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if !utf8.ValidString(args[1]) {
+				return errors.New("fleet configuration: the value is not UTF-8")
+			}
 			return signer.run(cmd, *raw, fleet.ConfigurationChange{Key: args[0], Value: args[1]})
 		},
 	}
--- a/cmd/slatemux/configuration_test.go
+++ b/cmd/slatemux/configuration_test.go
@@ -227,6 +227,44 @@
 	return signed.Signature
 }
 
+// SIGHUP has the trusted keys read again: a source that is not in the file any more can change nothing, another one can.
+func TestTrustedKeysAreReadAgain(t *testing.T) {
+	c, other, a := newControlMachine(t), newControlMachine(t), newAround(t)
+	close(a.release)
+	vars := env(t, a.config)
+	vars["SLATEMUX_CONFIG"], vars["NODE_OPS"] = c.settings, freeAddress(t)
+	ops := vars["NODE_OPS"]
+	_, reload, end := boot(t, vars)
+	defer end()
+	shown(t, ops)
+	if out, err := c.change(t, ops, "set", "k", "first"); err != nil {
+		t.Fatal(out, err)
+	}
+	line, err := os.ReadFile(other.trusted)
+	if err != nil {
+		t.Fatal(err)
+	}
+	line = bytes.Replace(line, []byte("control "), []byte("other "), 1)
+	if err := os.WriteFile(c.trusted, line, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	reload()
+	for end := time.Now().Add(10 * time.Second); shown(t, ops).Sources[0].Trusted; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the source is still trusted")
+		}
+	}
+	if out, err := c.change(t, ops, "set", "k", "second"); err == nil || !strings.Contains(err.Error(), "does not trust") {
+		t.Error(out, err)
+	}
+	if out, err := cli(t, nil, "fleet", "configuration", "set", "k", "third", "--ops", ops, "--source", "other", "--key-file", other.keyFile); err != nil {
+		t.Error(out, err)
+	}
+	if entry := shown(t, ops).Entries[0]; entry.Value != "third" || entry.Source != "other" {
+		t.Errorf("%+v", entry)
+	}
+}
+
 // Without the fleet's configuration there is nothing to show, and nothing is taken.
 func TestConfigurationIsOff(t *testing.T) {
 	a := newAround(t)
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -61,7 +61,7 @@
 	triedAt   time.Duration
 	saveError error
 
-	directives directive.Set
+	directives *directive.Set
 	outbox     []configsync.Send
 	replies    []configurationReply
 	stale      bool // what operators are shown is
@@ -79,7 +79,7 @@
 		return nil, nil
 	}
 	c := &configuration{config: *cfg.Configuration, dir: cfg.StateDir, saved: configsync.VersionVector{},
-		newest: map[string]configsync.Change{}, stale: true}
+		newest: map[string]configsync.Change{}, directives: directive.NewSet(), stale: true}
 	if c.config.MaxFileBytes == 0 {
 		c.config.MaxFileBytes = configfile.MaxBytes(c.config.MaxEntries)
 	}
@@ -124,12 +124,13 @@
 			continue
 		}
 		c.noteNewest(change)
+		c.interpret(change.Key)
 	}
 	if refused > 0 {
 		slog.Warn("fleet configuration: kept entries not taken over", "entries", refused)
 	}
 	c.store.SetVersions(snapshot.Versions)
-	c.interpret()
+	c.stale = true
 }
 
 // open takes the file over, as soon as no process before this one can write it.
@@ -228,11 +229,12 @@
 	c.outbox = append(c.outbox, c.replica.Tick(now)...)
 }
 
-// save keeps what is new before anybody is told of it. It reports whether entries have changed.
+// save interprets and keeps what is new, before anybody is told of it. It reports whether entries have changed.
 func (c *configuration) save(now time.Duration) bool {
 	changed := len(c.unsaved) > 0
 	for _, change := range c.unsaved {
 		c.noteNewest(change)
+		c.interpret(change.Key)
 	}
 	versions := c.store.Versions()
 	moved := !maps.Equal(versions, c.saved)
@@ -277,15 +279,13 @@
 	return configfile.Snapshot{Entries: entries, Versions: c.store.Versions()}
 }
 
-// interpret works out what the entries in force restrain.
-func (c *configuration) interpret() {
-	c.directives = directive.Set{}
-	for _, entry := range c.store.Entries() {
-		if d, ok := directive.Parse(entry.Key, entry.Value); ok && !entry.Removed {
-			c.directives.Add(d)
-		}
+// interpret works out what an entry restrains now.
+func (c *configuration) interpret(key string) {
+	if change, inForce := c.store.Get(key); inForce {
+		c.directives.Put(key, change.Value)
+	} else {
+		c.directives.Remove(key)
 	}
-	c.stale = true
 }
 
 // addBars merges what the configuration restrains into the members that the fleet's word bars, in the order of their names.
--- a/internal/fleet/configuration_driver.go
+++ b/internal/fleet/configuration_driver.go
@@ -58,11 +58,12 @@
 	}
 	c.tick(now)
 	if c.save(now) {
-		c.interpret()
-		f.publishConfiguration()
 		f.updateBars(now)
 	}
 	f.sendConfiguration(now)
+	if len(c.replies) > 0 {
+		f.publishConfiguration() // who hears that a change is in force sees it, too
+	}
 	for _, reply := range c.replies {
 		if reply.err == nil && c.saveError != nil {
 			reply.err = fmt.Errorf("%w: %w", ErrConfigurationNotSaved, c.saveError)
--- a/internal/fleet/directive/directive.go
+++ b/internal/fleet/directive/directive.go
@@ -56,28 +56,44 @@
 	return number, strconv.Itoa(number) == text
 }
 
-// Set holds directives for quick answers. The zero value bars nothing.
+// Set holds the directives of all entries for quick answers.
 type Set struct {
 	endpoints    map[string]bool
 	destinations map[int]bool
 }
 
-// Add puts a directive into the set.
-func (s *Set) Add(d Directive) {
+// NewSet returns a set that bars nothing.
+func NewSet() *Set {
+	return &Set{endpoints: map[string]bool{}, destinations: map[int]bool{}}
+}
+
+// Put takes over the value that an entry has now.
+func (s *Set) Put(key string, value []byte) {
+	d, known := Parse(key, value)
+	if !known {
+		s.Remove(key)
+		return
+	}
 	switch d.Kind {
 	case EndpointDown:
-		if s.endpoints == nil {
-			s.endpoints = map[string]bool{}
-		}
 		s.endpoints[d.Endpoint] = true
 	case DestinationClosed:
-		if s.destinations == nil {
-			s.destinations = map[int]bool{}
-		}
 		s.destinations[d.Destination] = true
 	}
 }
 
+// Remove takes over that an entry is not there any more.
+func (s *Set) Remove(key string) {
+	if endpoint, ok := strings.CutPrefix(key, EndpointPrefix); ok {
+		delete(s.endpoints, endpoint)
+	}
+	if text, ok := strings.CutPrefix(key, DestinationPrefix); ok {
+		if number, ok := parseDestination(text); ok {
+			delete(s.destinations, number)
+		}
+	}
+}
+
 // Bars reports whether an endpoint of a destination is to get nothing new.
 func (s *Set) Bars(endpoint string, destination int) bool {
 	return s.endpoints[endpoint] || s.destinations[destination]
