--- a/cmd/slatemux/fleet.go
+++ b/cmd/slatemux/fleet.go
@@ -48,6 +48,7 @@
 		BytesPerSecond:   own.Bytes,
 		DivideLimits:     own.DivideLimits,
 		Relays:           cfg.settings.Peers,
+		Configuration:    replication(cfg),
 	}, r)
 }
 
@@ -96,7 +97,7 @@
 			_, err := fmt.Fprintln(cmd.OutOrStdout(), base64.StdEncoding.EncodeToString(key))
 			return err
 		},
-	}, show("members", "List the fleet's members", membersTable), show("verdicts", "List what relays have told each other and still holds", verdictsTable),
+	}, configurationCommand(&addr, &raw), show("members", "List the fleet's members", membersTable), show("verdicts", "List what relays have told each other and still holds", verdictsTable),
 		show("limits", "List the limits that the fleet divides, and what this relay has of them", limitsTable))
 	return root
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -35,6 +35,8 @@
 	DivideLimits bool
 	// Relays is how many relays divide the limits, whether they are alive or not.
 	Relays int
+	// Configuration configures the replication of the operators' configuration; nil for none.
+	Configuration *ConfigurationConfig
 }
 
 // Relay receives the decisions that follow from what other members have announced. Its methods must not block.
--- a/internal/fleet/delegate.go
+++ b/internal/fleet/delegate.go
@@ -19,8 +19,8 @@
 	_ memberlist.ConflictDelegate = delegate{}
 )
 
-// NodeMeta returns nothing: members carry no metadata.
-func (d delegate) NodeMeta(int) []byte { return nil }
+// NodeMeta returns what this relay announces: that it replicates configuration, if it does.
+func (d delegate) NodeMeta(int) []byte { return d.f.configuration.announcement() }
 
 // NotifyMsg receives a packet of another member.
 func (d delegate) NotifyMsg(b []byte) { d.f.enqueue(packetReceived(bytes.Clone(b))) }
--- a/internal/fleet/driver.go
+++ b/internal/fleet/driver.go
@@ -72,6 +72,7 @@
 func (f *Fleet) drive(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	defer f.configuration.close()
 	for {
 		select {
 		case <-ctx.Done():
@@ -99,7 +100,7 @@
 	if f.allocator != nil {
 		wait = min(wait, divideInterval)
 	}
-	return wait
+	return min(wait, f.untilConfigurationDue())
 }
 
 // step applies a batch of events, then does what is due.
@@ -119,6 +120,7 @@
 	f.send(f.spread.Tick(now))
 	f.restrain(r.restraints)
 	f.divideLimits(now)
+	f.stepConfiguration(now)
 	if sweep || r.barsChanged {
 		f.lastSweep = now
 		f.updateBars(now)
--- a/internal/fleet/figures.go
+++ b/internal/fleet/figures.go
@@ -21,6 +21,8 @@
 	Judged        verdicts.Counters `json:"judged"`
 	// Divided counts the work of dividing limits; all zero where it is off.
 	Divided allowance.Counters `json:"divided"`
+	// Configuration tells of the replication of configuration; nil where it is off.
+	Configuration *ConfigurationFigures `json:"configuration,omitempty"`
 }
 
 // Drops counts what was not accepted, by reason.
@@ -110,6 +112,7 @@
 		figures.Divided = f.allocator.Counters()
 	}
 	figures.Drops = f.drops.snapshot(figures.Spread)
+	figures.Configuration = f.publishConfiguration()
 	f.shared.Lock()
 	defer f.shared.Unlock()
 	if t := f.shared.transport; t != nil {
@@ -171,5 +174,6 @@
 		slog.Int64("overrun", g.Drops.Overrun),
 		slog.Int64("conflict", g.Drops.Conflict),
 		slog.Int64("short", g.Drops.Short),
+		slog.Any("configuration", g.Configuration),
 	)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -63,6 +64,8 @@
 	allocator   *allowance.Desk // nil before the relay listens, or where limits are not divided
 	recalled    map[int]float64 // limits that the previous process had learned, by destination
 	mayHaveLent bool            // an earlier process may have lent this relay's shares
+
+	configuration *configuration // nil where none is replicated
 }
 
 // shared is the state that the driver shares with callers of Fleet's methods.
@@ -77,6 +80,8 @@
 	statements []verdicts.Statement   // as last published, for operators
 	limits     []allowance.State      // as last published, for operators
 	readings   map[int]limitRead      // as last passed to the driver, by destination
+
+	configuration ConfigurationState // as last published, for operators
 }
 
 // New reads the keys and counts this start. Run starts the goroutines.
@@ -118,6 +123,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
+	f.configuration, err = newConfiguration(&cfg)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
 	return f, nil
 }
 
@@ -137,12 +146,13 @@
 // not be used afterwards.
 func (f *Fleet) Recall(limits map[int]float64) { f.recalled = limits }
 
-// Reload reads the key file again. An invalid file changes nothing.
+// Reload reads the key files again. An invalid file changes nothing.
 func (f *Fleet) Reload() error {
 	keys, err := ReadKeys(f.cfg.KeyFile)
 	if err == nil {
 		err = replaceKeys(f.ring, keys)
 	}
+	err = errors.Join(err, f.reloadTrustedKeys())
 	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"cmp"
 	"log/slog"
 	"slices"
@@ -31,6 +32,9 @@
 	Since time.Time `json:"since"`
 	RTTMS float64   `json:"rtt_ms"` // round trip of the newest probe; 0 for none
 	Self  bool      `json:"self,omitempty"`
+
+	// node is a copy: memberlist changes its own when the member comes back at another address.
+	node *memberlist.Node
 }
 
 // Members returns all known members, by name.
@@ -67,7 +71,20 @@
 		m.State = state
 		m.Since = time.Now()
 	}
-	m.Addr = n.Address()
+	node := *n
+	node.Meta = bytes.Clone(n.Meta)
+	m.node = &node
+	m.Addr = node.Address()
+}
+
+// nodeOf returns a member's node as memberlist reported it last; nil for none.
+func (f *Fleet) nodeOf(name string) *memberlist.Node {
+	f.shared.Lock()
+	defer f.shared.Unlock()
+	if m := f.shared.members[name]; m != nil {
+		return m.node
+	}
+	return nil
 }
 
 // forgetGone drops members that have been gone for long. It needs the lock.
--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -77,12 +77,16 @@
 // awaitJoinAddress waits, and returns the next address to join: after the wait one where no live member is known, or
 // earlier that of a live member, where an unknown one was heard. It returns "" for none, and when ctx ends.
 func (f *Fleet) awaitJoinAddress(ctx context.Context, list *memberlist.Memberlist, wait time.Duration, rng *rand.Rand) string {
+	unknownMember := f.unknownMember
+	if list.NumMembers() < 2 {
+		unknownMember = nil // there is nobody to compare with: all senders are unknown to one that has not joined yet
+	}
 	select {
 	case <-ctx.Done():
 		return ""
 	case <-time.After(jittered(wait, rng)):
 		return f.pickMissingAddress(list, rng)
-	case <-f.unknownMember:
+	case <-unknownMember:
 	}
 	// Not at once: all members may have heard the unknown one.
 	select {
@@ -223,7 +227,7 @@
 	live := map[string]*memberlist.Node{}
 	var names []string
 	for _, n := range list.Members() {
-		live[n.Name] = n
+		live[n.Name] = f.nodeOf(n.Name)
 		names = append(names, n.Name)
 	}
 	f.forgetMissing(now, live, r)
@@ -232,6 +236,7 @@
 	}
 	f.nodes = live
 	f.spread.Members(names)
+	f.updateReplicationMembers(now)
 	if f.allocator == nil {
 		f.startAllocator(now, names)
 	} else {
--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -47,6 +47,7 @@
 	f.send(replies)
 	if after.Received > before.Received {
 		f.receiveLimitMessages(now, &packet)
+		f.receiveConfiguration(now, packet.From, packet.Configuration)
 	}
 }
 
--- a/internal/fleet/restraints.go
+++ b/internal/fleet/restraints.go
@@ -76,6 +76,7 @@
 		ban := verdicts.Subject{Kind: verdicts.Ban, Destination: f.pool[name].Destination, Member: name}
 		bars = append(bars, traffic.Bar{Member: name, Banned: f.countOrigins(now, ban) > 0})
 	}
+	bars = f.configuration.addBars(bars, f.pool)
 	if slices.Equal(bars, f.lastBars) {
 		return
 	}
