--- /dev/null
+++ b/internal/allowance/allocations.go
@@ -0,0 +1,91 @@
+package allowance
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// renewalMargin is how long before a lease ends the caller gets the rate that follows it.
+	renewalMargin = 100 * time.Millisecond
+	// ownShareDuration is how long this relay's own share is allocated for.
+	ownShareDuration = 2 * time.Second
+	// allocationTolerance is the share by which an allocation may change without being returned anew.
+	allocationTolerance = 0.02
+)
+
+// allocations returns the allocations that have changed or are about to expire.
+func (a *Allocator) allocations(now time.Duration) (list []Allocation) {
+	a.addAnnouncedDestinations(now)
+	for _, n := range slices.Sorted(maps.Keys(a.destinations)) {
+		d := a.destinations[n]
+		limit := a.limit(now, n, d)
+		if limit <= 0 {
+			continue
+		}
+		allocation := a.allocate(now, n, d, limit)
+		if d.isCurrent(now, allocation) {
+			continue
+		}
+		d.allocated = allocation
+		d.allocatedAt = now
+		list = append(list, allocation)
+	}
+	return list
+}
+
+// addAnnouncedDestinations adds destinations whose limits only other relays have read.
+func (a *Allocator) addAnnouncedDestinations(now time.Duration) {
+	for _, s := range a.shards {
+		for n := range s.holder.limits {
+			if a.destinations[n] == nil && len(a.destinations) < maxDestinations {
+				a.destination(now, n)
+			}
+		}
+	}
+}
+
+// limit is a destination's limit as this relay knows it: its own reading, or what the owner has announced if that is less.
+// Another relay's word alone raises no limit that this relay has read; without a reading, the relay would otherwise send
+// without any limit.
+func (a *Allocator) limit(now time.Duration, n int, d *localDestination) float64 {
+	s := a.shards[Shard(n)]
+	if s == nil {
+		return d.limit
+	}
+	announced, ok := s.holder.Limit(now, n)
+	if ok && (d.limit <= 0 || announced < d.limit) {
+		return announced
+	}
+	return d.limit
+}
+
+// allocate is the rate of a destination from now on.
+func (a *Allocator) allocate(now time.Duration, n int, d *localDestination, limit float64) Allocation {
+	holder := a.shard(Shard(n)).holder
+	rate, until, own := holder.Rate(now, n, limit)
+	leased := rate > 0 && !own
+	if leased && until-now < renewalMargin && holder.lentUntil > until {
+		// The lease is about to end, and the share is still lent: nothing may be sent until the loan ends.
+		rate, until = 0, holder.lentUntil
+	}
+	if d.limit > 0 && rate > d.limit {
+		rate = d.limit
+		a.counters.Capped++
+	}
+	allocation := Allocation{Destination: n, Rate: rate, Duration: ownShareDuration}
+	if rate > 0 && !own {
+		allocation.Duration = until - now
+	}
+	return allocation
+}
+
+// isCurrent reports whether the last allocation stands: it is about as much, and lasts for a while.
+func (d *localDestination) isCurrent(now time.Duration, next Allocation) bool {
+	left := d.allocatedAt + d.allocated.Duration - now
+	similar := math.Abs(next.Rate-d.allocated.Rate) <= allocationTolerance*d.allocated.Rate
+	sameSign := (next.Rate > 0) == (d.allocated.Rate > 0)
+	return similar && sameSign && left > next.Duration/2
+}
--- /dev/null
+++ b/internal/allowance/divide.go
@@ -0,0 +1,85 @@
+package allowance
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// reserveShare is the share of a rate that is not divided among relays whose demand is served, so that the next one to
+	// ask finds something.
+	reserveShare = 0.05
+	// lowerLevelShare is the share of a rate that is kept for lower priority levels while they have demand.
+	lowerLevelShare = 0.05
+)
+
+// divide divides a rate by the relays' demands: the highest priority level first, max-min fair within a level, and a small
+// share for the levels below. What is left goes to all relays with demand. The result is added to targets.
+func divide(rate float64, names []string, demandOf func(string) *Demand, targets map[string]float64) {
+	levels, total := sumDemands(names, demandOf)
+	if total <= 0 || rate <= 0 {
+		return
+	}
+	left := rate
+	for level := range Levels {
+		below := total
+		for higher := range level + 1 {
+			below -= levels[higher]
+		}
+		reserved := min(lowerLevelShare*rate, max(below, 0))
+		part := min(levels[level], max(left-reserved, 0))
+		left -= divideMaxMin(part, names, func(name string) float64 {
+			if demand := demandOf(name); demand != nil {
+				return max(demand.Rates[level], 0)
+			}
+			return 0
+		}, targets)
+	}
+	spare := left - reserveShare*rate
+	if spare <= 0 || left <= 0 {
+		return
+	}
+	for _, name := range names {
+		if demand := demandOf(name); demand != nil {
+			targets[name] += spare * demand.total() / total
+		}
+	}
+}
+
+// sumDemands sums the demands of all relays, by priority level and in total.
+func sumDemands(names []string, demandOf func(string) *Demand) (levels [Levels]float64, total float64) {
+	for _, name := range names {
+		demand := demandOf(name)
+		if demand == nil {
+			continue
+		}
+		for level, rate := range demand.Rates {
+			levels[level] += max(rate, 0)
+			total += max(rate, 0)
+		}
+	}
+	return levels, total
+}
+
+// divideMaxMin divides a rate max-min fairly: no relay gets more than it wants, and the least that any unsatisfied relay
+// gets is as high as possible. The result is added to targets; their sum is returned.
+func divideMaxMin(rate float64, names []string, demandOf func(string) float64, targets map[string]float64) (divided float64) {
+	type row struct {
+		name   string
+		demand float64
+	}
+	var rows []row
+	for _, name := range names {
+		if demand := demandOf(name); demand > 0 {
+			rows = append(rows, row{name, demand})
+		}
+	}
+	slices.SortStableFunc(rows, func(a, b row) int { return cmp.Compare(a.demand, b.demand) })
+	for i, r := range rows {
+		equalShare := (rate - divided) / float64(len(rows)-i)
+		got := min(r.demand, equalShare)
+		targets[r.name] += got
+		divided += got
+	}
+	return divided
+}
--- a/internal/allowance/explore_test.go
+++ b/internal/allowance/explore_test.go
@@ -8,9 +8,15 @@
 	"wrenford/internal/lab/explore"
 )
 
-// small are terms of few ticks, so that a short path goes through leases and loans that run out.
+// small sets durations of few ticks, so that a short path goes through leases and loans that run out.
 func small(c explore.Config) explore.Config {
-	c.Terms = allowance.Terms{Relays: c.Relays, Lease: 2 * explore.Tick, Loan: 5 * explore.Tick, Every: explore.Tick, Agree: 1}
+	c.Limits = allowance.Config{
+		Relays:            c.Relays,
+		LeaseDuration:     2 * explore.Tick,
+		LoanDuration:      5 * explore.Tick,
+		HeartbeatInterval: explore.Tick,
+		Quorum:            1,
+	}
 	return c
 }
 
@@ -56,17 +62,17 @@
 		"starts without a wait for its loans": 1, "starts without a wait for its leases": 4} {
 		t.Run(flaw, func(t *testing.T) {
 			c := explore.Config{}
-			c.NewHolder = func(terms *allowance.Terms, quiet time.Duration) explore.Holder {
+			c.NewHolder = func(cfg *allowance.Config, lentUntil time.Duration) explore.Holder {
 				if flaw == "starts without a wait for its loans" {
-					quiet = 0
+					lentUntil = 0
 				}
-				return copiedHolder{holder{Holder: allowance.NewHolder(terms, quiet), Flaw: flaw}}
+				return copiedHolder{holder{Holder: allowance.NewHolder(cfg, lentUntil), Flaw: flaw}}
 			}
-			c.NewOwner = func(terms *allowance.Terms, first uint64, quiet time.Duration) explore.Owner {
+			c.NewOwner = func(cfg *allowance.Config, firstSequence uint64, grantsFrom time.Duration) explore.Owner {
 				if flaw == "starts without a wait for its leases" {
-					quiet = 0
+					grantsFrom = 0
 				}
-				return copiedOwner{owner{Owner: allowance.NewOwner(terms, first, quiet), Flaw: flaw}}
+				return copiedOwner{owner{Owner: allowance.NewOwner(cfg, firstSequence, grantsFrom), Flaw: flaw}}
 			}
 			with := func(s explore.Config) explore.Config {
 				s = small(s)
--- a/internal/allowance/flaws_test.go
+++ b/internal/allowance/flaws_test.go
@@ -14,22 +14,22 @@
 }
 
 // Claim makes a claim.
-func (h FlawedHolder) Claim(now time.Duration, shard int, owner string, number uint64, wants []Want, readings []Reading) Claim {
+func (h FlawedHolder) Claim(now time.Duration, shard int, owner string, sequence uint64, demands []Demand, readings []Reading) Claim {
 	if h.Flaw == "lends twice" {
-		h.lent = 0
+		h.lentUntil = 0
 	}
-	return h.Holder.Claim(now, shard, owner, number, wants, readings)
+	return h.Holder.Claim(now, shard, owner, sequence, demands, readings)
 }
 
 // Granted takes a grant in.
-func (h FlawedHolder) Granted(now time.Duration, from string, g Grant) bool {
-	if h.Flaw == "takes older grants" && from == h.asked {
-		delete(h.echoes, from)
+func (h FlawedHolder) ReceiveGrant(now time.Duration, from string, g Grant) bool {
+	if h.Flaw == "takes older grants" && from == h.owner {
+		delete(h.grantsSeen, from)
 	}
-	ok := h.Holder.Granted(now, from, g)
+	ok := h.Holder.ReceiveGrant(now, from, g)
 	if h.Flaw == "lease from its receipt" && ok {
 		for _, s := range g.Shares {
-			h.leases[s.Destination] = lease{s.Rate, now + h.terms.Lease}
+			h.leases[s.Destination] = lease{s.Rate, now + h.cfg.LeaseDuration}
 		}
 	}
 	return ok
@@ -38,7 +38,7 @@
 // Rate is what may be sent.
 func (h FlawedHolder) Rate(now time.Duration, destination int, limit float64) (float64, time.Duration, bool) {
 	if h.Flaw == "its own share while it is lent" && h.leases[destination].until <= now {
-		return limit / float64(h.terms.Relays), 0, true
+		return limit / float64(h.cfg.Relays), 0, true
 	}
 	return h.Holder.Rate(now, destination, limit)
 }
@@ -50,10 +50,10 @@
 }
 
 // Claimed takes a claim in.
-func (o FlawedOwner) Claimed(now time.Duration, from string, c Claim) bool {
-	ok := o.Owner.Claimed(now, from, c)
-	if b := o.relays[from]; ok && o.Flaw == "loan from its receipt" && c.Lend > 0 {
-		b.loan = max(b.loan, now+c.Lend)
+func (o FlawedOwner) ReceiveClaim(now time.Duration, from string, c Claim) bool {
+	ok := o.Owner.ReceiveClaim(now, from, c)
+	if b := o.relays[from]; ok && o.Flaw == "loan from its receipt" && c.LoanDuration > 0 {
+		b.loanUntil = max(b.loanUntil, now+c.LoanDuration)
 	}
 	return ok
 }
@@ -63,20 +63,20 @@
 	b := o.relays[to]
 	switch o.Flaw {
 	case "what it granted before counts no more":
-		b.out = nil
+		b.outstanding = nil
 	case "leases that outlast the loans":
 		for _, r := range o.relays {
-			if r.loan > now {
-				r.loan += o.terms.Lease
-				defer func() { r.loan -= o.terms.Lease }()
+			if r.loanUntil > now {
+				r.loanUntil += o.cfg.LeaseDuration
+				defer func() { r.loanUntil -= o.cfg.LeaseDuration }()
 			}
 		}
 	case "what others have is not asked":
 		for name, r := range o.relays {
 			if name != to {
-				out := slices.Clone(r.out)
-				r.out = nil
-				defer func() { r.out = out }()
+				out := slices.Clone(r.outstanding)
+				r.outstanding = nil
+				defer func() { r.outstanding = out }()
 			}
 		}
 	}
--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -2,115 +2,177 @@
 
 import "time"
 
-// Holder is a relay's side of one shard: what it has lent, and what it was granted.
+const (
+	// rememberedClaims is how many of the newest claims a holder can match with grants.
+	rememberedClaims = 8
+	// grantMemoryLoans is how long a holder remembers the newest grant of an owner, in loans: no grant is under way for
+	// longer.
+	grantMemoryLoans = 10
+	// limitLifetimeLoans is how long a limit that an owner announced counts, in loans: after that the owner has changed, or
+	// died, and may have known less.
+	limitLifetimeLoans = 2
+	// maxMissedHeartbeats is how many heartbeats an owner may leave unanswered before its loans are not extended.
+	maxMissedHeartbeats = 2
+)
+
+// Holder is a relay's side of one shard: the shares that it has lent, and the leases that it was granted.
 type Holder struct {
-	terms *Terms
-	// lentTo has the relay's shares until lent, by its own clock; what a process before has lent, nobody knows to whom, is lent to "".
-	lentTo string
-	lent   time.Duration
-	asked  string          // the owner that the newest claim went to
-	heard  time.Duration   // when that one was last heard
-	echoes map[string]echo // the newest grant that was seen of each owner
-	sent   [8]claimed
-	next   int
-	leases map[int]lease
-	limits map[int]toldLimit // as grants told them
+	cfg *Config
+	// lentTo has the relay's shares until lentUntil, by the relay's clock. It is "" for shares that an earlier process may
+	// have lent, to an owner that is not known any more.
+	lentTo     string
+	lentUntil  time.Duration
+	owner      string               // the owner that the newest claim went to
+	ownerHeard time.Duration        // when that owner was last heard
+	grantsSeen map[string]seenGrant // the newest grant of each owner
+	claims     [rememberedClaims]sentClaim
+	nextClaim  int // the place of the next claim in claims
+	leases     map[int]lease
+	limits     map[int]announcedLimit
 }
 
-// toldLimit is a limit as an owner knows it. It counts for two loans: then the owner has changed, or died, and may have known less.
-type toldLimit struct {
+// announcedLimit is a destination's limit as an owner announced it.
+type announcedLimit struct {
 	limit float64
 	at    time.Duration
 }
 
-type echo struct {
-	number uint64
-	at     time.Duration
+// seenGrant is the newest grant of an owner.
+type seenGrant struct {
+	sequence uint64
+	at       time.Duration
 }
 
-type claimed struct {
-	number uint64
-	at     time.Duration
+// sentClaim is a claim that a grant may answer.
+type sentClaim struct {
+	sequence uint64
+	at       time.Duration
 }
 
+// lease is a rate that this relay may use until a time.
 type lease struct {
 	rate  float64
 	until time.Duration
 }
 
-// NewHolder returns one. What a process before may have lent is over after quiet.
-func NewHolder(t *Terms, quiet time.Duration) *Holder {
-	return &Holder{terms: t, lent: quiet, echoes: map[string]echo{}, leases: map[int]lease{}, limits: map[int]toldLimit{}}
+// NewHolder returns a holder. Shares that an earlier process may have lent are back at lentUntil.
+func NewHolder(cfg *Config, lentUntil time.Duration) *Holder {
+	return &Holder{
+		cfg:        cfg,
+		lentUntil:  lentUntil,
+		grantsSeen: map[string]seenGrant{},
+		leases:     map[int]lease{},
+		limits:     map[int]announcedLimit{},
+	}
 }
 
-// Claim makes a claim to an owner. The relay's shares are lent with it unless another still has them.
-func (h *Holder) Claim(now time.Duration, shard int, owner string, number uint64, wants []Want, readings []Reading) Claim {
-	if owner != h.asked {
-		h.asked, h.heard = owner, now
+// Claim makes a claim to an owner. The relay's shares are lent with it unless another owner still has them.
+func (h *Holder) Claim(now time.Duration, shard int, owner string, sequence uint64, demands []Demand, readings []Reading) Claim {
+	if owner != h.owner {
+		h.owner = owner
+		h.ownerHeard = now
+	}
+	claim := Claim{
+		Shard:     shard,
+		Sequence:  sequence,
+		LastGrant: h.grantsSeen[owner].sequence,
+		Demands:   demands,
+		Readings:  readings,
 	}
-	c := Claim{Shard: shard, Number: number, Echo: h.echoes[owner].number, Wants: wants, Readings: readings}
-	// Who does not answer is lent nothing for longer: when it is known to be gone, the shares are soon to be had.
-	if now >= h.lent || h.lentTo == owner && now-h.heard <= 2*h.terms.Every {
-		c.Lend = h.terms.Loan
-		h.lentTo, h.lent = owner, now+c.Lend
+	if h.mayLend(now, owner) {
+		claim.LoanDuration = h.cfg.LoanDuration
+		h.lentTo = owner
+		h.lentUntil = now + claim.LoanDuration
+	}
+	h.claims[h.nextClaim] = sentClaim{sequence: sequence, at: now}
+	h.nextClaim = (h.nextClaim + 1) % len(h.claims)
+	return claim
+}
+
+// mayLend reports whether the shares are back, or the same owner has them and answers. The loan of an owner that does not
+// answer is not extended, so that its shares are soon available when it turns out to be dead.
+func (h *Holder) mayLend(now time.Duration, owner string) bool {
+	if now >= h.lentUntil {
+		return true
 	}
-	h.sent[h.next] = claimed{number, now}
-	h.next = (h.next + 1) % len(h.sent)
-	return c
+	return h.lentTo == owner && now-h.ownerHeard <= maxMissedHeartbeats*h.cfg.HeartbeatInterval
 }
 
-// Granted takes a grant in, and says whether it counts. A lease runs from when the claim was sent that it answers: the owner
-// counts from later.
-func (h *Holder) Granted(now time.Duration, from string, g Grant) bool {
-	if from != h.asked || g.Number <= h.echoes[from].number {
-		return false // an owner that was told of a newer one counts on this one no more
+// ReceiveGrant accepts a grant, and reports whether it counts. It does not where it is older than one that was seen: an
+// owner that knows of the newer one does not reserve rates for the older one any more.
+func (h *Holder) ReceiveGrant(now time.Duration, from string, grant Grant) bool {
+	if from != h.owner || grant.Sequence <= h.grantsSeen[from].sequence {
+		return false
 	}
-	h.echoes[from], h.heard = echo{g.Number, now}, now
-	for owner, e := range h.echoes { // no grant is under way for so long
-		if now-e.at > 10*h.terms.Loan {
-			delete(h.echoes, owner)
+	h.grantsSeen[from] = seenGrant{sequence: grant.Sequence, at: now}
+	h.ownerHeard = now
+	h.dropExpired(now)
+	until := h.leaseEnd(&grant)
+	clear(h.leases)
+	for _, s := range grant.Shares {
+		if !(s.Rate >= 0 && s.Limit >= s.Rate) {
+			continue
+		}
+		h.limits[s.Destination] = announcedLimit{limit: s.Limit, at: now}
+		if until > now && s.Rate > 0 {
+			h.leases[s.Destination] = lease{rate: s.Rate, until: until}
 		}
 	}
-	for d, l := range h.limits {
-		if now-l.at >= 2*h.terms.Loan {
-			delete(h.limits, d)
+	return true
+}
+
+// leaseEnd is when the leases of a grant end. They run from when the claim was sent that the grant answers: the owner
+// counts from a later moment. A grant that answers none of the remembered claims ends at 0.
+func (h *Holder) leaseEnd(grant *Grant) (until time.Duration) {
+	for _, c := range h.claims {
+		if c.sequence == grant.LastClaim && grant.LastClaim > 0 {
+			until = c.at + h.cfg.shorten(min(grant.LeaseDuration, h.cfg.LeaseDuration))
 		}
 	}
-	var until time.Duration
-	for _, c := range h.sent {
-		if c.number == g.Answer && g.Answer > 0 {
-			until = c.at + h.terms.short(min(g.For, h.terms.Lease))
+	return until
+}
+
+// dropExpired forgets old grants and announced limits.
+func (h *Holder) dropExpired(now time.Duration) {
+	for owner, g := range h.grantsSeen {
+		if now-g.at > grantMemoryLoans*h.cfg.LoanDuration {
+			delete(h.grantsSeen, owner)
 		}
 	}
-	clear(h.leases)
-	for _, s := range g.Shares {
-		if s.Rate >= 0 && s.Limit >= s.Rate {
-			h.limits[s.Destination] = toldLimit{s.Limit, now}
-			if until > now && s.Rate > 0 {
-				h.leases[s.Destination] = lease{s.Rate, until}
-			}
+	for destination, l := range h.limits {
+		if now-l.at >= limitLifetimeLoans*h.cfg.LoanDuration {
+			delete(h.limits, destination)
 		}
 	}
-	return true
 }
 
-// Rate is what this relay may send to a destination of a limit just now, and until when that is sure. Own says that it is its
-// own share, which nobody has.
+// Rate is what this relay may send to a destination with a limit, and until when that is certain. Own reports that it is
+// the relay's own share, which is not lent.
 func (h *Holder) Rate(now time.Duration, destination int, limit float64) (rate float64, until time.Duration, own bool) {
 	if l := h.leases[destination]; now < l.until {
 		return l.rate, l.until, false
 	}
-	if now < h.lent {
-		return 0, h.lent, false
+	if now < h.lentUntil {
+		return 0, h.lentUntil, false
 	}
-	return limit / float64(h.terms.Relays), 0, true
+	return limit / float64(h.cfg.Relays), 0, true
 }
 
-// Limit is a destination's as an owner has told it of late.
-func (h *Holder) Limit(now time.Duration, destination int) (float64, bool) {
+// Limit is a destination's limit as an owner has lately announced it.
+func (h *Holder) Limit(now time.Duration, destination int) (limit float64, ok bool) {
 	l, ok := h.limits[destination]
-	return l.limit, ok && now-l.at < 2*h.terms.Loan
+	return l.limit, ok && now-l.at < limitLifetimeLoans*h.cfg.LoanDuration
 }
 
-// Asked is the owner that was asked last.
-func (h *Holder) Asked() string { return h.asked }
+// Owner is the owner that the newest claim went to; "" for none.
+func (h *Holder) Owner() string { return h.owner }
+
+// hasLess reports whether a lease that still ran is now clearly lower.
+func (h *Holder) hasLess(now time.Duration, before map[int]lease) bool {
+	for destination, l := range before {
+		if now < l.until && h.leases[destination].rate < (1-rateTolerance)*l.rate {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/allowance/town_test.go
+++ b/internal/allowance/simulation_test.go
@@ -6,14 +6,14 @@
 	"time"
 
 	"wrenford/internal/allowance"
-	"wrenford/internal/lab/town"
+	"wrenford/internal/lab/limits"
 )
 
 const tick = 10 * time.Millisecond
 
-func newTown(t *testing.T, relays int, seed uint64) *town.Town {
+func newSimulation(t *testing.T, relays int, seed uint64) *limits.Simulation {
 	t.Helper()
-	x, err := town.New(relays, 200, seed)
+	x, err := limits.New(relays, 200, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -24,15 +24,15 @@
 func TestAllOfALimitIsUsed(t *testing.T) {
 	for _, relays := range []int{3, 8, 60} {
 		for seed := range uint64(3) {
-			for what, load := range map[string]func(int) [allowance.Levels]float64{"even": town.Only(1, 260/float64(relays)), "one hot": town.Only(1, 130, 130/float64(relays-1)),
-				"few": town.Only(1, 200, 60, 0)} {
-				x := newTown(t, relays, seed)
+			for what, load := range map[string]limits.LoadFunc{"even": limits.ConstantLoad(1, 260/float64(relays)), "one hot": limits.ConstantLoad(1, 130, 130/float64(relays-1)),
+				"few": limits.ConstantLoad(1, 200, 60, 0)} {
+				x := newSimulation(t, relays, seed)
 				x.Load = load
-				x.Loss = 0.02 * float64(seed%2)
-				x.Warm()
-				x.Most = 0
-				if use := x.Use(10*time.Second, x.Limit); use < 0.95-2*x.Loss || x.Most > x.Limit*1.011 {
-					t.Errorf("%d relays, %s, seed %d: %.3f used, at most %.3f dealt out", relays, what, seed, use, x.Most/x.Limit)
+				x.PacketLoss = 0.02 * float64(seed%2)
+				x.WarmUp()
+				x.PeakRate = 0
+				if use := x.Utilization(10*time.Second, x.Limit); use < 0.95-2*x.PacketLoss || x.PeakRate > x.Limit*1.011 {
+					t.Errorf("%d relays, %s, seed %d: %.3f used, at most %.3f dealt out", relays, what, seed, use, x.PeakRate/x.Limit)
 				}
 			}
 		}
@@ -41,7 +41,7 @@
 
 // A load that moves takes its part along within a second, and one below the limit is served whole.
 func TestLoadThatMoves(t *testing.T) {
-	x := newTown(t, 8, 1)
+	x := newSimulation(t, 8, 1)
 	hot := 0
 	x.Load = func(i int) [allowance.Levels]float64 {
 		if i == hot {
@@ -49,11 +49,11 @@
 		}
 		return [allowance.Levels]float64{2}
 	}
-	x.Warm()
+	x.WarmUp()
 	for range 5 {
 		hot = (hot + 3) % 8
 		x.Run(time.Second)
-		if use := x.Use(time.Second, 164); use < 0.9 {
+		if use := x.Utilization(time.Second, 164); use < 0.9 {
 			t.Errorf("a second after the load has moved to %d %.3f of it is served", hot, use)
 		}
 	}
@@ -61,15 +61,15 @@
 
 // When there is more than the limit the higher worth goes first wherever it arrives, and the lower does not starve.
 func TestWorthGoesFirstEverywhere(t *testing.T) {
-	x := newTown(t, 8, 1)
+	x := newSimulation(t, 8, 1)
 	x.Load = func(i int) [allowance.Levels]float64 {
 		if i < 4 {
 			return [allowance.Levels]float64{45}
 		}
 		return [allowance.Levels]float64{0, 0, 45}
 	}
-	x.Warm()
-	use := x.Use(5*time.Second, x.Limit)
+	x.WarmUp()
+	use := x.Utilization(5*time.Second, x.Limit)
 	high, low := 0.0, 0.0
 	for i, u := range x.Used {
 		if i < 4 {
@@ -85,18 +85,18 @@
 
 // A limit that changes is what all keep to within a second.
 func TestLimitThatChanges(t *testing.T) {
-	x := newTown(t, 8, 1)
-	x.Load = town.Only(1, 40)
-	x.Warm()
+	x := newSimulation(t, 8, 1)
+	x.Load = limits.ConstantLoad(1, 40)
+	x.WarmUp()
 	x.Limit = 50
-	x.Run(time.Second + allowance.Usual(8, 2).Lease)
-	x.Most = 0
-	if use := x.Use(3*time.Second, 50); use < 0.9 || x.Most > 50*1.011 {
-		t.Errorf("after its fall %.3f is used, %.1f of 50 dealt out", use, x.Most)
+	x.Run(time.Second + allowance.DefaultConfig(8, 2).LeaseDuration)
+	x.PeakRate = 0
+	if use := x.Utilization(3*time.Second, 50); use < 0.9 || x.PeakRate > 50*1.011 {
+		t.Errorf("after its fall %.3f is used, %.1f of 50 dealt out", use, x.PeakRate)
 	}
 	x.Limit = 200
 	x.Run(time.Second)
-	if use := x.Use(2*time.Second, 200); use < 0.9 {
+	if use := x.Utilization(2*time.Second, 200); use < 0.9 {
 		t.Errorf("a second after its rise %.3f is used", use)
 	}
 }
@@ -106,9 +106,9 @@
 	const relays = 8
 	var names []string
 	for i := range relays {
-		names = append(names, town.Name(i))
+		names = append(names, limits.RelayName(i))
 	}
-	owner := slices.Index(names, allowance.OwnerOf(town.Place, names))
+	owner := slices.Index(names, allowance.OwnerOf(limits.Destination, names))
 	after := func(n int) int { return (owner + n) % relays }
 	side := func(minority ...int) func(a, b int) bool {
 		in := map[int]bool{}
@@ -133,28 +133,28 @@
 	} {
 		t.Run(c.what, func(t *testing.T) {
 			for seed := range uint64(5) {
-				x := newTown(t, relays, seed)
-				x.Load = town.Only(1, 40)
-				x.Warm()
-				x.Most = 0
-				x.Cut = c.cut
+				x := newSimulation(t, relays, seed)
+				x.Load = limits.ConstantLoad(1, 40)
+				x.WarmUp()
+				x.PeakRate = 0
+				x.Partitioned = c.cut
 				if c.stop >= 0 {
-					x.Asleep[c.stop] = true
+					x.Stopped[c.stop] = true
 				}
 				x.Run(2 * time.Second)
 				if c.what != "one direction" {
-					x.Members()
+					x.UpdateMembers()
 				}
 				x.Run(5 * time.Second)
-				use := x.Use(3*time.Second, x.Limit)
-				most := x.Most
-				x.Cut = side()
-				clear(x.Asleep)
+				use := x.Utilization(3*time.Second, x.Limit)
+				most := x.PeakRate
+				x.Partitioned = side()
+				clear(x.Stopped)
 				x.Run(200 * time.Millisecond)
-				x.Members()
+				x.UpdateMembers()
 				x.Run(5 * time.Second)
-				if back := x.Use(3*time.Second, x.Limit); use < c.least || back < 0.9 || max(most, x.Most) > x.Limit*1.011 {
-					t.Errorf("seed %d: %.3f used, after the reunion %.3f; %.3f of the limit in force at most", seed, use, back, max(most, x.Most)/x.Limit)
+				if back := x.Utilization(3*time.Second, x.Limit); use < c.least || back < 0.9 || max(most, x.PeakRate) > x.Limit*1.011 {
+					t.Errorf("seed %d: %.3f used, after the reunion %.3f; %.3f of the limit in force at most", seed, use, back, max(most, x.PeakRate)/x.Limit)
 				}
 			}
 		})
@@ -163,29 +163,29 @@
 
 // One relay's word neither raises a limit nor takes more than its part.
 func TestLiar(t *testing.T) {
-	x := newTown(t, 8, 1)
-	x.Load = town.Only(1, 40)
-	x.Warm()
+	x := newSimulation(t, 8, 1)
+	x.Load = limits.ConstantLoad(1, 40)
+	x.WarmUp()
 	lie := func(span time.Duration) float64 {
 		clear(x.Used)
-		x.Most = 0
+		x.PeakRate = 0
 		for end := x.Now + span; x.Now < end; {
-			x.Desks[1].Read(x.Now, town.Place, 100*x.Limit)
-			x.Desks[1].Demand(x.Now, town.Place, [allowance.Levels]int{0, 1000}, [allowance.Levels]int{0, 100000})
+			x.Allocators[1].ObserveLimit(x.Now, limits.Destination, 100*x.Limit)
+			x.Allocators[1].ReportDemand(x.Now, limits.Destination, [allowance.Levels]int{0, 1000}, [allowance.Levels]int{0, 100000})
 			x.Run(20 * time.Millisecond)
 		}
 		return x.Used[1] / span.Seconds()
 	}
 	lie(2 * time.Second)
-	if got := lie(3 * time.Second); got > 1.2*x.Limit/8 || x.Most > x.Limit*1.011 {
-		t.Errorf("the liar has %.1f a second of %.0f that 8 divide, %.1f in force", got, x.Limit, x.Most)
+	if got := lie(3 * time.Second); got > 1.2*x.Limit/8 || x.PeakRate > x.Limit*1.011 {
+		t.Errorf("the liar has %.1f a second of %.0f that 8 divide, %.1f in force", got, x.Limit, x.PeakRate)
 	}
 }
 
 // An owner that lies raises no limit that a relay has read: neither by a part of more than there is, nor by the limit it tells. What
 // it tells of other shards' destinations counts for nothing, and its word that is lower ends by itself.
 func TestLyingOwner(t *testing.T) {
-	terms := allowance.Usual(4, 2)
+	cfg := allowance.DefaultConfig(4, 2)
 	self, liar := "a", "b"
 	place := 0
 	for allowance.OwnerOf(place, []string{self, liar}) != liar {
@@ -195,38 +195,38 @@
 	for allowance.Shard(foreign) == allowance.Shard(place) {
 		foreign++
 	}
-	d, err := allowance.NewDesk(terms, self, 1, 1, 0, false)
+	d, err := allowance.NewAllocator(cfg, self, 1, 1, 0, false)
 	if err != nil {
 		t.Fatal(err)
 	}
 	now := time.Second
-	d.Members(now, []string{self, liar})
-	told := map[int]allowance.Allowed{}
+	d.SetMembers(now, []string{self, liar})
+	told := map[int]allowance.Allocation{}
 	step := func(span time.Duration, rate, limit float64) {
 		for end := now + span; now < end; now += tick {
-			d.Read(now, place, 100)
-			d.Demand(now, place, [allowance.Levels]int{1}, [allowance.Levels]int{50})
+			d.ObserveLimit(now, place, 100)
+			d.ReportDemand(now, place, [allowance.Levels]int{1}, [allowance.Levels]int{50})
 			for _, a := range d.Tick(now) {
 				told[a.Destination] = a
 			}
-			for _, p := range d.Posts() {
+			for _, p := range d.TakeMessages() {
 				if c := p.Claim; c != nil && limit > 0 {
-					d.Granted(now, liar, allowance.Grant{Shard: c.Shard, Number: uint64(now), Answer: c.Number, For: time.Hour,
+					d.ReceiveGrant(now, liar, allowance.Grant{Shard: c.Shard, Sequence: uint64(now), LastClaim: c.Sequence, LeaseDuration: time.Hour,
 						Shares: []allowance.Share{{Destination: place, Rate: rate, Limit: limit}, {Destination: foreign, Rate: rate, Limit: limit}}})
 				}
 			}
 		}
 	}
 	step(2*time.Second, 1e6, 1e9)
-	if a := told[place]; a.Rate > 100 || a.Rate < 90 || a.For > terms.Lease {
+	if a := told[place]; a.Rate > 100 || a.Rate < 90 || a.Duration > cfg.LeaseDuration {
 		t.Errorf("%+v where 100 a second was read and a million granted", a)
 	}
 	if _, ok := told[foreign]; ok || d.Counters().Foreign == 0 || d.Counters().Capped == 0 {
 		t.Errorf("%+v of a destination that is none of the shard's; %+v", told[foreign], d.Counters())
 	}
 	step(time.Second, 0, 1)
-	d.Members(now, []string{self})
-	step(3*terms.Loan, 0, 0)
+	d.SetMembers(now, []string{self})
+	step(3*cfg.LoanDuration, 0, 0)
 	if a := told[place]; a.Rate != 25 {
 		t.Errorf("%+v alone again, of a limit of 100 that four share", a)
 	}
--- /dev/null
+++ b/internal/allowance/targets.go
@@ -0,0 +1,138 @@
+package allowance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// targetShare is the share of a limit that is divided: readings of it are noisy, and what exceeds it is refused.
+	targetShare = 0.98
+	// targetLifetime is how long calculated targets are used.
+	targetLifetime = 20 * time.Millisecond
+	// readingLifetime is how long a reading of a limit counts.
+	readingLifetime = 5 * time.Second
+	// limitSmoothing is the weight of a new median of the readings.
+	limitSmoothing = 0.2
+	// limitStep is the share by which a limit must change to count at once, without smoothing.
+	limitStep = 0.25
+)
+
+// ownedDestination is what an owner keeps of a destination.
+type ownedDestination struct {
+	readings   map[string]limitReading // the newest of each relay
+	limit      float64                 // smoothed; 0 for unknown
+	targets    map[string]float64      // rates that relays should have
+	lastDemand time.Duration
+}
+
+// limitReading is a limit that a relay has read.
+type limitReading struct {
+	limit float64
+	at    time.Duration
+}
+
+func newOwnedDestination() *ownedDestination {
+	return &ownedDestination{
+		readings:   map[string]limitReading{},
+		targets:    map[string]float64{},
+		lastDemand: never,
+	}
+}
+
+// addReading keeps a reading if it is the newest of its relay.
+func (d *ownedDestination) addReading(from string, r limitReading) {
+	if old, ok := d.readings[from]; !ok || r.at > old.at {
+		d.readings[from] = r
+	}
+}
+
+// updateTargets calculates how much each relay should have of each destination.
+func (o *Owner) updateTargets(now time.Duration) {
+	if now-o.targetsAt < targetLifetime {
+		return
+	}
+	o.targetsAt = now
+	o.forgetOldGrants(now)
+	o.forgetSilentRelays(now)
+	lenders := o.countLenders(now, targetLifetime)
+	for n, d := range o.destinations {
+		d.updateLimit(now, o.cfg.Quorum)
+		lentRate := targetShare * d.limit * float64(lenders) / float64(o.cfg.Relays)
+		demandOf := func(name string) *Demand { return o.relays[name].demands[n] }
+		clear(d.targets)
+		divide(lentRate, o.names, demandOf, d.targets)
+		if now-d.lastDemand > destinationMemoryLoans*o.cfg.LoanDuration && len(d.readings) == 0 {
+			delete(o.destinations, n)
+		}
+	}
+}
+
+// forgetOldGrants forgets when grants were sent that no claim acknowledges any more.
+func (o *Owner) forgetOldGrants(now time.Duration) {
+	for sequence, at := range o.sentAt {
+		if at < now-relayMemoryLoans*o.cfg.LoanDuration {
+			delete(o.sentAt, sequence)
+		}
+	}
+}
+
+// forgetSilentRelays drops expired grants, demands that were not renewed, and relays that have nothing more.
+func (o *Owner) forgetSilentRelays(now time.Duration) {
+	oldest := now - relayMemoryLoans*o.cfg.LoanDuration
+	o.names = slices.DeleteFunc(o.names, func(name string) bool {
+		r := o.relays[name]
+		r.outstanding = slices.DeleteFunc(r.outstanding, func(g sentGrant) bool { return now >= g.until })
+		if r.lastHeard < oldest && r.loanUntil < now && len(r.outstanding) == 0 {
+			delete(o.relays, name)
+			return true
+		}
+		if now-r.lastHeard > o.cfg.LeaseDuration { // it cannot renew a lease that it does not ask for
+			clear(r.demands)
+		}
+		return false
+	})
+}
+
+// updateLimit moves the limit to the median of the newest readings. Without readings the last limit stands: there were no
+// calls, which says nothing of the limit.
+func (d *ownedDestination) updateLimit(now time.Duration, quorum int) {
+	median, ok := d.medianReading(now, quorum)
+	if !ok {
+		return
+	}
+	if d.limit == 0 || math.Abs(median-d.limit) > limitStep*d.limit {
+		d.limit = median
+	} else {
+		d.limit += limitSmoothing * (median - d.limit)
+	}
+}
+
+// medianReading is the lower median of the newest readings of 2*quorum-1 relays, so that fewer than a quorum cannot raise
+// it. It drops expired readings.
+func (d *ownedDestination) medianReading(now time.Duration, quorum int) (median float64, ok bool) {
+	type row struct {
+		from string
+		limitReading
+	}
+	var rows []row
+	for from, r := range d.readings {
+		if now-r.at > readingLifetime {
+			delete(d.readings, from)
+			continue
+		}
+		rows = append(rows, row{from, r})
+	}
+	if len(rows) == 0 {
+		return 0, false
+	}
+	newestFirst := func(a, b row) int {
+		return cmp.Or(cmp.Compare(b.at, a.at), cmp.Compare(a.from, b.from))
+	}
+	slices.SortFunc(rows, newestFirst)
+	rows = rows[:min(len(rows), 2*quorum-1)]
+	slices.SortFunc(rows, func(a, b row) int { return cmp.Compare(a.limit, b.limit) })
+	return rows[(len(rows)-1)/2].limit, true
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,9 +60,9 @@
 	rng         *rand.Rand
 	bansRenewed time.Duration
 	lastSweep   time.Duration
-	allocator   *allowance.Desk // nil before the relay listens, or where limits are not divided
-	recalled    map[int]float64 // limits that the previous process had learned, by destination
-	mayHaveLent bool            // an earlier process may have lent this relay's shares
+	allocator   *allowance.Allocator // nil before the relay listens, or where limits are not divided
+	recalled    map[int]float64      // limits that the previous process had learned, by destination
+	mayHaveLent bool                 // an earlier process may have lent this relay's shares
 }
 
 // shared is the state that the driver shares with callers of Fleet's methods.
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -71,13 +71,13 @@
 		return
 	}
 	for _, d := range e {
-		f.allocator.Demand(now, d.Destination, d.Arrived, d.Waiting)
+		f.allocator.ReportDemand(now, d.Destination, d.Arrived, d.Waiting)
 	}
 }
 
 func (e limitRead) apply(f *Fleet, now time.Duration, _ *stepResult) {
 	if f.allocator != nil {
-		f.allocator.Read(now, e.destination, e.limit)
+		f.allocator.ObserveLimit(now, e.destination, e.limit)
 	}
 }
 
@@ -86,17 +86,17 @@
 	if !f.cfg.DivideLimits || f.cfg.Relays < 2 {
 		return
 	}
-	terms := allowance.Usual(f.cfg.Relays, f.cfg.Quorum)
-	allocator, err := allowance.NewDesk(terms, f.cfg.Self, f.announcer.Incarnation(), f.cfg.Seed, now, f.mayHaveLent)
+	cfg := allowance.DefaultConfig(f.cfg.Relays, f.cfg.Quorum)
+	allocator, err := allowance.NewAllocator(cfg, f.cfg.Self, f.announcer.Incarnation(), f.cfg.Seed, now, f.mayHaveLent)
 	if err != nil {
 		slog.Error("fleet: limits are not divided", "err", err)
 		return
 	}
 	f.allocator = allocator
 	for destination, limit := range f.recalled {
-		f.allocator.Recall(now, destination, limit)
+		f.allocator.RestoreLimit(now, destination, limit)
 	}
-	f.allocator.Members(now, live)
+	f.allocator.SetMembers(now, live)
 }
 
 // receiveLimitMessages hands the claim and the grant of a packet to the allocator, and sends its answers.
@@ -105,17 +105,17 @@
 		return
 	}
 	if packet.Claim != nil {
-		f.allocator.Claimed(now, packet.From, *packet.Claim)
+		f.allocator.ReceiveClaim(now, packet.From, *packet.Claim)
 	}
 	if packet.Grant != nil {
-		f.allocator.Granted(now, packet.From, *packet.Grant)
+		f.allocator.ReceiveGrant(now, packet.From, *packet.Grant)
 	}
 	f.sendLimitMessages(now)
 }
 
 // sendLimitMessages sends the claims and grants that the allocator has ready.
 func (f *Fleet) sendLimitMessages(now time.Duration) {
-	for _, m := range f.allocator.Posts() {
+	for _, m := range f.allocator.TakeMessages() {
 		f.send(f.spread.Post(now, m.To, m.Claim, m.Grant))
 	}
 }
@@ -125,17 +125,17 @@
 	if f.allocator == nil {
 		return
 	}
-	rates := f.allocator.Tick(now)
+	allocations := f.allocator.Tick(now)
 	f.sendLimitMessages(now)
-	if len(rates) == 0 {
+	if len(allocations) == 0 {
 		return
 	}
-	allowances := make([]traffic.Allowance, 0, len(rates))
-	for _, r := range rates {
+	allowances := make([]traffic.Allowance, 0, len(allocations))
+	for _, a := range allocations {
 		allowances = append(allowances, traffic.Allowance{
-			Destination: r.Destination,
-			Rate:        r.Rate,
-			Until:       f.wallTime(now + r.For),
+			Destination: a.Destination,
+			Rate:        a.Rate,
+			Until:       f.wallTime(now + a.Duration),
 		})
 	}
 	f.relay.Allow(allowances)
--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -235,7 +235,7 @@
 	if f.allocator == nil {
 		f.startAllocator(now, names)
 	} else {
-		f.allocator.Members(now, names)
+		f.allocator.SetMembers(now, names)
 	}
 }
 
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -25,8 +25,17 @@
 // and IP.
 const Sealing = 1 + 5 + 12 + 29 + 28
 
-// MostNews bounds the statements of one packet.
-const MostNews = 256
+// MaxNews bounds the statements of one packet.
+const MaxNews = 256
+
+const (
+	// maxGroups bounds the groups that receivers of a packet may be divided into.
+	maxGroups = 1 << 16
+	// maxDuration bounds the durations in a packet: no relay sends a longer one.
+	maxDuration = 24 * time.Hour
+	// maxRate bounds the rates in a packet, in calls a second.
+	maxRate = 1e12
+)
 
 // The reasons for which a packet is refused.
 var (
@@ -46,46 +55,102 @@
 // Size is what a packet takes on the network, in bytes.
 func Size(p *spread.Packet) int { return Sealing + 1 + proto.Size(message(p)) }
 
+// message converts a packet into its protobuf form.
 func message(p *spread.Packet) *fleetv1.Packet {
-	m := &fleetv1.Packet{From: p.From, Incarnation: p.Incarnation, UptimeUs: micros(p.Uptime), Count: p.Count, Salt: p.Salt,
-		Group: uint32(p.Group), Groups: uint32(p.Groups), Ask: p.Ask, Answer: p.Answer, Known: p.Known, Members: p.Members}
+	m := &fleetv1.Packet{
+		From:        p.From,
+		Incarnation: p.Incarnation,
+		UptimeUs:    micros(p.Uptime),
+		Count:       p.Count,
+		Salt:        p.Salt,
+		Group:       uint32(p.Group),
+		Groups:      uint32(p.Groups),
+		Ask:         p.Ask,
+		Answer:      p.Answer,
+		Known:       p.Known,
+		Members:     p.Members,
+		Claim:       claimMessage(p.Claim),
+		Grant:       grantMessage(p.Grant),
+	}
 	if (p.Ask || p.Answer) && p.Summary != (verdicts.Summary{}) {
 		m.Summary = p.Summary[:]
 	}
 	for i := range p.News {
-		s := &p.News[i]
-		m.News = append(m.News, &fleetv1.Statement{Origin: s.Origin, Incarnation: s.Incarnation, Seq: s.Seq, Kind: uint32(s.Kind),
-			Destination: int32(s.Destination), Member: s.Member, Over: s.Over, LengthUs: micros(s.Length), List: s.List,
-			AgeUs: micros(s.Age), LifeUs: micros(s.Life)})
-	}
-	if c := p.Claim; c != nil {
-		m.Claim = &fleetv1.Claim{Shard: uint32(c.Shard), Number: c.Number, Echo: c.Echo, LendUs: micros(c.Lend)}
-		for _, w := range c.Wants {
-			x := &fleetv1.Want{Destination: int32(w.Destination)}
-			for _, r := range w.Rates {
-				x.Rate = append(x.Rate, float32(r))
-			}
-			m.Claim.Want = append(m.Claim.Want, x)
-		}
-		for _, r := range c.Readings {
-			m.Claim.Reading = append(m.Claim.Reading, &fleetv1.Reading{Destination: int32(r.Destination), Limit: r.Limit, AgeUs: micros(r.Age)})
-		}
+		m.News = append(m.News, statementMessage(&p.News[i]))
+	}
+	return m
+}
+
+func statementMessage(s *verdicts.Statement) *fleetv1.Statement {
+	return &fleetv1.Statement{
+		Origin:      s.Origin,
+		Incarnation: s.Incarnation,
+		Seq:         s.Seq,
+		Kind:        uint32(s.Kind),
+		Destination: int32(s.Destination),
+		Member:      s.Member,
+		Over:        s.Over,
+		LengthUs:    micros(s.Length),
+		List:        s.List,
+		AgeUs:       micros(s.Age),
+		LifeUs:      micros(s.Life),
 	}
-	if g := p.Grant; g != nil {
-		m.Grant = &fleetv1.Grant{Shard: uint32(g.Shard), Ask: g.Ask, Number: g.Number, Answer: g.Answer, ForUs: micros(g.For)}
-		for _, s := range g.Shares {
-			m.Grant.Share = append(m.Grant.Share, &fleetv1.Share{Destination: int32(s.Destination), Rate: s.Rate, Limit: s.Limit})
+}
+
+func claimMessage(c *allowance.Claim) *fleetv1.Claim {
+	if c == nil {
+		return nil
+	}
+	m := &fleetv1.Claim{
+		Shard:  uint32(c.Shard),
+		Number: c.Sequence,
+		Echo:   c.LastGrant,
+		LendUs: micros(c.LoanDuration),
+	}
+	for _, d := range c.Demands {
+		want := &fleetv1.Want{Destination: int32(d.Destination)}
+		for _, rate := range d.Rates {
+			want.Rate = append(want.Rate, float32(rate))
 		}
+		m.Want = append(m.Want, want)
+	}
+	for _, r := range c.Readings {
+		m.Reading = append(m.Reading, &fleetv1.Reading{
+			Destination: int32(r.Destination),
+			Limit:       r.Limit,
+			AgeUs:       micros(r.Age),
+		})
+	}
+	return m
+}
+
+func grantMessage(g *allowance.Grant) *fleetv1.Grant {
+	if g == nil {
+		return nil
+	}
+	m := &fleetv1.Grant{
+		Shard:  uint32(g.Shard),
+		Ask:    g.ClaimRequested,
+		Number: g.Sequence,
+		Answer: g.LastClaim,
+		ForUs:  micros(g.LeaseDuration),
+	}
+	for _, s := range g.Shares {
+		m.Share = append(m.Share, &fleetv1.Share{
+			Destination: int32(s.Destination),
+			Rate:        s.Rate,
+			Limit:       s.Limit,
+		})
 	}
 	return m
 }
 
 func micros(t time.Duration) uint64 { return uint64(max(t, 0) / time.Microsecond) }
 
-// span is a duration of the wire; one too long to be meant is the longest that is.
-func span(us uint64) time.Duration {
-	const most = uint64(24 * time.Hour / time.Microsecond)
-	return time.Duration(min(us, most)) * time.Microsecond
+// duration reads a duration of the wire, cut to maxDuration.
+func duration(us uint64) time.Duration {
+	longest := uint64(maxDuration / time.Microsecond)
+	return time.Duration(min(us, longest)) * time.Microsecond
 }
 
 // Decode reads a packet.
@@ -101,48 +166,88 @@
 	if err := proto.Unmarshal(b[1:], &m); err != nil {
 		return p, fmt.Errorf("%w: %v", ErrForm, err)
 	}
+	if err := check(&m); err != nil {
+		return p, err
+	}
+	p = spread.Packet{
+		From:        m.From,
+		Incarnation: m.Incarnation,
+		Uptime:      time.Duration(m.UptimeUs) * time.Microsecond,
+		Count:       m.Count,
+		Salt:        m.Salt,
+		Group:       int(m.Group),
+		Groups:      int(m.Groups),
+		Ask:         m.Ask,
+		Answer:      m.Answer,
+		Known:       m.Known,
+		Members:     m.Members,
+		Claim:       claim(m.Claim),
+		Grant:       grant(m.Grant),
+	}
+	copy(p.Summary[:], m.Summary)
+	for _, s := range m.News {
+		p.News = append(p.News, statement(s))
+	}
+	return p, nil
+}
+
+// check returns an error for a message that no relay sends.
+func check(m *fleetv1.Packet) error {
 	switch {
 	case m.From == "" || len(m.From) > verdicts.MostSubject:
-		return p, fmt.Errorf("%w: a sender of %d bytes", ErrForm, len(m.From))
+		return fmt.Errorf("%w: a sender of %d bytes", ErrForm, len(m.From))
 	case m.Count == 0 || m.UptimeUs > math.MaxInt64/uint64(time.Microsecond):
-		return p, fmt.Errorf("%w: count or uptime", ErrForm)
-	case m.Groups > 0 && m.Group >= m.Groups || m.Groups > 1<<16:
-		return p, fmt.Errorf("%w: group %d of %d", ErrForm, m.Group, m.Groups)
-	case len(m.News) > MostNews:
-		return p, fmt.Errorf("%w: %d statements", ErrForm, len(m.News))
+		return fmt.Errorf("%w: count or uptime", ErrForm)
+	case m.Groups > 0 && m.Group >= m.Groups || m.Groups > maxGroups:
+		return fmt.Errorf("%w: group %d of %d", ErrForm, m.Group, m.Groups)
+	case len(m.News) > MaxNews:
+		return fmt.Errorf("%w: %d statements", ErrForm, len(m.News))
 	case m.Claim.GetShard() >= allowance.Shards || m.Grant.GetShard() >= allowance.Shards:
-		return p, fmt.Errorf("%w: a shard of %d", ErrForm, allowance.Shards)
-	case len(m.Summary) != 0 && len(m.Summary) != len(p.Summary):
-		return p, fmt.Errorf("%w: a summary of %d parts", ErrForm, len(m.Summary))
+		return fmt.Errorf("%w: a shard of %d", ErrForm, allowance.Shards)
+	case len(m.Summary) != 0 && len(m.Summary) != len(verdicts.Summary{}):
+		return fmt.Errorf("%w: a summary of %d parts", ErrForm, len(m.Summary))
 	}
-	p = spread.Packet{From: m.From, Incarnation: m.Incarnation, Uptime: time.Duration(m.UptimeUs) * time.Microsecond, Count: m.Count,
-		Salt: m.Salt, Group: int(m.Group), Groups: int(m.Groups), Ask: m.Ask, Answer: m.Answer, Known: m.Known, Members: m.Members}
-	copy(p.Summary[:], m.Summary)
-	for _, s := range m.News {
-		p.News = append(p.News, verdicts.Statement{Origin: s.Origin, Version: verdicts.Version{Incarnation: s.Incarnation, Seq: s.Seq},
-			Subject: verdicts.Subject{Kind: kind(s.Kind), Destination: int(s.Destination), Member: s.Member}, Over: s.Over,
-			Length: span(s.LengthUs), List: s.List, Age: span(s.AgeUs), Life: span(s.LifeUs)})
+	return nil
+}
+
+func statement(m *fleetv1.Statement) verdicts.Statement {
+	return verdicts.Statement{
+		Origin:  m.Origin,
+		Version: verdicts.Version{Incarnation: m.Incarnation, Seq: m.Seq},
+		Subject: verdicts.Subject{Kind: kind(m.Kind), Destination: int(m.Destination), Member: m.Member},
+		Over:    m.Over,
+		Length:  duration(m.LengthUs),
+		List:    m.List,
+		Age:     duration(m.AgeUs),
+		Life:    duration(m.LifeUs),
 	}
-	p.Claim, p.Grant = claim(m.Claim), grant(m.Grant)
-	return p, nil
 }
 
 func claim(m *fleetv1.Claim) *allowance.Claim {
 	if m == nil {
 		return nil
 	}
-	c := &allowance.Claim{Shard: int(m.Shard), Number: m.Number, Echo: m.Echo, Lend: span(m.LendUs)}
+	c := &allowance.Claim{
+		Shard:        int(m.Shard),
+		Sequence:     m.Number,
+		LastGrant:    m.Echo,
+		LoanDuration: duration(m.LendUs),
+	}
 	for _, w := range m.Want {
-		x := allowance.Want{Destination: int(w.Destination)}
-		for i, r := range w.Rate {
-			if i < len(x.Rates) {
-				x.Rates[i] = finite(float64(r))
+		demand := allowance.Demand{Destination: int(w.Destination)}
+		for i, rate := range w.Rate {
+			if i < len(demand.Rates) {
+				demand.Rates[i] = finite(float64(rate))
 			}
 		}
-		c.Wants = append(c.Wants, x)
+		c.Demands = append(c.Demands, demand)
 	}
 	for _, r := range m.Reading {
-		c.Readings = append(c.Readings, allowance.Reading{Destination: int(r.Destination), Limit: finite(r.Limit), Age: span(r.AgeUs)})
+		c.Readings = append(c.Readings, allowance.Reading{
+			Destination: int(r.Destination),
+			Limit:       finite(r.Limit),
+			Age:         duration(r.AgeUs),
+		})
 	}
 	return c
 }
@@ -151,22 +256,32 @@
 	if m == nil {
 		return nil
 	}
-	g := &allowance.Grant{Shard: int(m.Shard), Ask: m.Ask, Number: m.Number, Answer: m.Answer, For: span(m.ForUs)}
+	g := &allowance.Grant{
+		Shard:          int(m.Shard),
+		ClaimRequested: m.Ask,
+		Sequence:       m.Number,
+		LastClaim:      m.Answer,
+		LeaseDuration:  duration(m.ForUs),
+	}
 	for _, s := range m.Share {
-		g.Shares = append(g.Shares, allowance.Share{Destination: int(s.Destination), Rate: finite(s.Rate), Limit: finite(s.Limit)})
+		g.Shares = append(g.Shares, allowance.Share{
+			Destination: int(s.Destination),
+			Rate:        finite(s.Rate),
+			Limit:       finite(s.Limit),
+		})
 	}
 	return g
 }
 
-// finite is a rate of the wire; one that is none is 0.
+// finite reads a rate of the wire; an invalid one is 0.
 func finite(x float64) float64 {
-	if x >= 0 && x < 1e12 {
+	if x >= 0 && x < maxRate {
 		return x
 	}
 	return 0
 }
 
-// kind keeps kinds of a later build apart from known ones: no book takes them.
+// kind keeps kinds of a later build apart from known ones: no store takes them.
 func kind(x uint32) verdicts.Kind {
 	if x > math.MaxUint8 {
 		return 0
--- a/internal/fleet/wire/wire_test.go
+++ b/internal/fleet/wire/wire_test.go
@@ -26,13 +26,13 @@
 	}
 	rate := rapid.Float64Range(0, 1e6)
 	if rapid.Bool().Draw(t, "claims") {
-		p.Claim = &allowance.Claim{Shard: rapid.IntRange(0, allowance.Shards-1).Draw(t, "shard"), Number: rapid.Uint64().Draw(t, "number"),
-			Echo: rapid.Uint64().Draw(t, "echo"), Lend: us("lend"), Wants: []allowance.Want{{Destination: 7, Rates: [allowance.Levels]float64{1, 0, 2.5, 0}}},
+		p.Claim = &allowance.Claim{Shard: rapid.IntRange(0, allowance.Shards-1).Draw(t, "shard"), Sequence: rapid.Uint64().Draw(t, "number"),
+			LastGrant: rapid.Uint64().Draw(t, "echo"), LoanDuration: us("lend"), Demands: []allowance.Demand{{Destination: 7, Rates: [allowance.Levels]float64{1, 0, 2.5, 0}}},
 			Readings: []allowance.Reading{{Destination: 7, Limit: rate.Draw(t, "limit"), Age: us("old")}}}
 	}
 	if rapid.Bool().Draw(t, "grants") {
-		p.Grant = &allowance.Grant{Shard: rapid.IntRange(0, allowance.Shards-1).Draw(t, "part"), Ask: rapid.Bool().Draw(t, "asks"), Number: rapid.Uint64().Draw(t, "n"),
-			Answer: rapid.Uint64().Draw(t, "answer"), For: us("for"), Shares: []allowance.Share{{Destination: 7, Rate: rate.Draw(t, "rate"), Limit: rate.Draw(t, "whole")}}}
+		p.Grant = &allowance.Grant{Shard: rapid.IntRange(0, allowance.Shards-1).Draw(t, "part"), ClaimRequested: rapid.Bool().Draw(t, "asks"), Sequence: rapid.Uint64().Draw(t, "n"),
+			LastClaim: rapid.Uint64().Draw(t, "answer"), LeaseDuration: us("for"), Shares: []allowance.Share{{Destination: 7, Rate: rate.Draw(t, "rate"), Limit: rate.Draw(t, "whole")}}}
 	}
 	for range rapid.IntRange(0, 4).Draw(t, "news") {
 		p.News = append(p.News, verdicts.Statement{Origin: rapid.StringN(1, 20, 100).Draw(t, "origin"),
@@ -67,7 +67,7 @@
 		b, _ := Append(nil, &p)
 		b = cuts.Garbage(t, b)
 		got, err := Decode(b)
-		if err == nil && (got.From == "" || got.Count == 0 || got.Groups > 0 && got.Group >= got.Groups || len(got.News) > MostNews) {
+		if err == nil && (got.From == "" || got.Count == 0 || got.Groups > 0 && got.Group >= got.Groups || len(got.News) > MaxNews) {
 			t.Errorf("taken: %+v", got)
 		}
 		book := verdicts.NewBook()
--- a/internal/lab/explore/explore.go
+++ b/internal/lab/explore/explore.go
@@ -18,16 +18,16 @@
 // Holder and Owner are the two sides, as the program has them, or with a rule planted out.
 type (
 	Holder interface {
-		Claim(now time.Duration, shard int, owner string, number uint64, wants []allowance.Want, readings []allowance.Reading) allowance.Claim
-		Granted(now time.Duration, from string, g allowance.Grant) bool
+		Claim(now time.Duration, shard int, owner string, sequence uint64, demands []allowance.Demand, readings []allowance.Reading) allowance.Claim
+		ReceiveGrant(now time.Duration, from string, g allowance.Grant) bool
 		Rate(now time.Duration, destination int, limit float64) (float64, time.Duration, bool)
-		AppendState(b []byte, now time.Duration, num allowance.Numbers) []byte
+		AppendState(b []byte, now time.Duration, num allowance.AppendSequence) []byte
 		Copy() Holder
 	}
 	Owner interface {
-		Claimed(now time.Duration, from string, c allowance.Claim) bool
+		ReceiveClaim(now time.Duration, from string, c allowance.Claim) bool
 		Grant(now time.Duration, shard int, to string) allowance.Grant
-		AppendState(b []byte, now time.Duration, num allowance.Numbers) []byte
+		AppendState(b []byte, now time.Duration, num allowance.AppendSequence) []byte
 		Copy() Owner
 	}
 )
@@ -45,9 +45,9 @@
 	// Flight is how many messages may be under way.
 	Flight    int
 	Often     bool // a relay may claim twice at one moment
-	Terms     allowance.Terms
-	NewHolder func(t *allowance.Terms, quiet time.Duration) Holder
-	NewOwner  func(t *allowance.Terms, first uint64, quiet time.Duration) Owner
+	Limits    allowance.Config
+	NewHolder func(cfg *allowance.Config, lentUntil time.Duration) Holder
+	NewOwner  func(cfg *allowance.Config, firstSequence uint64, grantsFrom time.Duration) Owner
 }
 
 // Tick is how far the clock goes on in a step.
@@ -171,19 +171,19 @@
 func (w *world) begin(r *relay, again bool) {
 	var loans, leases time.Duration
 	if again {
-		loans, leases = w.now+w.cfg.Terms.Loan, w.now+w.cfg.Terms.Lease
+		loans, leases = w.now+w.cfg.Limits.LoanDuration, w.now+w.cfg.Limits.LeaseDuration
 	}
 	r.starts++
 	r.number = r.starts << 32
-	r.holder = w.cfg.NewHolder(&w.cfg.Terms, loans)
-	r.owner = w.cfg.NewOwner(&w.cfg.Terms, r.starts<<32, leases)
+	r.holder = w.cfg.NewHolder(&w.cfg.Limits, loans)
+	r.owner = w.cfg.NewOwner(&w.cfg.Limits, r.starts<<32, leases)
 }
 
 // acts are the things that may happen next.
 func (w *world) acts() (list []act) {
 	for i := range w.relays {
 		for o := range w.cfg.Owners {
-			if (w.cfg.Often || w.now-w.relays[i].claimed >= w.cfg.Terms.Every) && len(w.messages) < w.cfg.Flight {
+			if (w.cfg.Often || w.now-w.relays[i].claimed >= w.cfg.Limits.HeartbeatInterval) && len(w.messages) < w.cfg.Flight {
 				list = append(list, act{claim, i, o})
 			}
 		}
@@ -226,8 +226,9 @@
 		if x.a == w.loaded {
 			want = 2 * limit
 		}
-		c := r.holder.Claim(w.now, 0, w.relays[x.b].name, r.number, []allowance.Want{{Destination: destination, Rates: [allowance.Levels]float64{want}}},
-			[]allowance.Reading{{Destination: destination, Limit: limit}})
+		demands := []allowance.Demand{{Destination: destination, Rates: [allowance.Levels]float64{want}}}
+		readings := []allowance.Reading{{Destination: destination, Limit: limit}}
+		c := r.holder.Claim(w.now, 0, w.relays[x.b].name, r.number, demands, readings)
 		if x.a == x.b {
 			w.claimed(x.a, x.b, &c)
 			return
@@ -242,7 +243,7 @@
 		case m.claim != nil:
 			w.claimed(m.from, m.to, m.claim)
 		default:
-			w.relays[m.to].holder.Granted(w.now, w.relays[m.from].name, *m.grant)
+			w.relays[m.to].holder.ReceiveGrant(w.now, w.relays[m.from].name, *m.grant)
 		}
 	case restart:
 		w.restarts++
@@ -259,7 +260,7 @@
 }
 
 func (w *world) claimed(from, to int, c *allowance.Claim) {
-	if w.relays[to].owner.Claimed(w.now, w.relays[from].name, *c) {
+	if w.relays[to].owner.ReceiveClaim(w.now, w.relays[from].name, *c) {
 		w.grant(to, from)
 	}
 }
@@ -268,7 +269,7 @@
 	o := &w.relays[from]
 	g := o.owner.Grant(w.now, 0, w.relays[to].name)
 	if from == to {
-		o.holder.Granted(w.now, o.name, g)
+		o.holder.ReceiveGrant(w.now, o.name, g)
 		return
 	}
 	w.messages = append(w.messages, message{from: from, to: to, grant: &g})
@@ -286,16 +287,16 @@
 // key tells a state from others, whenever it comes. Numbers stand there by their order alone.
 func (w *world) key() [16]byte {
 	type series struct {
-		kind byte
+		kind allowance.SequenceKind
 		of   string
 	}
 	seen := map[series][]uint64{}
-	state := func(num allowance.Numbers) []byte {
+	state := func(num allowance.AppendSequence) []byte {
 		b := make([]byte, 0, 1024)
 		b = append(b, byte(w.losses), byte(w.restarts), byte(w.jumps), byte(w.pushes), byte(w.loaded))
 		for i := range w.relays {
 			r := &w.relays[i]
-			own := func(b []byte, kind byte, of string, n uint64) []byte {
+			own := func(b []byte, kind allowance.SequenceKind, of string, n uint64) []byte {
 				if of == "" {
 					of = r.name
 				}
@@ -308,14 +309,18 @@
 			from, to := w.relays[m.from].name, w.relays[m.to].name
 			b = append(b, '>', byte(m.from), byte(m.to))
 			if c := m.claim; c != nil {
-				b = fmt.Append(num(num(b, 'c', from, c.Number), 'g', to, c.Echo), c.Lend, c.Wants)
+				b = num(b, allowance.ClaimSequence, from, c.Sequence)
+				b = num(b, allowance.GrantSequence, to, c.LastGrant)
+				b = fmt.Append(b, c.LoanDuration, c.Demands)
 				continue
 			}
-			b = fmt.Append(num(num(b, 'g', from, m.grant.Number), 'c', to, m.grant.Answer), m.grant.Shares)
+			b = num(b, allowance.GrantSequence, from, m.grant.Sequence)
+			b = num(b, allowance.ClaimSequence, to, m.grant.LastClaim)
+			b = fmt.Append(b, m.grant.Shares)
 		}
 		return b
 	}
-	state(func(b []byte, kind byte, of string, n uint64) []byte {
+	state(func(b []byte, kind allowance.SequenceKind, of string, n uint64) []byte {
 		k := series{kind, of}
 		seen[k] = append(seen[k], n)
 		return b
@@ -325,7 +330,7 @@
 		seen[k] = slices.Compact(list)
 	}
 	h := fnv.New128a()
-	_, _ = h.Write(state(func(b []byte, kind byte, of string, n uint64) []byte {
+	_, _ = h.Write(state(func(b []byte, kind allowance.SequenceKind, of string, n uint64) []byte {
 		if n == 0 { // none
 			return append(b, 0xff)
 		}
@@ -454,9 +459,11 @@
 
 // Real is the program's own code.
 func Real(cfg Config) Config {
-	cfg.NewHolder = func(t *allowance.Terms, quiet time.Duration) Holder { return realHolder{allowance.NewHolder(t, quiet)} }
-	cfg.NewOwner = func(t *allowance.Terms, first uint64, quiet time.Duration) Owner {
-		return realOwner{allowance.NewOwner(t, first, quiet)}
+	cfg.NewHolder = func(c *allowance.Config, lentUntil time.Duration) Holder {
+		return realHolder{allowance.NewHolder(c, lentUntil)}
+	}
+	cfg.NewOwner = func(c *allowance.Config, firstSequence uint64, grantsFrom time.Duration) Owner {
+		return realOwner{allowance.NewOwner(c, firstSequence, grantsFrom)}
 	}
 	return cfg
 }
--- a/internal/lab/fleets/limits.go
+++ b/internal/lab/fleets/limits.go
@@ -26,7 +26,7 @@
 }
 
 // Excesses finds, for each length, the window that is nearest to its bound. Where the limit fell, the one before counts until
-// relays can have heard of the new one: as long as a lease and a telling.
+// relays can have heard of the new one: a lease and a heartbeat interval.
 func (r *Report) Excesses(p *labv1.Partner) (list []Excess) {
 	var at []float64
 	for _, c := range r.Calls {
@@ -35,7 +35,9 @@
 		}
 	}
 	n := len(r.fleet.seats)
-	terms := allowance.Usual(n, 2)
+	cfg := allowance.DefaultConfig(n, 2)
+	// staleTime is how long relays may keep to a limit after it has fallen.
+	staleTime := cfg.LeaseDuration + cfg.HeartbeatInterval
 	for _, w := range Windows {
 		worst := Excess{Window: w}
 		for i, from := range at {
@@ -47,9 +49,9 @@
 				continue
 			}
 			e := Excess{Window: w, At: from, Calls: sort.SearchFloat64s(at, to) - i, Limit: Capacity(p, from, to)}
-			if most, stale := highest(p, from, to), highest(p, from-(terms.Lease+terms.Every).Seconds(), to); most > 0 {
+			if most, stale := highest(p, from, to), highest(p, from-staleTime.Seconds(), to); most > 0 {
 				// A window may span a change: what is allowed in it is what the limit comes to, and the difference while it is stale.
-				e.Bound = allowance.Bound(most, n, w) - most*w.Seconds() + e.Limit + (stale-lowest(p, from, to))*min(w, terms.Lease+terms.Every).Seconds()
+				e.Bound = allowance.Bound(most, n, w) - most*w.Seconds() + e.Limit + (stale-lowest(p, from, to))*min(w, staleTime).Seconds()
 			}
 			e.Bound += r.held(from, to)
 			if e.Bound > 0 && (worst.Bound == 0 || float64(e.Calls)/e.Bound > float64(worst.Calls)/worst.Bound) {
