internal/verdicts and internal/spread with standard names, short functions and small files

Change: verdicts: Book is Store, Teller is Announcer (Wait, Outage, Recovery, Drain, Ban, RenewBans, Supersede), Sight is Observation with an Outcome; Judge has Observe, SetOwnHealth, Receive, Expired, SetPool, and its parts stand in waits.go, health.go and bars.go; an origin's account is its budget. spread: Tell is Announce, Post is SendLimitMessage, Members, Member and Live are SetMembers, IsMember and LiveMembers, Hurry is ExchangeSoon; split into announce, exchange, receive, send, peer, packet and bound. internal/fleet, lab/world/gossip and lab/world/play follow. Tests changed by name only; packets, JSON names, log lines and decisions are as before.

--- a/internal/fleet/driver.go
+++ b/internal/fleet/driver.go
@@ -64,8 +64,8 @@
 
 // isRoutine reports whether an event may wait for the next sweep: most calls succeed, and need not wake the driver.
 func isRoutine(e event) bool {
-	outcome, ok := e.(callOutcome)
-	return ok && outcome.Sighted == verdicts.WentWell
+	ended, ok := e.(callEnded)
+	return ok && ended.Outcome == verdicts.Succeeded
 }
 
 // drive runs the goroutine that owns the decisions.
@@ -111,11 +111,11 @@
 	now := f.now()
 	sweep := now-f.lastSweep >= sweepInterval
 	if sweep {
-		expired := f.book.Sweep(now)
-		r.restraints = append(r.restraints, f.judge.Lost(now, expired)...)
+		expired := f.store.Sweep(now)
+		r.restraints = append(r.restraints, f.judge.Expired(now, expired)...)
 		f.announceDue(now, &r)
 	}
-	f.send(f.spread.Tell(now, r.announcements))
+	f.send(f.spread.Announce(now, r.announcements))
 	f.send(f.spread.Tick(now))
 	f.restrain(r.restraints)
 	f.divideLimits(now)
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -17,8 +17,8 @@
 
 // Events of the inbox that come from this relay. Packets are in packets.go, rate limits in limits.go.
 type (
-	// callOutcome tells how a call of this relay ended.
-	callOutcome struct{ verdicts.Sight }
+	// callEnded tells how a call of this relay ended.
+	callEnded struct{ verdicts.Observation }
 
 	// memberHealth tells whether this relay's own calls hold a member out.
 	memberHealth struct {
@@ -49,7 +49,7 @@
 
 // Ended reports how a call of this relay ended.
 func (f *Fleet) Ended(flow traffic.Flow, end traffic.FlowEnd) {
-	outcome := callOutcome{verdicts.Sight{
+	ended := callEnded{verdicts.Observation{
 		Destination: flow.Group.Destination,
 		Member:      flow.Member,
 		Route:       flow.Group.Member != "",
@@ -57,16 +57,16 @@
 	}}
 	switch end.Status {
 	case traffic.Delivered:
-		outcome.Sighted = verdicts.WentWell
+		ended.Outcome = verdicts.Succeeded
 	case traffic.TurnedAway:
-		outcome.Sighted = verdicts.Refused
-		outcome.Wait = end.Wait
+		ended.Outcome = verdicts.Refused
+		ended.Wait = end.Wait
 	case traffic.NotConnected, traffic.Broken, traffic.OutOfTime, traffic.Errored, traffic.CalledOff:
-		outcome.Sighted = verdicts.Failed
+		ended.Outcome = verdicts.Failed
 	default:
 		return
 	}
-	f.enqueue(outcome)
+	f.enqueue(ended)
 	if end.Report != nil && flow.Group.Member == "" {
 		f.readLimit(flow.Group.Destination, end.Report.Limit)
 	}
@@ -92,9 +92,9 @@
 // Bans reports which members operators have taken down here. The map must not be used afterwards.
 func (f *Fleet) Bans(set map[string]bool) { f.enqueue(bansUpdated(set)) }
 
-func (e callOutcome) apply(f *Fleet, now time.Duration, r *stepResult) {
-	r.restraints = append(r.restraints, f.judge.Met(now, e.Sight)...)
-	if s, ok := f.announcer.Waits(now, f.book, e.Sight); ok {
+func (e callEnded) apply(f *Fleet, now time.Duration, r *stepResult) {
+	r.restraints = append(r.restraints, f.judge.Observe(now, e.Observation)...)
+	if s, ok := f.announcer.Wait(now, f.store, e.Observation); ok {
 		f.announce(now, s, r)
 	}
 }
@@ -103,16 +103,16 @@
 // fails, and the end.
 func (e memberHealth) apply(f *Fleet, now time.Duration, r *stepResult) {
 	since := e.since.Sub(f.origin)
-	r.restraints = append(r.restraints, f.judge.Holds(now, e.destination, e.member, e.out, since)...)
+	r.restraints = append(r.restraints, f.judge.SetOwnHealth(now, e.destination, e.member, e.out, since)...)
 	if !e.out {
-		if s, ok := f.announcer.IsBack(now, f.book, e.destination, e.member); ok {
+		if s, ok := f.announcer.Recovery(now, f.store, e.destination, e.member); ok {
 			f.announce(now, s, r)
 		}
 		return
 	}
 	subject := verdicts.Subject{Kind: verdicts.Health, Destination: e.destination, Member: e.member}
 	if e.retryFailed || f.countOrigins(now, subject) < 2*f.cfg.Quorum {
-		f.announce(now, f.announcer.IsOut(e.destination, e.member, now-since), r)
+		f.announce(now, f.announcer.Outage(e.destination, e.member, now-since), r)
 	}
 }
 
@@ -135,7 +135,7 @@
 		}
 	}
 	f.pool = e.members
-	f.judge.Pool(e.version, active)
+	f.judge.SetPool(e.version, active)
 	r.barsChanged = true
 }
 
@@ -156,12 +156,12 @@
 func (e bansUpdated) apply(f *Fleet, now time.Duration, r *stepResult) {
 	for name := range e {
 		if m, ok := f.pool[name]; ok && !f.bans[name] {
-			f.announce(now, f.announcer.Bans(m.Destination, name, true), r)
+			f.announce(now, f.announcer.Ban(m.Destination, name, true), r)
 		}
 	}
 	for name := range f.bans {
 		if m, ok := f.pool[name]; ok && !e[name] {
-			f.announce(now, f.announcer.Bans(m.Destination, name, false), r)
+			f.announce(now, f.announcer.Ban(m.Destination, name, false), r)
 		}
 	}
 	f.bans = e
@@ -169,7 +169,7 @@
 
 // announce merges a statement of this relay and schedules it to be sent.
 func (f *Fleet) announce(now time.Duration, s verdicts.Statement, r *stepResult) {
-	if f.book.Merge(now, s) {
+	if f.store.Merge(now, s) {
 		r.announcements = append(r.announcements, s)
 	}
 }
@@ -183,14 +183,14 @@
 		delete(f.drains, name)
 		subject := verdicts.Subject{Kind: verdicts.Drain, Destination: d.member.Destination, Member: name}
 		if d.over || f.countOrigins(now, subject) < f.cfg.Quorum {
-			f.announce(now, f.announcer.Drains(d.member.Destination, name, d.listVersion, d.over), r)
+			f.announce(now, f.announcer.Drain(d.member.Destination, name, d.listVersion, d.over), r)
 		}
 	}
 	if now-f.bansRenewed < verdicts.Ban.Life()/banRenewals {
 		return
 	}
 	f.bansRenewed = now
-	for _, s := range f.announcer.Standing(f.inPool) {
+	for _, s := range f.announcer.RenewBans(f.inPool) {
 		f.announce(now, s, r)
 	}
 }
@@ -204,7 +204,7 @@
 // countOrigins counts the relays whose statement on a subject is in force.
 func (f *Fleet) countOrigins(now time.Duration, subject verdicts.Subject) int {
 	count := 0
-	for _, s := range f.book.Of(now, subject) {
+	for _, s := range f.store.About(now, subject) {
 		if !s.Over {
 			count++
 		}
--- a/internal/fleet/figures.go
+++ b/internal/fleet/figures.go
@@ -96,7 +96,7 @@
 // publish stores what operators see.
 func (f *Fleet) publish(now time.Duration) {
 	f.incarnation.Store(f.announcer.Incarnation())
-	statements := f.book.All(now)
+	statements := f.store.All(now)
 	figures := Figures{
 		Members:     len(f.nodes),
 		StalenessMS: milliseconds(f.spread.Staleness(now)),
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,8 +48,8 @@
 	shared        shared
 
 	// Fields below belong to the driver goroutine.
-	announcer   *verdicts.Teller
-	book        *verdicts.Book
+	announcer   *verdicts.Announcer
+	store       *verdicts.Store
 	judge       *verdicts.Judge
 	spread      *spread.Spread
 	nodes       map[string]*memberlist.Node
@@ -100,8 +100,8 @@
 		ring:          ring,
 		wake:          make(chan struct{}, 1),
 		unknownMember: make(chan struct{}, 1),
-		announcer:     verdicts.NewTeller(cfg.Self, incarnation),
-		book:          verdicts.NewBook(),
+		announcer:     verdicts.NewAnnouncer(cfg.Self, incarnation),
+		store:         verdicts.NewStore(),
 		nodes:         map[string]*memberlist.Node{},
 		pool:          map[string]traffic.Member{},
 		drains:        map[string]pendingAnnouncement{},
@@ -113,8 +113,8 @@
 	f.shared.members = map[string]*MemberState{}
 	f.shared.readings = map[int]limitRead{}
 	f.incarnation.Store(incarnation)
-	f.judge = verdicts.NewJudge(cfg.Self, cfg.Quorum, f.book)
-	f.spread, err = spread.New(cfg.spread(), 0, f.book, incarnation)
+	f.judge = verdicts.NewJudge(cfg.Self, cfg.Quorum, f.store)
+	f.spread, err = spread.New(cfg.spread(), 0, f.store, incarnation)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -48,16 +48,16 @@
 // supersede moves to an incarnation above one that another member knows of this relay's name: another process used the
 // name, or the incarnation file was lost. It does nothing for a version that this process has announced itself.
 func (f *Fleet) supersede(now time.Duration, known verdicts.Version) {
-	if !f.announcer.Above(known) {
+	if !f.announcer.Supersede(known) {
 		return
 	}
 	incarnation := f.announcer.Incarnation()
 	slog.Warn("fleet: another start under this name is known", "incarnation", incarnation)
-	f.spread.Incarnation(incarnation)
+	f.spread.SetIncarnation(incarnation)
 	f.mayHaveLent = true
 	if f.allocator != nil {
 		// The numbers of the new allocator begin above those that other members have seen.
-		f.startAllocator(now, f.spread.Live())
+		f.startAllocator(now, f.spread.LiveMembers())
 	}
 	if err := saveIncarnation(f.cfg.StateDir, incarnation); err != nil {
 		slog.Warn("fleet: starts not counted", "err", err)
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -116,7 +116,7 @@
 // sendLimitMessages sends the claims and grants that the allocator has ready.
 func (f *Fleet) sendLimitMessages(now time.Duration) {
 	for _, m := range f.allocator.TakeMessages() {
-		f.send(f.spread.Post(now, m.To, m.Claim, m.Grant))
+		f.send(f.spread.SendLimitMessage(now, m.To, m.Claim, m.Grant))
 	}
 }
 
--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -228,10 +228,10 @@
 	}
 	f.forgetMissing(now, live, r)
 	if len(live) > len(f.nodes) {
-		f.spread.Hurry(now) // a new member soon hears what is in force
+		f.spread.ExchangeSoon(now) // a new member soon hears what is in force
 	}
 	f.nodes = live
-	f.spread.Members(names)
+	f.spread.SetMembers(names)
 	if f.allocator == nil {
 		f.startAllocator(now, names)
 	} else {
@@ -246,8 +246,8 @@
 			continue
 		}
 		f.judge.Forget(name)
-		lost := f.book.Forget(name)
-		r.restraints = append(r.restraints, f.judge.Lost(now, lost)...)
+		lost := f.store.Forget(name)
+		r.restraints = append(r.restraints, f.judge.Expired(now, lost)...)
 		r.barsChanged = true
 	}
 }
--- a/internal/fleet/packets.go
+++ b/internal/fleet/packets.go
@@ -39,7 +39,7 @@
 		f.supersede(now, s.Version)
 	}
 	for _, s := range news {
-		r.restraints = append(r.restraints, f.judge.Hear(now, s)...)
+		r.restraints = append(r.restraints, f.judge.Receive(now, s)...)
 		if s.Kind == verdicts.Drain || s.Kind == verdicts.Ban {
 			r.barsChanged = true
 		}
@@ -68,7 +68,7 @@
 }
 
 func (e peerClock) apply(f *Fleet, now time.Duration, _ *stepResult) {
-	f.spread.Clock(now, e.from, e.incarnation, e.uptime)
+	f.spread.RecordClock(now, e.from, e.incarnation, e.uptime)
 	f.recordRoundTrip(e)
 }
 
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -194,7 +194,7 @@
 // check returns an error for a message that no relay sends.
 func check(m *fleetv1.Packet) error {
 	switch {
-	case m.From == "" || len(m.From) > verdicts.MostSubject:
+	case m.From == "" || len(m.From) > verdicts.MaxNameLength:
 		return fmt.Errorf("%w: a sender of %d bytes", ErrForm, len(m.From))
 	case m.Count == 0 || m.UptimeUs > math.MaxInt64/uint64(time.Microsecond):
 		return fmt.Errorf("%w: count or uptime", ErrForm)
--- a/internal/fleet/wire/wire_test.go
+++ b/internal/fleet/wire/wire_test.go
@@ -70,9 +70,9 @@
 		if err == nil && (got.From == "" || got.Count == 0 || got.Groups > 0 && got.Group >= got.Groups || len(got.News) > MaxNews) {
 			t.Errorf("taken: %+v", got)
 		}
-		book := verdicts.NewBook()
+		store := verdicts.NewStore()
 		for _, s := range got.News {
-			book.Merge(0, s)
+			store.Merge(0, s)
 		}
 	})
 	if _, err := Decode([]byte{Version + 1, 1, 2}); !errors.Is(err, ErrVersion) {
--- a/internal/lab/world/gossip/gossip.go
+++ b/internal/lab/world/gossip/gossip.go
@@ -30,11 +30,11 @@
 
 // Node is one relay's share in it.
 type Node struct {
-	Name   string
-	Book   *verdicts.Book
-	Spread *spread.Spread
-	Judge  *verdicts.Judge
-	Teller *verdicts.Teller
+	Name      string
+	Store     *verdicts.Store
+	Spread    *spread.Spread
+	Judge     *verdicts.Judge
+	Announcer *verdicts.Announcer
 	// Heard is told of what is new here and what it comes to; nil for nobody.
 	Heard func(now time.Duration, news []verdicts.Statement, come []verdicts.Restraint)
 	// Bytes and Packets are what it sent.
@@ -87,16 +87,16 @@
 	n := d.net
 	d.began, d.stopped, d.kept = n.Sim.Now(), false, nil
 	d.gen++
-	d.Book = verdicts.NewBook()
-	d.Judge = verdicts.NewJudge(d.Name, n.cfg.Agree, d.Book)
-	d.Teller = verdicts.NewTeller(d.Name, incarnation)
+	d.Store = verdicts.NewStore()
+	d.Judge = verdicts.NewJudge(d.Name, n.cfg.Agree, d.Store)
+	d.Announcer = verdicts.NewAnnouncer(d.Name, incarnation)
 	var err error
 	d.Spread, err = spread.New(spread.Config{Self: d.Name, Exchange: n.cfg.Exchange, Bytes: n.cfg.Bytes, Size: wire.Size, Packet: 1300,
-		Seed: uint64(d.i) + uint64(d.gen)<<32}, 0, d.Book, incarnation)
+		Seed: uint64(d.i) + uint64(d.gen)<<32}, 0, d.Store, incarnation)
 	if err != nil {
 		return fmt.Errorf("gossip: %w", err)
 	}
-	d.Spread.Members(n.names)
+	d.Spread.SetMembers(n.names)
 	d.tick(d.gen)
 	return nil
 }
@@ -109,17 +109,17 @@
 		return
 	}
 	if !d.stopped {
-		lost := d.Book.Sweep(d.Now())
-		d.heard(nil, d.Judge.Lost(d.Now(), lost))
+		lost := d.Store.Sweep(d.Now())
+		d.heard(nil, d.Judge.Expired(d.Now(), lost))
 		d.send(d.Spread.Tick(d.Now()))
 	}
 	d.net.Sim.After(max(d.Spread.Due()-d.Now(), time.Millisecond), kind, func() { d.tick(gen) })
 }
 
-// Say tells the fleet this relay's own statement.
-func (d *Node) Say(s verdicts.Statement) {
-	if d.Book.Merge(d.Now(), s) {
-		d.send(d.Spread.Tell(d.Now(), []verdicts.Statement{s}))
+// Announce sends the fleet a statement of this relay.
+func (d *Node) Announce(s verdicts.Statement) {
+	if d.Store.Merge(d.Now(), s) {
+		d.send(d.Spread.Announce(d.Now(), []verdicts.Statement{s}))
 	}
 }
 
@@ -164,13 +164,13 @@
 	}
 	news, own, out := d.Spread.Receive(d.Now(), p)
 	for _, s := range own {
-		if d.Teller.Above(s.Version) {
-			d.Spread.Incarnation(d.Teller.Incarnation())
+		if d.Announcer.Supersede(s.Version) {
+			d.Spread.SetIncarnation(d.Announcer.Incarnation())
 		}
 	}
 	var come []verdicts.Restraint
 	for _, s := range news {
-		come = append(come, d.Judge.Hear(d.Now(), s)...)
+		come = append(come, d.Judge.Receive(d.Now(), s)...)
 	}
 	d.heard(news, come)
 	d.send(out)
--- a/internal/lab/world/gossip/gossip_test.go
+++ b/internal/lab/world/gossip/gossip_test.go
@@ -32,12 +32,12 @@
 func (n *Net) run(d time.Duration) { n.Sim.Run(n.Sim.Now() + world.Time(d)) }
 
 // ban is a statement that lives for 30 s.
-func ban(d *Node, dest int) verdicts.Statement { return d.Teller.Bans(dest, "m", true) }
+func ban(d *Node, dest int) verdicts.Statement { return d.Announcer.Ban(dest, "m", true) }
 
 // know counts the relays that hold n statements or more.
 func (n *Net) know(least int) (k int) {
 	for _, d := range n.Nodes {
-		if d.Book.Len() >= least {
+		if d.Store.Len() >= least {
 			k++
 		}
 	}
@@ -65,7 +65,7 @@
 		for seed := range uint64(8) {
 			n := fleet(t, seed, Config{Relays: c.relays, Links: Links{Delay: ms, Jitter: ms, Loss: c.loss}})
 			n.run(2 * time.Second)
-			n.Nodes[1].Say(ban(n.Nodes[1], 1))
+			n.Nodes[1].Announce(ban(n.Nodes[1], 1))
 			if took := n.untilAll(1, 25*time.Second); took > bound {
 				over++
 				t.Logf("%d relays, %v lost, seed %d: all knew after %v, bound %v", c.relays, c.loss, seed, took, bound)
@@ -86,10 +86,10 @@
 		n := fleet(t, 7, Config{Relays: 12, Links: Links{Delay: ms}})
 		n.Cut = cut
 		n.run(3 * time.Second)
-		n.Nodes[0].Say(ban(n.Nodes[0], 1))
-		n.Nodes[9].Say(ban(n.Nodes[9], 2))
+		n.Nodes[0].Announce(ban(n.Nodes[0], 1))
+		n.Nodes[9].Announce(ban(n.Nodes[9], 2))
 		n.run(3 * time.Second)
-		if b := n.Nodes[11].Book; len(b.From(n.Nodes[11].Now(), "relay-0")) != 0 {
+		if b := n.Nodes[11].Store; len(b.From(n.Nodes[11].Now(), "relay-0")) != 0 {
 			t.Errorf("%s: news came through the cut", name)
 		}
 		n.Cut = nil
@@ -124,8 +124,8 @@
 	told := n.Sim.Now()
 	for i, length := range []time.Duration{800 * ms, 900 * ms, 14 * time.Second, 15 * time.Second} {
 		o := n.Nodes[5+i]
-		s, _ := o.Teller.Waits(o.Now(), o.Book, verdicts.Sight{Sighted: verdicts.Refused, Destination: i / 2, Wait: length})
-		o.Say(s)
+		s, _ := o.Announcer.Wait(o.Now(), o.Store, verdicts.Observation{Outcome: verdicts.Refused, Destination: i / 2, Wait: length})
+		o.Announce(s)
 	}
 	n.run(10 * time.Second)
 	var come []verdicts.Restraint
@@ -148,7 +148,7 @@
 	n.run(3 * time.Second)
 	a, b := n.Nodes[0], n.Nodes[1]
 	old := ban(a, 1)
-	held := a.Spread.Tell(a.Now(), []verdicts.Statement{old})[0].Packet
+	held := a.Spread.Announce(a.Now(), []verdicts.Statement{old})[0].Packet
 	n.run(8 * time.Second)
 	news, _, _ := b.Spread.Receive(b.Now(), held)
 	if len(news) != 1 || news[0].Age < 8*time.Second-5*ms { // but for what clocks may drift apart
@@ -179,16 +179,16 @@
 	if err := a.Start(7); err != nil {
 		t.Fatal(err)
 	}
-	a.Say(ban(a, 1))
+	a.Announce(ban(a, 1))
 	n.run(2 * time.Second)
 	if err := a.Start(1); err != nil {
 		t.Fatal(err)
 	}
 	n.run(3 * time.Second)
-	a.Say(a.Teller.Bans(1, "m", false))
+	a.Announce(a.Announcer.Ban(1, "m", false))
 	n.run(3 * time.Second)
 	for _, d := range n.Nodes[1:] {
-		if list := d.Book.From(d.Now(), a.Name); len(list) != 1 || !list[0].Over {
+		if list := d.Store.From(d.Now(), a.Name); len(list) != 1 || !list[0].Over {
 			t.Errorf("%s still believes the process before: %v", d.Name, list)
 		}
 	}
@@ -201,7 +201,7 @@
 	for i := range 2000 {
 		d := n.Nodes[i%30]
 		n.run(5 * ms)
-		d.Say(d.Teller.Drains(i, "m", 1, false))
+		d.Announce(d.Announcer.Drain(i, "m", 1, false))
 	}
 	for _, d := range n.Nodes {
 		if most := rate*d.Now().Seconds() + 2*rate; float64(d.Bytes) > most {
@@ -218,11 +218,11 @@
 	day := func() (sum int64) {
 		n := fleet(t, 11, Config{Relays: 40, Links: Links{Delay: ms, Jitter: 5 * ms, Loss: 0.2}})
 		for i := range 20 {
-			n.Nodes[i].Say(ban(n.Nodes[i], i))
+			n.Nodes[i].Announce(ban(n.Nodes[i], i))
 			n.run(100 * ms)
 		}
 		for _, d := range n.Nodes {
-			sum = sum*31 + d.Bytes + int64(d.Book.Len())
+			sum = sum*31 + d.Bytes + int64(d.Store.Len())
 		}
 		return sum
 	}
--- a/internal/lab/world/play/fleet.go
+++ b/internal/lab/world/play/fleet.go
@@ -95,32 +95,32 @@
 	say := func(s verdicts.Statement) {
 		told.Said++
 		p.said[statement{s.Origin, s.Seq}] = p.now()
-		p.node.Say(s)
+		p.node.Announce(s)
 	}
 	for _, o := range outcomes {
 		d := dest(o.ID)
-		s := verdicts.Sight{Destination: d, Member: o.Endpoint, Begun: now - o.Latency}
+		s := verdicts.Observation{Destination: d, Member: o.Endpoint, Begun: now - o.Latency}
 		switch o.Status {
 		case wrenford.OK:
-			s.Sighted = verdicts.WentWell
+			s.Outcome = verdicts.Succeeded
 		case wrenford.Full:
-			s.Sighted, s.Wait = verdicts.Refused, o.Wait
+			s.Outcome, s.Wait = verdicts.Refused, o.Wait
 		default:
-			s.Sighted = verdicts.Failed
+			s.Outcome = verdicts.Failed
 		}
-		p.restrain(now, p.node.Judge.Met(now, s))
-		if st, ok := p.node.Teller.Waits(now, p.node.Book, s); ok {
+		p.restrain(now, p.node.Judge.Observe(now, s))
+		if st, ok := p.node.Announcer.Wait(now, p.node.Store, s); ok {
 			say(st)
 		}
 		p.sender.Health(d, func(id string, since time.Duration) {
 			was, out := p.outs[id], since >= 0
 			switch {
 			case out && (!was || o.Status != wrenford.OK):
-				p.restrain(now, p.node.Judge.Holds(now, d, id, true, since))
-				say(p.node.Teller.IsOut(d, id, now-since))
+				p.restrain(now, p.node.Judge.SetOwnHealth(now, d, id, true, since))
+				say(p.node.Announcer.Outage(d, id, now-since))
 			case !out && (was || o.Status == wrenford.OK && p.heard[id]):
-				p.restrain(now, p.node.Judge.Holds(now, d, id, false, 0))
-				if st, ok := p.node.Teller.IsBack(now, p.node.Book, d, id); ok {
+				p.restrain(now, p.node.Judge.SetOwnHealth(now, d, id, false, 0))
+				if st, ok := p.node.Announcer.Recovery(now, p.node.Store, d, id); ok {
 					say(st)
 				}
 				delete(p.heard, id)
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -15,11 +15,11 @@
 	}{"the same": {[]string{"a", "b", "c"}, []string{"c", "b", "a"}, false}, "one too few": {[]string{"a", "b", "c"}, []string{"a", "b"}, true}} {
 		t.Run(name, func(t *testing.T) {
 			of := func(self string, members []string) *Spread {
-				s, err := New(Config{Self: self, Exchange: time.Second, Bytes: 1e6, Size: func(*Packet) int { return 100 }, Packet: 1000}, 0, verdicts.NewBook(), 1)
+				s, err := New(Config{Self: self, Exchange: time.Second, Bytes: 1e6, Size: func(*Packet) int { return 100 }, Packet: 1000}, 0, verdicts.NewStore(), 1)
 				if err != nil {
 					t.Fatal(err)
 				}
-				s.Members(members)
+				s.SetMembers(members)
 				return s
 			}
 			a, b := of("a", c.a), of("b", c.b)
--- a/internal/verdicts/statement.go
+++ b/internal/verdicts/statement.go
@@ -1,7 +1,9 @@
-// Package verdicts decides what relays of one fleet may learn from each other of outside destinations: what a
-// statement says, how statements merge, when they lapse, how many origins must agree, and what one alone may
-// do. It makes no calls, reads no clock and keeps no goroutine: times are those that its caller hands in, all
-// from one monotonic origin, and ages travel instead of times. docs/fleet-verdicts.md says what was weighed.
+// Package verdicts decides what relays of one fleet learn from each other about outside destinations: what a statement
+// means, how statements merge and expire, how many origins must agree, and what a single origin may do.
+//
+// An Announcer makes this relay's statements, a Store keeps those of all relays, and a Judge decides what they mean for
+// this relay. The package makes no calls, reads no clock and starts no goroutine: times are those that its caller hands
+// in, all from one monotonic origin, and packets carry ages in place of times. docs/fleet-verdicts.md is its design.
 package verdicts
 
 import (
@@ -14,11 +16,11 @@
 // Kind is what a statement is about.
 type Kind byte
 
-// The kinds, in the order of their weight: where bytes are short, the lower go first.
+// The kinds, by priority: where bandwidth is short, the lower ones are sent first.
 const (
 	Wait   Kind = iota + 1 // a call was turned away and told to wait
 	Health                 // a member is out; Over: it answered again, and was cold from then on
-	Drain                  // discovery says that a member leaves or is gone; Over: it is listed again
+	Drain                  // discovery drains or removes a member; Over: it is listed again
 	Ban                    // operators took a member down; Over: they brought it up
 	kinds
 )
@@ -32,13 +34,17 @@
 	return kindNames[k]
 }
 
-// Known says whether this build knows the kind. A statement of another is neither merged nor told on.
+// Known says whether this build knows the kind. A statement of another is neither merged nor forwarded.
 func (k Kind) Known() bool { return k > 0 && k < kinds }
 
-// lives bound how long a statement of a kind may hold anything back, whatever life its origin gives it: a relay
-// that hears nothing more decides alone again after that.
-var lives = [kinds]time.Duration{Wait: 60 * time.Second, Health: 15 * time.Second, Drain: 60 * time.Second,
-	Ban: 30 * time.Second}
+// lives bounds how long a statement of each kind is in force, whatever life its origin gives it: after that, a relay that
+// hears nothing more decides alone again.
+var lives = [kinds]time.Duration{
+	Wait:   60 * time.Second,
+	Health: 15 * time.Second,
+	Drain:  60 * time.Second,
+	Ban:    30 * time.Second,
+}
 
 // Life is the longest life of a statement of the kind. A wait lives for its length.
 func (k Kind) Life() time.Duration {
@@ -67,23 +73,23 @@
 	return cmp.Or(cmp.Compare(v.Incarnation, o.Incarnation), cmp.Compare(v.Seq, o.Seq))
 }
 
-// Statement is one origin's present word on one subject.
+// Statement is one origin's current announcement on one subject.
 type Statement struct {
 	Origin string
 	Version
 	Subject
-	Over   bool          // the origin takes it back
-	Length time.Duration // Wait: how long, from when it was told; Health: how long the outage had lasted when this was said
-	List   int64         // Drain: the version of discovery's list that said it
-	Age    time.Duration // since it was said; each hop adds what it held it for
-	Life   time.Duration // it has no effect once it is older; at most Kind.Life
+	Over   bool          // the origin withdraws it
+	Length time.Duration // Wait: how long, from when it was asked for; Health: how long the outage had lasted then
+	List   int64         // Drain: the version of discovery's list
+	Age    time.Duration // since it was made; each hop adds how long it kept it
+	Life   time.Duration // it is not in force once it is older; at most Kind.Life
 }
 
-// lapsed says that a statement is over by itself.
-func (s *Statement) lapsed(age time.Duration) bool { return age >= min(s.Life, s.Kind.Life()) }
+// expiredAt reports whether a statement of an age is not in force any more.
+func (s *Statement) expiredAt(age time.Duration) bool { return age >= min(s.Life, s.Kind.Life()) }
 
-// tie orders two statements of one version that differ, which only an origin that says one thing here and another
-// there has: what restrains less stands, at every relay alike.
+// tie orders two different statements of one version, which only a faulty or malicious origin makes: the one that restrains
+// less wins, at every relay alike.
 func (s *Statement) tie(o *Statement) int {
 	less := func(a, b bool) int {
 		if a == b {
@@ -96,7 +102,7 @@
 	return cmp.Or(less(s.Over, o.Over), cmp.Compare(o.Length, s.Length), cmp.Compare(o.Life, s.Life), cmp.Compare(s.List, o.List))
 }
 
-// hash tells one statement from others, the same at every relay. Its age does not count.
+// hash identifies a statement, the same at every relay. Its age does not count.
 func (s *Statement) hash() uint64 {
 	h := fnv.New64a()
 	b := make([]byte, 0, 64)
--- /dev/null
+++ b/internal/verdicts/store.go
@@ -0,0 +1,170 @@
+package verdicts
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// MaxPerOrigin is how many statements of one origin a store keeps, so that no peer takes unbounded memory.
+	MaxPerOrigin = 2048
+	// MaxNameLength bounds the names of origins and members, in bytes.
+	MaxNameLength = 128
+)
+
+// Store keeps the live statements of all origins. It maps (origin, subject) to the newest statement. Where a statement
+// arrives by several ways the greatest age is kept, so that one that came by a slower way does not become younger. Both
+// are maxima of total orders, so Merge is commutative, associative and idempotent, as long as no origin has more than
+// MaxPerOrigin statements.
+type Store struct {
+	origins map[string]map[Subject]*entry
+}
+
+// entry is a stored statement.
+type entry struct {
+	Statement
+	madeAt time.Duration // when its age was 0, by the owner's clock
+	hash   uint64
+}
+
+// at returns the statement with its current age.
+func (e *entry) at(now time.Duration) Statement {
+	s := e.Statement
+	s.Age = max(now-e.madeAt, 0)
+	return s
+}
+
+// isExpired reports whether the statement is not in force any more.
+func (e *entry) isExpired(now time.Duration) bool { return e.expiredAt(now - e.madeAt) }
+
+// left is how long the statement stays in force.
+func (e *entry) left(now time.Duration) time.Duration {
+	return min(e.Life, e.Kind.Life()) - (now - e.madeAt)
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{origins: map[string]map[Subject]*entry{}} }
+
+// valid reports whether a statement is well-formed. Others are not merged, so that no peer can plant what a later build
+// would trip over.
+func (s *Statement) valid() bool {
+	knownKind := s.Kind.Known()
+	namesFit := s.Origin != "" && len(s.Origin) <= MaxNameLength && len(s.Member) <= MaxNameLength
+	timesFit := s.Age >= 0 && s.Length >= 0 && s.Life > 0
+	hasMember := s.Kind == Wait || s.Member != ""
+	return knownKind && namesFit && timesFit && hasMember && s.Destination >= 0
+}
+
+// Merge adds a statement, and reports whether it is news. An expired one is not.
+func (st *Store) Merge(now time.Duration, s Statement) bool {
+	if !s.valid() || s.expiredAt(s.Age) {
+		return false
+	}
+	ofOrigin := st.origins[s.Origin]
+	if ofOrigin == nil {
+		ofOrigin = map[Subject]*entry{}
+		st.origins[s.Origin] = ofOrigin
+	}
+	e := &entry{Statement: s, madeAt: now - s.Age, hash: s.hash()}
+	old := ofOrigin[s.Subject]
+	if old != nil && !e.replaces(old) {
+		return false
+	}
+	if old == nil && len(ofOrigin) >= MaxPerOrigin {
+		evictFirstToExpire(now, ofOrigin)
+	}
+	ofOrigin[s.Subject] = e
+	return true
+}
+
+// replaces reports whether an entry replaces an older one of its origin and subject. Of the same version, both end with the
+// greater age.
+func (e *entry) replaces(old *entry) bool {
+	order := e.Version.Compare(old.Version)
+	if order != 0 {
+		return order > 0
+	}
+	madeAt := min(old.madeAt, e.madeAt)
+	if e.tie(&old.Statement) <= 0 {
+		old.madeAt = madeAt
+		return false
+	}
+	e.madeAt = madeAt
+	return true
+}
+
+// evictFirstToExpire drops the statement of an origin that expires first.
+func evictFirstToExpire(now time.Duration, ofOrigin map[Subject]*entry) {
+	var first *entry
+	for _, e := range ofOrigin {
+		if first == nil || cmp.Or(cmp.Compare(e.left(now), first.left(now)), e.Subject.compare(first.Subject)) < 0 {
+			first = e
+		}
+	}
+	delete(ofOrigin, first.Subject)
+}
+
+// Sweep drops expired statements, and returns the subjects that lost one.
+func (st *Store) Sweep(now time.Duration) (lost []Subject) {
+	for origin, ofOrigin := range st.origins {
+		for subject, e := range ofOrigin {
+			if e.isExpired(now) {
+				delete(ofOrigin, subject)
+				lost = append(lost, subject)
+			}
+		}
+		if len(ofOrigin) == 0 {
+			delete(st.origins, origin)
+		}
+	}
+	slices.SortFunc(lost, Subject.compare)
+	return slices.Compact(lost)
+}
+
+// Forget drops all statements of an origin that is no member any more, and returns their subjects.
+func (st *Store) Forget(origin string) []Subject {
+	lost := slices.SortedFunc(maps.Keys(st.origins[origin]), Subject.compare)
+	delete(st.origins, origin)
+	return lost
+}
+
+// Len returns the number of statements.
+func (st *Store) Len() int {
+	n := 0
+	for _, ofOrigin := range st.origins {
+		n += len(ofOrigin)
+	}
+	return n
+}
+
+// About returns the live statements on a subject with their current ages, by origin.
+func (st *Store) About(now time.Duration, subject Subject) (list []Statement) {
+	for _, ofOrigin := range st.origins {
+		if e := ofOrigin[subject]; e != nil && !e.isExpired(now) {
+			list = append(list, e.at(now))
+		}
+	}
+	slices.SortFunc(list, func(a, b Statement) int { return cmp.Compare(a.Origin, b.Origin) })
+	return list
+}
+
+// From returns one origin's live statements, by subject.
+func (st *Store) From(now time.Duration, origin string) (list []Statement) {
+	for _, e := range st.origins[origin] {
+		if !e.isExpired(now) {
+			list = append(list, e.at(now))
+		}
+	}
+	slices.SortFunc(list, func(a, b Statement) int { return a.Subject.compare(b.Subject) })
+	return list
+}
+
+// All returns all live statements, by origin and subject.
+func (st *Store) All(now time.Duration) (list []Statement) {
+	for _, origin := range slices.Sorted(maps.Keys(st.origins)) {
+		list = append(list, st.From(now, origin)...)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/verdicts/summary.go
@@ -0,0 +1,47 @@
+package verdicts
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+)
+
+// buckets is the number of buckets that origins are hashed into for a summary. With few live statements most buckets are
+// 0, which takes a byte each on the wire; with many, a difference costs the statements of one bucket.
+const buckets = 32
+
+// Summary describes a store to others for an anti-entropy exchange: a hash over the live statements of each bucket of
+// origins. Two stores with the same live statements have the same summary, but for what expires in between.
+type Summary [buckets]uint32
+
+func bucket(origin string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(origin))
+	return int(h.Sum32() % buckets)
+}
+
+// Summary returns the summary of the store.
+func (st *Store) Summary(now time.Duration) (summary Summary) {
+	for origin, ofOrigin := range st.origins {
+		for _, e := range ofOrigin {
+			if !e.isExpired(now) {
+				summary[bucket(origin)] ^= uint32(e.hash ^ e.hash>>32)
+			}
+		}
+	}
+	return summary
+}
+
+// Missing returns the statements that another store, by its summary, may lack: those of the highest kind last.
+func (st *Store) Missing(now time.Duration, theirs Summary) (list []Statement) {
+	ours := st.Summary(now)
+	for _, origin := range slices.Sorted(maps.Keys(st.origins)) {
+		if at := bucket(origin); ours[at] != theirs[at] {
+			list = append(list, st.From(now, origin)...)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Statement) int { return cmp.Compare(a.Kind, b.Kind) })
+	return list
+}
--- a/internal/verdicts/verdicts_test.go
+++ b/internal/verdicts/verdicts_test.go
@@ -28,7 +28,7 @@
 }
 
 func merged(lists ...[]Statement) []Statement {
-	b := NewBook()
+	b := NewStore()
 	for _, list := range lists {
 		for _, s := range list {
 			b.Merge(10*time.Second, s)
@@ -37,7 +37,7 @@
 	return b.All(10 * time.Second)
 }
 
-// Whatever the order, the grouping and the number of times that statements come, a book ends the same.
+// Whatever the order, the grouping and the number of times that statements come, a store ends the same.
 func TestMergeIsALeastUpperBound(t *testing.T) {
 	cuts.Check(t, func(t *rapid.T) {
 		x, y, z := statements(t), statements(t), statements(t)
@@ -53,7 +53,7 @@
 
 // A statement acts and travels only for its life, however often it comes again with the age that it has.
 func TestLapse(t *testing.T) {
-	b := NewBook()
+	b := NewStore()
 	s := Statement{Origin: "a", Version: Version{1, 1}, Subject: Subject{Health, 1, "m"}, Life: time.Hour}
 	if !b.Merge(0, s) {
 		t.Fatal("not merged")
@@ -61,7 +61,7 @@
 	if s.Age = 14 * time.Second; b.Merge(14*time.Second, s) {
 		t.Error("the same one again is no news")
 	}
-	if b.Sweep(14*time.Second) != nil || len(b.Of(14*time.Second, s.Subject)) != 1 {
+	if b.Sweep(14*time.Second) != nil || len(b.About(14*time.Second, s.Subject)) != 1 {
 		t.Error("lapsed before its time")
 	}
 	if lost := b.Sweep(15 * time.Second); len(lost) != 1 || b.Len() != 0 {
@@ -76,10 +76,10 @@
 			t.Errorf("merged %v", bad)
 		}
 	}
-	for i := range 2 * MostOf {
+	for i := range 2 * MaxPerOrigin {
 		b.Merge(0, Statement{Origin: "a", Version: Version{1, uint64(i + 1)}, Subject: Subject{Kind: Wait, Destination: i}, Life: time.Duration(i+1) * ms})
 	}
-	if b.Len() != MostOf {
+	if b.Len() != MaxPerOrigin {
 		t.Errorf("%d statements of one origin", b.Len())
 	}
 }
@@ -92,7 +92,7 @@
 }
 
 func newBench(agree int) *bench {
-	return &bench{Judge: NewJudge("me", agree, NewBook()), now: time.Hour}
+	return &bench{Judge: NewJudge("me", agree, NewStore()), now: time.Hour}
 }
 
 func (b *bench) hear(s Statement) []Restraint {
@@ -101,10 +101,10 @@
 	if s.Life == 0 {
 		s.Life = s.Kind.Life()
 	}
-	if !b.book.Merge(b.now, s) {
+	if !b.store.Merge(b.now, s) {
 		return nil
 	}
-	return b.Hear(b.now, s)
+	return b.Receive(b.now, s)
 }
 
 func (b *bench) out(origin string, lasted, age time.Duration) []Restraint {
@@ -147,14 +147,14 @@
 
 	b = newBench(2)
 	expect(t, "one word", b.out("a", time.Second, 0))
-	expect(t, "and our own module", b.Holds(b.now, 1, "m", true, b.now), "out")
-	expect(t, "a call of ours that went well", b.Met(b.now, Sight{WentWell, 1, "m", false, b.now + 1, 0}), "free")
+	expect(t, "and our own module", b.SetOwnHealth(b.now, 1, "m", true, b.now), "out")
+	expect(t, "a call of ours that went well", b.Observe(b.now, Observation{Succeeded, 1, "m", false, b.now + 1, 0}), "free")
 
 	b = newBench(2)
 	b.out("a", time.Second, 0)
 	b.out("b", time.Second, 0)
 	b.now += Health.Life()
-	expect(t, "the life of both is over", b.Lost(b.now, b.book.Sweep(b.now)), "free")
+	expect(t, "the life of both is over", b.Expired(b.now, b.store.Sweep(b.now)), "free")
 }
 
 // One origin, whatever it says and whenever, holds a destination no longer than its account, and no member out.
@@ -184,7 +184,7 @@
 				note(b.back("liar"))
 			}
 		}
-		if most := accountMost + time.Duration(loneRefill*float64(b.now-start)); held > most {
+		if most := maxBudget + time.Duration(singleRefill*float64(b.now-start)); held > most {
 			t.Fatalf("held for %v in %v, more than %v", held, b.now-start, most)
 		}
 	})
@@ -195,24 +195,24 @@
 	expect(t, "one word", b.wait("a", 800*ms), "hold")
 	expect(t, "a shorter one", b.wait("b", 500*ms))
 	got := b.wait("c", 16*time.Second)
-	if len(got) != 1 || got[0].At != b.now+800*ms+accountMost {
+	if len(got) != 1 || got[0].At != b.now+800*ms+maxBudget {
 		t.Errorf("a long one by a single word: %v", got)
 	}
 	if got = b.wait("d", 15*time.Second); len(got) != 1 || got[0].At != b.now+15*time.Second {
 		t.Errorf("two words for at least 15 s: %v", got)
 	}
-	if got = b.Met(b.now, Sight{WentWell, 1, "m", false, b.now - ms, 0}); len(got) != 0 {
+	if got = b.Observe(b.now, Observation{Succeeded, 1, "m", false, b.now - ms, 0}); len(got) != 0 {
 		t.Errorf("a call that was begun before the waits were told ended them: %v", got)
 	}
 	b.now += 10 * ms
-	got = b.Met(b.now, Sight{WentWell, 1, "m", false, b.now - ms, 0})
+	got = b.Observe(b.now, Observation{Succeeded, 1, "m", false, b.now - ms, 0})
 	if len(got) != 1 || got[0].Order != Hold || got[0].At != b.now {
 		t.Errorf("a call of ours that went well inside them: %v", got)
 	}
 	expect(t, "the account is empty after that", b.wait("a", 800*ms))
 
 	b = newBench(2)
-	b.Met(b.now, Sight{Refused, 1, "m", false, b.now, 3 * time.Second})
+	b.Observe(b.now, Observation{Refused, 1, "m", false, b.now, 3 * time.Second})
 	expect(t, "our own wait is longer", b.wait("a", 2*time.Second))
 	expect(t, "route apart, another group", b.hear(Statement{Origin: "a", Subject: Subject{Wait, 1, "route"}, Length: time.Second}), "hold")
 }
@@ -236,7 +236,7 @@
 		{"our list is as new", func(b *bench) { b.drain("a", "x", 5) }, nil},
 		{"what would remain fails", func(b *bench) {
 			b.drain("a", "x", 9)
-			b.Met(b.now, Sight{Failed, 1, "y", false, b.now, 0})
+			b.Observe(b.now, Observation{Failed, 1, "y", false, b.now, 0})
 		}, nil},
 		{"a ban", func(b *bench) { b.ban("a", "x", false) }, []string{"x"}},
 		{"a ban that is lifted", func(b *bench) { b.ban("a", "x", false); b.ban("a", "x", true) }, nil},
@@ -244,7 +244,7 @@
 		{"a member that we do not list", func(b *bench) { b.drain("a", "w", 9); b.drain("b", "w", 9) }, nil},
 	} {
 		b := newBench(2)
-		b.Pool(5, []Member{{"x", 1}, {"y", 1}, {"z", 2}})
+		b.SetPool(5, []Member{{"x", 1}, {"y", 1}, {"z", 2}})
 		tt.say(b)
 		if got := b.Barred(b.now); !slices.Equal(got, tt.want) {
 			t.Errorf("%s: %v barred, not %v", tt.name, got, tt.want)
@@ -261,46 +261,46 @@
 }
 
 // What everybody knows is not said again, and a relay that was forgotten speaks above what it said before.
-func TestTeller(t *testing.T) {
-	b, tell := NewBook(), NewTeller("me", 3)
-	refused := Sight{Refused, 1, "m", false, 0, time.Second}
-	s, ok := tell.Waits(0, b, refused)
+func TestAnnouncer(t *testing.T) {
+	b, announcer := NewStore(), NewAnnouncer("me", 3)
+	refused := Observation{Refused, 1, "m", false, 0, time.Second}
+	s, ok := announcer.Wait(0, b, refused)
 	if !ok || s.Incarnation != 3 || s.Seq != 1 {
 		t.Fatalf("%v %v", s, ok)
 	}
 	b.Merge(0, s)
-	if _, ok := tell.Waits(10*ms, b, refused); ok {
+	if _, ok := announcer.Wait(10*ms, b, refused); ok {
 		t.Error("the same wait told twice")
 	}
-	if _, ok := tell.Waits(200*ms, b, refused); !ok {
+	if _, ok := announcer.Wait(200*ms, b, refused); !ok {
 		t.Error("a wait that ends later not told")
 	}
-	if _, ok := tell.IsBack(0, b, 1, "m"); ok {
+	if _, ok := announcer.Recovery(0, b, 1, "m"); ok {
 		t.Error("back from no outage")
 	}
-	tell.IsOut(1, "m", 0)
-	if _, ok := tell.IsBack(0, b, 1, "m"); !ok {
+	announcer.Outage(1, "m", 0)
+	if _, ok := announcer.Recovery(0, b, 1, "m"); !ok {
 		t.Error("an outage of ours not taken back")
 	}
-	tell.Bans(1, "m", true)
-	if n := len(tell.Standing(func(string) bool { return true })); n != 1 {
+	announcer.Ban(1, "m", true)
+	if n := len(announcer.RenewBans(func(string) bool { return true })); n != 1 {
 		t.Errorf("%d bans stand", n)
 	}
-	if n := len(tell.Standing(func(string) bool { return false })); n != 0 {
+	if n := len(announcer.RenewBans(func(string) bool { return false })); n != 0 {
 		t.Errorf("%d bans stand of members that are gone", n)
 	}
-	if tell.Above(Version{3, 2}) || !tell.Above(Version{5, 1}) || tell.Incarnation() != 6 {
-		t.Error("incarnation", tell.Incarnation())
+	if announcer.Supersede(Version{3, 2}) || !announcer.Supersede(Version{5, 1}) || announcer.Incarnation() != 6 {
+		t.Error("incarnation", announcer.Incarnation())
 	}
 }
 
 // What is kept of peers' names is bounded.
 func TestBounded(t *testing.T) {
 	b := newBench(2)
-	for i := range 3 * mostKept {
-		b.Met(b.now+time.Duration(i), Sight{Failed, i, fmt.Sprint(i), false, 0, 0})
+	for i := range 3 * maxTracked {
+		b.Observe(b.now+time.Duration(i), Observation{Failed, i, fmt.Sprint(i), false, 0, 0})
 	}
-	if n := len(b.members); n > mostKept+1 {
+	if n := len(b.members); n > maxTracked+1 {
 		t.Errorf("%d members kept", n)
 	}
 }
