--- a/internal/configsync/doc.go
+++ b/internal/configsync/doc.go
@@ -12,5 +12,6 @@
 // Members are trusted to bear load, not to tell the truth. One that turns hostile brings nothing unsigned into force. It can
 // swallow the pushes whose scope it takes over, and claim to cover what it withholds; anti-entropy and the comparison of digests
 // repair both. It can have valid pushes sent again, and everything pulled anew once a minute, within the byte budgets. At most
-// maxSources sources are replicated, and a vector that fits no packet is not sent: with names of 12 bytes some 50 do fit.
+// maxSources sources are replicated, and a vector that fits no packet is not sent, which OverBudget counts: their names have to be
+// short where they are many.
 package configsync
