--- a/internal/fleet/wire/configuration_test.go
+++ b/internal/fleet/wire/configuration_test.go
@@ -231,11 +231,11 @@
 
 // A packet that has nothing but a configuration message is taken in and changes nothing that spread decides.
 func TestSpreadCarriesConfiguration(t *testing.T) {
-	s, err := spread.New(spread.Config{Self: "a", Exchange: time.Second, Bytes: 1e4, Size: Size, Packet: 1200 + Sealing}, 0, verdicts.NewBook(), 1)
+	s, err := spread.New(spread.Config{Self: "a", Exchange: time.Second, Bytes: 1e4, Size: Size, Packet: 1200 + Sealing}, 0, verdicts.NewStore(), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Members([]string{"a", "b"})
+	s.SetMembers([]string{"a", "b"})
 	message := &configsync.Message{Ack: &configsync.Ack{Number: 7}}
 	p := spread.Packet{From: "b", Incarnation: 1, Count: 1, Configuration: message}
 	if news, own, out := s.Receive(time.Second, p); len(news)+len(own)+len(out) != 0 || s.Counters().Received != 1 {
@@ -248,10 +248,10 @@
 	if s.Receive(time.Second, p); s.Counters().Strangers != 1 {
 		t.Error("a stranger's packet was taken in")
 	}
-	if out := s.PostConfiguration(time.Second, "b", message); len(out) != 1 || out[0].To != "b" || out[0].Packet.Configuration != message {
+	if out := s.SendConfiguration(time.Second, "b", message); len(out) != 1 || out[0].To != "b" || out[0].Packet.Configuration != message {
 		t.Errorf("%+v", out)
 	}
-	if out := s.PostConfiguration(time.Second, "stranger", message); len(out) != 0 {
+	if out := s.SendConfiguration(time.Second, "stranger", message); len(out) != 0 {
 		t.Errorf("sent to no member: %+v", out)
 	}
 }
