--- a/internal/lab/fleets/configuration_test.go
+++ b/internal/lab/fleets/configuration_test.go
@@ -90,18 +90,18 @@
 	if err := f.seats[0].postChange(key, change); err != nil {
 		t.Fatal(err)
 	}
-	for _, s := range f.seats {
+	err = f.each(nil, func(s *seat) error {
 		for !s.obeys(change.Key) {
 			if time.Since(posted) > within {
-				for i, s := range f.seats {
-					g, _ := f.Figures(i)
-					t.Logf("%s: %+v\n%s", s.name, g, s.proc.Log())
-				}
-				t.Fatalf("%s does not obey after %v", s.name, within)
+				return fmt.Errorf("%s does not obey after %v\n%s", s.name, within, tail(s.proc.Log(), 2000))
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
 		t.Logf("%s obeys after at most %v", s.name, time.Since(posted))
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
 	}
 	if err := <-played; err != nil {
 		t.Fatal(err)
