--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -21,12 +21,10 @@
 	Region, Zone   string
 	MaxEntries     int
 	MaxFileBytes   int64             // of the file in the state folder; 0 for what MaxEntries take
-	Replication    configsync.Config // Self, Size, PacketBytes and Seed are this relay's
+	Replication    configsync.Config // Self, Size and Seed are this relay's
 }
 
 const (
-	// maxConfigurationPacket is the largest packet that carries configuration.
-	maxConfigurationPacket = 1200 + wire.Sealing
 	// configurationSaveRetry is how often a file that could not be written is tried again.
 	configurationSaveRetry = time.Second
 	// maxRevisionLead bounds how far a change that an operator hands in may move the revision, which has an end.
@@ -91,7 +89,7 @@
 	}
 	replication := c.config.Replication
 	replication.Self, replication.Seed = cfg.Self, cfg.Seed
-	replication.Size, replication.PacketBytes = wire.ConfigurationSize(cfg.Self), maxConfigurationPacket
+	replication.Size = wire.ConfigurationSize(cfg.Self)
 	c.store = configsync.NewStore(&c.keys, c.config.MaxEntries)
 	var err error
 	if c.replica, err = configsync.NewReplica(replication, 0, c.store); err != nil {
