capacity: slopes of one relay and of its membership, with fits

Cause: the plan for 3,900 relays needs measured growth. Change: package internal/lab/capacity/slopes and two commands of slatelab.

--- /dev/null
+++ b/cmd/slatelab/capacity_slopes.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"runtime"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"wrenford/internal/lab/capacity/slopes"
+)
+
+// slopesCores bounds the cores that a measurement uses, for the machine is shared.
+const slopesCores = 3
+
+// stopWithin is how long an interrupted measurement has to end by itself; what has not is left behind.
+const stopWithin = 700 * time.Millisecond
+
+// capacitySlopesCommands are the commands that measure how costs grow with their size.
+func capacitySlopesCommands() []*cobra.Command {
+	return []*cobra.Command{relaySlopesCommand(), membershipSlopesCommand()}
+}
+
+// slopesOutput are the flags that all of them have.
+type slopesOutput struct {
+	cores int
+	lines string
+}
+
+func (o *slopesOutput) flags(c *cobra.Command) {
+	c.Flags().IntVar(&o.cores, "cores", slopesCores, "cores that the measurement may use")
+	c.Flags().StringVar(&o.lines, "json", "", "file for the measurements and fits as lines of JSON; without it they go before the tables")
+}
+
+// run has a measurement made, and writes its lines and tables. A measurement that is interrupted reports what it has.
+func (o *slopesOutput) run(cmd *cobra.Command, measure func(context.Context, *slopes.Recorder, func(string)) error) error {
+	if o.cores < 1 {
+		return fmt.Errorf("%s: %d cores make no sense", cmd.Name(), o.cores)
+	}
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(o.cores))
+	defer slog.SetDefault(slog.Default())
+	slog.SetDefault(slog.New(slog.DiscardHandler)) // what the measured relay logs is not asked for
+	var lines io.Writer = cmd.OutOrStdout()
+	if o.lines != "" {
+		file, err := os.Create(o.lines)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		lines = file
+	}
+	recorder := slopes.NewRecorder(lines)
+	begun := time.Now()
+	progress := func(text string) {
+		fmt.Fprintf(cmd.ErrOrStderr(), "%7.1fs %s\n", time.Since(begun).Seconds(), text)
+	}
+	ctx := cmd.Context()
+	ended := make(chan error, 1)
+	go func() { ended <- measure(ctx, recorder, progress) }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			return err
+		}
+		return recorder.WriteReport(lines, cmd.OutOrStdout())
+	case <-ctx.Done():
+	}
+	select {
+	case <-ended:
+	case <-time.After(stopWithin):
+	}
+	return errors.Join(errors.New("interrupted: the measurement is not complete"), ctx.Err())
+}
+
+func relaySlopesCommand() *cobra.Command {
+	var output slopesOutput
+	plan := slopes.RelayPlan{Span: slopes.DefaultSpan}
+	c := &cobra.Command{
+		Use:   "capacity-relay",
+		Short: "Measure what one relay costs, by the number of destinations and of held messages",
+		Long: `Measure memory, processor time, journal and restart of one relay in this process, without sockets: against the number of
+destinations that discovery lists, and against the number of messages held for destinations that are down. A curve is fitted to
+each cost and extended to the planned sizes. Processor time is that of the process or of the relay's thread, so that other
+work on the machine counts as little as possible.`,
+		Example: "  slatelab capacity-relay --destinations 1000,3000,10000,30000 --held 1000,3000,10000,30000 --seed 1",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := plan.Check(); err != nil {
+				return err
+			}
+			folder, err := os.MkdirTemp("", "slatelab-capacity")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(folder)
+			plan.Directory = folder
+			if err := output.run(cmd, func(ctx context.Context, r *slopes.Recorder, progress func(string)) error {
+				return slopes.MeasureRelay(ctx, plan, r, progress)
+			}); err != nil {
+				return err
+			}
+			return nil
+		},
+	}
+	c.Flags().IntSliceVar(&plan.Destinations, "destinations", []int{1000, 3000, 10_000, 30_000, 100_000, 330_000}, "sizes of discovery's list")
+	c.Flags().IntSliceVar(&plan.Held, "held", []int{1000, 3000, 10_000, 30_000, 100_000}, "numbers of held messages")
+	c.Flags().IntVar(&plan.HeldOver, "held-over", 10_000, "destinations while the held messages vary")
+	c.Flags().DurationVar(&plan.Span, "span", slopes.DefaultSpan, "how long each measurement in real time takes")
+	c.Flags().Int64Var(&plan.Seed, "seed", 1, "seed of the module's chance")
+	output.flags(c)
+	return c
+}
+
+func membershipSlopesCommand() *cobra.Command {
+	var output slopesOutput
+	plan := slopes.DefaultMembership
+	c := &cobra.Command{
+		Use:   "capacity-membership",
+		Short: "Measure what the membership of many relays costs, by their number",
+		Long: `Run many members of the relays' membership in this process, over a network in memory, in real time and with the configuration
+that the program gives memberlist: all start at once, rest, one joins, one fails, a zone fails. Bytes are those of packets and
+streams without the headers of UDP and TCP. A curve is fitted to each cost and extended to the planned number.`,
+		Example: "  slatelab capacity-membership --relays 50,100,200,400",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return output.run(cmd, func(ctx context.Context, r *slopes.Recorder, progress func(string)) error {
+				return slopes.MeasureMembership(ctx, plan, r, progress)
+			})
+		},
+	}
+	c.Flags().IntSliceVar(&plan.Relays, "relays", []int{50, 100, 200, 400, 800}, "numbers of members")
+	c.Flags().IntSliceVar(&plan.FullStates, "full-states", []int{50, 100, 200, 400, 800, 1600, 3900}, "numbers of members whose full exchange is measured")
+	c.Flags().DurationVar(&plan.Idle, "idle", plan.Idle, "how long members are watched while nothing happens")
+	c.Flags().DurationVar(&plan.Settle, "settle", plan.Settle, "rest before that")
+	c.Flags().DurationVar(&plan.Patience, "patience", plan.Patience, "how long a change may take until all know of it")
+	c.Flags().DurationVar(&plan.Delay, "delay", plan.Delay, "mean time of a packet, one way")
+	c.Flags().Float64Var(&plan.Loss, "loss", plan.Loss, "share of packets that are lost")
+	output.flags(c)
+	return c
+}
--- /dev/null
+++ b/internal/lab/capacity/slopes/bounds.go
@@ -0,0 +1,81 @@
+package slopes
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+
+	"wrenford/internal/allowance"
+	"wrenford/internal/fleet/wire"
+	"wrenford/internal/verdicts"
+)
+
+// The program's constants that bound a size and are not exported. A test reads the sources and fails where one has changed.
+const (
+	discoveryListMost   = 4 << 20   // internal/pool maxList
+	membersGoneMost     = 2048      // internal/pool goneMost
+	dividedMost         = 16384     // internal/allowance mostDests
+	claimedMost         = 24        // internal/allowance mostClaimed
+	judgedMost          = 8192      // internal/verdicts mostKept
+	readingsMost        = 16384     // internal/fleet readMost
+	relaysGoneMost      = 4096      // internal/fleet goneMost
+	streamBytesMost     = 512 << 10 // internal/fleet streamMost
+	streamsAtOnceMost   = 8         // internal/fleet streamsMost
+	journalLiveShare    = 0.4       // internal/journal livePart
+	recalledLimits      = 1875      // docs/sizes.md: in 3 MB
+	exampleOpen         = 200       // example/config.json max-open
+	exampleSockets      = 1024      // example/config.json sockets
+	exampleMemory       = 192e6     // example/config.json memory_mb
+	exampleDisk         = 3e6       // example/config.json disk_mb
+	openMemoryShare     = 1.0 / 8   // cmd/slatemux caps
+	memberSocketsShare  = 1.0 / 4   // cmd/slatemux caps
+	messageMemoryBeside = 64        // internal/traffic Size, beside a message's texts
+)
+
+// Bound is something that the program or its settings allow, and what the plan needs of it.
+type Bound struct {
+	Name    string  `json:"bound"`
+	Unit    string  `json:"unit"`
+	Allowed float64 `json:"allowed"`
+	Needed  float64 `json:"needed"`
+	Factor  float64 `json:"needed_over_allowed"`
+	AtEdge  string  `json:"at_the_edge"`
+}
+
+// RelayBounds compares the bounds of one relay with the plan. Bytes of a list entry and of a message in the journal are as measured.
+func RelayBounds(entryBytes, journalBytesEach float64) []Bound {
+	destinations, held := planned[Destinations], planned[Held]
+	down := math.Ceil(downShare * destinations)
+	size := float64(2*len(messageID(0)) + len(className) + bodyBytes + messageMemoryBeside)
+	list := []Bound{
+		{Name: "max-open (example/config.json)", Unit: "messages", Allowed: exampleOpen, Needed: held, AtEdge: "refused with a time"},
+		{Name: "open messages, an eighth of memory_mb 192", Unit: "bytes", Allowed: exampleMemory * openMemoryShare, Needed: held * size, AtEdge: "refused with a time"},
+		{Name: "journal, 0.4 of disk_mb 3", Unit: "bytes", Allowed: exampleDisk * journalLiveShare, Needed: held * journalBytesEach, AtEdge: "refused with a time"},
+		{Name: "discovery list, maxList", Unit: "bytes", Allowed: discoveryListMost, Needed: destinations * entryBytes, AtEdge: "the known list stays in force"},
+		{Name: "limits remembered over a restart", Unit: "destinations", Allowed: recalledLimits, Needed: destinations, AtEdge: "the rest starts without a limit"},
+		{Name: "destinations whose limits are divided, mostDests", Unit: "destinations", Allowed: dividedMost, Needed: destinations, AtEdge: "sent to as by a relay alone"},
+		{Name: "destinations with a reading kept, readMost", Unit: "destinations", Allowed: readingsMost, Needed: destinations, AtEdge: "all readings are dropped"},
+		{Name: "destinations judged, mostKept", Unit: "destinations", Allowed: judgedMost, Needed: destinations, AtEdge: "the older half is dropped"},
+		{Name: "statements of one relay, MostOf", Unit: "statements", Allowed: verdicts.MostOf, Needed: down, AtEdge: "the least important give way"},
+		{Name: "statements of a packet, MostNews", Unit: "statements", Allowed: wire.MostNews, Needed: down, AtEdge: "further packets"},
+		{Name: "destinations that one round of claims tells of", Unit: "destinations", Allowed: claimedMost * allowance.Shards, Needed: destinations, AtEdge: "the rest at a later claim"},
+		{Name: "members that have left and are remembered", Unit: "members", Allowed: membersGoneMost, Needed: down, AtEdge: "the oldest is forgotten"},
+		{Name: "connections to members, a quarter of sockets 1,024", Unit: "connections", Allowed: exampleSockets * memberSocketsShare, Needed: destinations, AtEdge: "idle ones give way"},
+		{Name: "relays that are gone and still listed, goneMost", Unit: "relays", Allowed: relaysGoneMost, Needed: planned[Relays], AtEdge: "the gone are forgotten"},
+	}
+	for i := range list {
+		list[i].Factor = list[i].Needed / list[i].Allowed
+	}
+	return list
+}
+
+// WriteBounds writes bounds as a table.
+func WriteBounds(w io.Writer, list []Bound) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "\nbound\tunit\tallowed\tneeded\tneeded over allowed\tat the edge")
+	for _, b := range list {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", b.Name, b.Unit, figure(b.Allowed), figure(b.Needed), figure(b.Factor), b.AtEdge)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/lab/capacity/slopes/member.go
@@ -0,0 +1,177 @@
+package slopes
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"wrenford/internal/fleet/wire"
+)
+
+const (
+	// regions and zones are those of the plan.
+	regions, zones = 7, 17
+	// fleetLabel is the name of the fleet.
+	fleetLabel = "production"
+	// keyBytes is the length of the sealing key, as internal/fleet wants it.
+	keyBytes = 32
+)
+
+// memberConfig is the configuration that internal/fleet gives memberlist (Fleet.create). A test compares it with the source.
+func memberConfig() *memberlist.Config {
+	c := memberlist.DefaultLANConfig()
+	c.EnableCompression = false
+	c.SuspicionMult = 3
+	c.TCPTimeout = 2 * time.Second
+	c.DeadNodeReclaimTime = 5 * time.Second
+	c.HandoffQueueDepth = 512
+	c.DelegateProtocolVersion, c.DelegateProtocolMin, c.DelegateProtocolMax = wire.Version, wire.Version, wire.Version
+	c.Logger = log.New(io.Discard, "", 0)
+	return c
+}
+
+// relayName is the name of a relay with its region and zone.
+func relayName(n int) string { return fmt.Sprintf("relay-r%d-z%02d-%04d", n%regions, n%zones, n) }
+
+// relayAddress is where it is reached.
+func relayAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), memberPort)
+}
+
+// member is one relay's part in the membership.
+type member struct {
+	number    int
+	list      *memberlist.Memberlist
+	transport *Transport
+	stopOnce  sync.Once
+}
+
+// group is all members of one measurement.
+type group struct {
+	network *Network
+	ring    *memberlist.Keyring
+	watch   *watch
+	tune    func(*memberlist.Config) // changes of the configuration; nil for none
+}
+
+func newGroup(network *Network) (*group, error) {
+	key := make([]byte, keyBytes)
+	ring, err := memberlist.NewKeyring([][]byte{key}, key)
+	if err != nil {
+		return nil, err
+	}
+	return &group{network: network, ring: ring, watch: &watch{}}, nil
+}
+
+// start creates a member that knows nobody yet.
+func (g *group) start(number int) (*member, error) {
+	c := memberConfig()
+	address := relayAddress(number)
+	m := &member{number: number, transport: g.network.NewTransport(address)}
+	c.Name, c.Label, c.Keyring, c.Transport = relayName(number), fleetLabel, g.ring, m.transport
+	c.BindAddr, c.BindPort = address.Addr().String(), int(address.Port())
+	c.AdvertiseAddr, c.AdvertisePort = c.BindAddr, c.BindPort
+	d := &delegate{watch: g.watch, started: time.Now()}
+	c.Delegate, c.Events, c.Ping, c.Conflict = d, d, d, d
+	if g.tune != nil {
+		g.tune(c)
+	}
+	list, err := memberlist.Create(c)
+	if err != nil {
+		_ = m.transport.Shutdown()
+		return nil, fmt.Errorf("slopes: member %d: %w", number, err)
+	}
+	m.list = list
+	return m, nil
+}
+
+// fail ends a member as the failure of its machine does.
+func (m *member) fail() {
+	m.transport.CutOff()
+	m.stop()
+}
+
+// stop ends a member without a farewell.
+func (m *member) stop() {
+	m.stopOnce.Do(func() { _ = m.list.Shutdown() })
+}
+
+// delegate is the part of internal/fleet's delegate that costs bytes: it has no state of its own to exchange, and tells its start and
+// its age with the answer to a probe.
+type delegate struct {
+	watch   *watch
+	started time.Time
+}
+
+func (d *delegate) NodeMeta(int) []byte             { return nil }
+func (d *delegate) NotifyMsg([]byte)                {}
+func (d *delegate) GetBroadcasts(_, _ int) [][]byte { return nil }
+func (d *delegate) LocalState(bool) []byte          { return nil }
+func (d *delegate) MergeRemoteState([]byte, bool)   {}
+func (d *delegate) NotifyUpdate(*memberlist.Node)   {}
+
+func (d *delegate) NotifyConflict(_, _ *memberlist.Node) {}
+
+func (d *delegate) NotifyJoin(n *memberlist.Node) { d.watch.seen(joined, n.Name) }
+
+func (d *delegate) NotifyLeave(n *memberlist.Node) { d.watch.seen(left, n.Name) }
+
+func (d *delegate) NotifyPingComplete(*memberlist.Node, time.Duration, []byte) {}
+
+func (d *delegate) AckPayload() []byte {
+	b := binary.AppendUvarint(make([]byte, 0, 2*binary.MaxVarintLen64), 1)
+	return binary.AppendUvarint(b, uint64(time.Since(d.started)/time.Microsecond))
+}
+
+// change is what a member learns of another.
+type change int
+
+const (
+	joined change = iota
+	left
+)
+
+// watch notes when members learn of the subjects of an experiment.
+type watch struct {
+	mu       sync.Mutex
+	kind     change
+	subjects map[string]bool
+	begun    time.Time
+	times    []time.Duration
+	others   int // changes of the same kind that concern no subject
+}
+
+// begin starts an experiment.
+func (w *watch) begin(kind change, subjects ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.kind, w.subjects, w.begun, w.times, w.others = kind, map[string]bool{}, time.Now(), nil, 0
+	for _, s := range subjects {
+		w.subjects[s] = true
+	}
+}
+
+func (w *watch) seen(kind change, name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.subjects == nil || kind != w.kind:
+	case w.subjects[name]:
+		w.times = append(w.times, time.Since(w.begun))
+	default:
+		w.others++
+	}
+}
+
+// result returns the times so far, and how many other changes of the kind there were.
+func (w *watch) result() ([]time.Duration, int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]time.Duration(nil), w.times...), w.others
+}
--- /dev/null
+++ b/internal/lab/capacity/slopes/process.go
@@ -0,0 +1,58 @@
+package slopes
+
+import (
+	"runtime"
+	"slices"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// processTime is the processor time of this process so far, user and system. It is what other processes on the machine change least.
+func processTime() time.Duration {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// threadTime is the processor time of the calling thread so far. Its goroutine must be locked to the thread.
+func threadTime() time.Duration {
+	var at unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &at); err != nil {
+		return 0
+	}
+	return time.Duration(at.Nano())
+}
+
+// onThread runs f with its goroutine locked to a thread and returns the processor time of that thread.
+func onThread(f func()) time.Duration {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	begun := threadTime()
+	f()
+	return threadTime() - begun
+}
+
+// heapBytes is what the heap holds that is still in use.
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC() // the second frees what the first one's finalizers held
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// quantile is the value under which the share q of a list lies. It sorts the list.
+func quantile[T ~int64 | ~float64](list []T, q float64) T {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[min(int(q*float64(len(list))), len(list)-1)]
+}
+
+func microseconds(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/lab/capacity/slopes/relay.go
@@ -0,0 +1,153 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// eventsPerSecond is what one relay takes of 2.2 million events a second over 3,900 relays.
+const eventsPerSecond = 564
+
+// RelayPlan says what is measured of one relay.
+type RelayPlan struct {
+	Destinations []int         // sizes of the list
+	Held         []int         // sizes of the backlog
+	HeldOver     int           // destinations of the list while the backlog varies
+	Span         time.Duration // of each measurement in real time
+	Seed         int64
+	Directory    string // for journals; they are removed
+}
+
+// DefaultSpan is how long a relay is watched at each size.
+const DefaultSpan = 3 * time.Second
+
+// Quantities along the number of destinations.
+var (
+	listBytes       = Quantity{Name: "discovery list, whole", Unit: "bytes", Budget: discoveryListMost}
+	listParse       = Quantity{Name: "discovery list, parse and compare", Unit: "ms CPU"}
+	listStep        = Quantity{Name: "discovery list, relay step", Unit: "ms CPU"}
+	changeBytes     = Quantity{Name: "change of one member", Unit: "bytes"}
+	changeParse     = Quantity{Name: "change of one, parse and compare", Unit: "us CPU"}
+	changeStep      = Quantity{Name: "change of one, relay step", Unit: "us CPU"}
+	bookHeap        = Quantity{Name: "heap, known list and its book", Unit: "bytes"}
+	flowsHeap       = Quantity{Name: "heap, flows, listed", Unit: "bytes"}
+	listedHeap      = Quantity{Name: "heap, relay, listed", Unit: "bytes"}
+	listedAllHeap   = Quantity{Name: "heap, all, listed", Unit: "bytes", Budget: budgetMemory}
+	calledHeap      = Quantity{Name: "heap, relay, a message to each", Unit: "bytes"}
+	startCPU        = Quantity{Name: "first step", Unit: "ms CPU"}
+	waitingShare    = Quantity{Name: "one message held, no arrivals", Unit: "share of a core", Budget: budgetCPUShare}
+	loadShare       = Quantity{Name: "relay steps at 564 events/s", Unit: "share of a core"}
+	loadProcess     = Quantity{Name: "process at 564 events/s, load included", Unit: "share of a core"}
+	loadMedian      = Quantity{Name: "answer to a hand-in at 564/s, median", Unit: "ms"}
+	load99          = Quantity{Name: "answer to a hand-in at 564/s, 99 %", Unit: "ms"}
+	loadUnanswered  = Quantity{Name: "hand-ins without an answer in 2 s", Unit: "share"}
+	saturatedEvents = Quantity{Name: "events for a core-second of relay steps", Unit: "events"}
+	saturatedModule = Quantity{Name: "events for a core-second of the module", Unit: "events"}
+	saturatedAll    = Quantity{Name: "events for a core-second of the process", Unit: "events"}
+)
+
+// Quantities along the number of held messages.
+var (
+	journalBytes   = Quantity{Name: "journal, whole", Unit: "bytes"}
+	journalEach    = Quantity{Name: "journal, each message", Unit: "bytes"}
+	journalWrite   = Quantity{Name: "journal, writing each message", Unit: "us CPU"}
+	journalReplay  = Quantity{Name: "restart, journal replay", Unit: "ms CPU"}
+	restartAll     = Quantity{Name: "restart, replay and first step", Unit: "ms CPU"}
+	restartElapsed = Quantity{Name: "restart, elapsed until ready", Unit: "ms"}
+	heldHeap       = Quantity{Name: "heap, journal and relay", Unit: "bytes"}
+	holdingShare   = Quantity{Name: "held, no arrivals", Unit: "share of a core"}
+	holdingStep99  = Quantity{Name: "held, relay step, 99 %", Unit: "ms CPU"}
+	holdingKept    = Quantity{Name: "held, still held at the end", Unit: "share"}
+	holdingLongest = Quantity{Name: "held, relay step, longest", Unit: "ms CPU"}
+)
+
+const (
+	// journalRoom is the folder's limit: far over what any size here takes.
+	journalRoom = 16 << 30
+	// journalBatch is how many messages one write takes on.
+	journalBatch = 100
+	// saturation is how many messages are under way where the relay is to be busy all the time.
+	saturation = 2000
+)
+
+// Check says what makes no sense.
+func (p *RelayPlan) Check() error {
+	for name, sizes := range map[string][]int{"destinations": p.Destinations, "held": p.Held} {
+		if err := checkSizes(name, sizes); err != nil {
+			return err
+		}
+	}
+	if p.HeldOver < 1 {
+		return fmt.Errorf("slopes: %d destinations for the backlog make no sense", p.HeldOver)
+	}
+	if p.Span <= 0 {
+		return fmt.Errorf("slopes: a span of %v makes no sense", p.Span)
+	}
+	return nil
+}
+
+// checkSizes wants enough different sizes of 1 and more.
+func checkSizes(name string, sizes []int) error {
+	different := map[int]bool{}
+	for _, size := range sizes {
+		if size < 1 {
+			return fmt.Errorf("slopes: %s: a size of %d makes no sense", name, size)
+		}
+		if different[size] {
+			return fmt.Errorf("slopes: %s: size %d is there twice", name, size)
+		}
+		different[size] = true
+	}
+	if len(different) < LeastSizes {
+		return fmt.Errorf("slopes: %s: %d sizes are too few for a fit, which needs %d", name, len(different), LeastSizes)
+	}
+	return nil
+}
+
+// MeasureRelay measures one relay along both axes. It tells progress what it is about to do.
+func MeasureRelay(ctx context.Context, plan RelayPlan, to *Recorder, progress func(string)) error {
+	if err := plan.Check(); err != nil {
+		return err
+	}
+	for _, size := range plan.Destinations {
+		progress(fmt.Sprintf("%d destinations", size))
+		if err := measureDestinations(ctx, plan, size, to); err != nil {
+			return fmt.Errorf("slopes: %d destinations: %w", size, err)
+		}
+	}
+	for _, size := range plan.Held {
+		progress(fmt.Sprintf("%d messages held over %d destinations", size, plan.HeldOver))
+		if err := measureHeld(ctx, plan, size, to); err != nil {
+			return fmt.Errorf("slopes: %d messages held: %w", size, err)
+		}
+	}
+	return nil
+}
+
+// recordFunc records a value at the size that is being measured.
+type recordFunc func(Quantity, float64) error
+
+// measureDestinations measures a relay whose list has a number of destinations.
+func measureDestinations(ctx context.Context, plan RelayPlan, size int, to *Recorder) error {
+	record := func(q Quantity, value float64) error { return to.record(Destinations, size, q, value) }
+	list, bookBytes, err := measureList(size, record)
+	if err != nil {
+		return err
+	}
+	flowsBytes, err := measureFlows(list.News(), record)
+	if err != nil {
+		return err
+	}
+	if err := measureListed(ctx, plan, list.News(), bookBytes+flowsBytes, record); err != nil {
+		return err
+	}
+	if err := measureLoaded(ctx, plan, list.News(), record); err != nil {
+		return err
+	}
+	steps, err := measureModuleSteps(ctx, size, plan.Held[0], uint64(plan.Seed))
+	if err != nil {
+		return err
+	}
+	return recordModuleSteps(to, Destinations, size, fmt.Sprintf(", %d held", plan.Held[0]), steps)
+}
