capacity: members keep looking for the absent, bounds are compared with the plan

Cause: two islands of members stayed apart, as Fleet.belong was not followed; an exchange was counted before it was merged. Change: belong as in internal/fleet; refused hand-ins are handed in again.

--- a/cmd/slatelab/capacity_slopes.go
+++ b/cmd/slatelab/capacity_slopes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -37,8 +36,14 @@
 	c.Flags().StringVar(&o.lines, "json", "", "file for the measurements and fits as lines of JSON; without it they go before the tables")
 }
 
-// run has a measurement made, and writes its lines and tables. A measurement that is interrupted reports what it has.
-func (o *slopesOutput) run(cmd *cobra.Command, measure func(context.Context, *slopes.Recorder, func(string)) error) error {
+// measurement records into the Recorder and says what it does.
+type measurement func(ctx context.Context, to *slopes.Recorder, progress func(string)) error
+
+// report writes what was recorded, as lines of JSON and as tables.
+type report func(from *slopes.Recorder, lines, tables io.Writer) error
+
+// run has a measurement made, and then reports written. An interrupted one is an error: its lines are those of what was measured.
+func (o *slopesOutput) run(cmd *cobra.Command, measure measurement, reports ...report) error {
 	if o.cores < 1 {
 		return fmt.Errorf("%s: %d cores make no sense", cmd.Name(), o.cores)
 	}
@@ -67,14 +72,19 @@
 		if err != nil {
 			return err
 		}
-		return recorder.WriteReport(lines, cmd.OutOrStdout())
+		for _, write := range reports {
+			if err := write(recorder, lines, cmd.OutOrStdout()); err != nil {
+				return err
+			}
+		}
+		return nil
 	case <-ctx.Done():
 	}
 	select {
 	case <-ended:
 	case <-time.After(stopWithin):
 	}
-	return errors.Join(errors.New("interrupted: the measurement is not complete"), ctx.Err())
+	return fmt.Errorf("interrupted: the measurement is not complete: %w", ctx.Err())
 }
 
 func relaySlopesCommand() *cobra.Command {
@@ -99,12 +109,10 @@
 			}
 			defer os.RemoveAll(folder)
 			plan.Directory = folder
-			if err := output.run(cmd, func(ctx context.Context, r *slopes.Recorder, progress func(string)) error {
-				return slopes.MeasureRelay(ctx, plan, r, progress)
-			}); err != nil {
-				return err
+			measure := func(ctx context.Context, to *slopes.Recorder, progress func(string)) error {
+				return slopes.MeasureRelay(ctx, plan, to, progress)
 			}
-			return nil
+			return output.run(cmd, measure, (*slopes.Recorder).WriteReport, (*slopes.Recorder).WriteBounds)
 		},
 	}
 	c.Flags().IntSliceVar(&plan.Destinations, "destinations", []int{1000, 3000, 10_000, 30_000, 100_000, 330_000}, "sizes of discovery's list")
@@ -128,9 +136,13 @@
 		Example: "  slatelab capacity-membership --relays 50,100,200,400",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return output.run(cmd, func(ctx context.Context, r *slopes.Recorder, progress func(string)) error {
-				return slopes.MeasureMembership(ctx, plan, r, progress)
-			})
+			if err := plan.Check(); err != nil {
+				return err
+			}
+			measure := func(ctx context.Context, to *slopes.Recorder, progress func(string)) error {
+				return slopes.MeasureMembership(ctx, plan, to, progress)
+			}
+			return output.run(cmd, measure, (*slopes.Recorder).WriteReport)
 		},
 	}
 	c.Flags().IntSliceVar(&plan.Relays, "relays", []int{50, 100, 200, 400, 800}, "numbers of members")
--- a/internal/lab/capacity/slopes/bounds.go
+++ b/internal/lab/capacity/slopes/bounds.go
@@ -1,6 +1,7 @@
 package slopes
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -70,8 +71,31 @@
 	return list
 }
 
-// WriteBounds writes bounds as a table.
-func WriteBounds(w io.Writer, list []Bound) error {
+// WriteBounds compares the bounds of one relay with the plan by what was measured, as lines of JSON and as a table.
+func (r *Recorder) WriteBounds(lines, tables io.Writer) error {
+	entry := r.largest(Destinations, listBytes)
+	message := r.largest(Held, journalBytes)
+	list := RelayBounds(entry.Value/float64(max(entry.Size, 1)), message.Value/float64(max(message.Size, 1)))
+	encoder := json.NewEncoder(lines)
+	for _, b := range list {
+		if err := encoder.Encode(b); err != nil {
+			return err
+		}
+	}
+	return writeBounds(tables, list)
+}
+
+// largest is the measurement of a quantity at the largest size.
+func (r *Recorder) largest(axis Axis, quantity Quantity) (found Measurement) {
+	for _, m := range r.measurements {
+		if m.Axis == axis && m.Quantity == quantity.Name && m.Size > found.Size {
+			found = m
+		}
+	}
+	return found
+}
+
+func writeBounds(w io.Writer, list []Bound) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, "\nbound\tunit\tallowed\tneeded\tneeded over allowed\tat the edge")
 	for _, b := range list {
--- a/internal/lab/capacity/slopes/destinations.go
+++ b/internal/lab/capacity/slopes/destinations.go
@@ -64,32 +64,55 @@
 	if err != nil {
 		return err
 	}
-	if err := run.callEach(ctx); err != nil {
+	refused, err := run.callEach(ctx)
+	if err != nil {
 		return err
 	}
 	called := heapBytes() - before
 	runtime.KeepAlive(news)
 	return recordAll(record, []measured{{listedHeap, listed}, {listedAllHeap, listed + others}, {calledHeap, called},
-		{startCPU, milliseconds(run.startTime)}, {listStep, milliseconds(wholeTook)}, {changeStep, microseconds(changeTook)}})
+		{startCPU, milliseconds(run.startTime)}, {listStep, milliseconds(wholeTook)}, {changeStep, microseconds(changeTook)},
+		{calledRefused, float64(refused) / float64(run.destinations)}})
 }
 
-// callEach delivers a message to each destination and waits until none is open.
-func (run *relayRun) callEach(ctx context.Context) error {
-	body := make([]byte, bodyBytes)
+// callEach delivers a message to each destination. What is refused is handed in once more, as clients do; it returns how many were.
+func (run *relayRun) callEach(ctx context.Context) (refused int, err error) {
 	const batch = 1000
 	for first := 0; first < run.destinations; first += batch {
-		now := time.Now()
+		var open []int
 		for destination := first; destination < min(first+batch, run.destinations); destination++ {
-			run.relay.Put(transaction(int(run.next.Add(1)), destination, now.Add(messageDeadline), body), now)
+			open = append(open, destination)
+		}
+		for len(open) > 0 {
+			if ctx.Err() != nil {
+				return refused, ctx.Err()
+			}
+			open = run.handIn(open)
+			refused += len(open)
 		}
 		if err := run.untilEmpty(ctx); err != nil {
-			return err
+			return refused, err
 		}
 	}
 	if delivered := run.flows.delivered.Load(); delivered != int64(run.destinations) {
-		return fmt.Errorf("%d of %d destinations had a message", delivered, run.destinations)
+		return refused, fmt.Errorf("%d of %d destinations had a message", delivered, run.destinations)
+	}
+	return refused, nil
+}
+
+// handIn hands in a message for each destination and returns those whose message was refused.
+func (run *relayRun) handIn(destinations []int) (refused []int) {
+	body, now := make([]byte, bodyBytes), time.Now()
+	answers := make([]<-chan traffic.Answer, len(destinations))
+	for i, destination := range destinations {
+		answers[i] = run.relay.Put(transaction(int(run.next.Add(1)), destination, now.Add(messageDeadline), body), now)
+	}
+	for i, answer := range answers {
+		if a := <-answer; a.Verdict != traffic.Accepted {
+			refused = append(refused, destinations[i])
+		}
 	}
-	return nil
+	return refused
 }
 
 // untilEmpty waits until all that was handed in is over.
--- a/internal/lab/capacity/slopes/fullstate.go
+++ b/internal/lab/capacity/slopes/fullstate.go
@@ -12,7 +12,7 @@
 	fullStateBytes  = Quantity{Name: "full exchange: one direction", Unit: "bytes", Budget: streamBytesMost}
 	fullStateEach   = Quantity{Name: "full exchange: bytes of each known member", Unit: "bytes"}
 	fullStateCPU    = Quantity{Name: "full exchange: processor of both sides", Unit: "ms CPU"}
-	fullStateHeap   = Quantity{Name: "heap of one member", Unit: "bytes", Budget: budgetMemory}
+	fullStateHeap   = Quantity{Name: "heap of one member, all news still queued", Unit: "bytes", Budget: budgetMemory}
 	fullStatePeriod = Quantity{Name: "full exchanges alone, sent and received", Unit: "bytes/s", Budget: budgetBytesPerSecond}
 )
 
@@ -37,7 +37,7 @@
 
 func measureFullState(ctx context.Context, size int, to *Recorder) error {
 	network := NewNetwork(0, 0)
-	network.streamMost = 64 * streamBytesMost // so that a state over the bound is measured, too
+	network.streamMost, network.streamsMost = 64*streamBytesMost, 2*collected // so that a state over the bound is measured, too
 	g, err := newGroup(network)
 	if err != nil {
 		return err
@@ -59,6 +59,11 @@
 	if _, err := first.list.Join(other); err != nil { // they learn of each other
 		return err
 	}
+	for second.list.NumMembers() < size {
+		if err := sleep(ctx, time.Millisecond); err != nil {
+			return err
+		}
+	}
 	sent, cpu := first.transport.Traffic(), processTime()
 	if _, err := first.list.Join(other); err != nil {
 		return err
@@ -87,7 +92,7 @@
 			m.stop()
 			return nil, ctx.Err()
 		}
-		if err := g.collect(m, begin, min(begin+collected, size)); err != nil {
+		if err := g.collect(ctx, m, begin, min(begin+collected, size)); err != nil {
 			m.stop()
 			return nil, err
 		}
@@ -96,7 +101,7 @@
 }
 
 // collect has a member learn of those from begin to before end, who are all over when it returns.
-func (g *group) collect(m *member, begin, end int) error {
+func (g *group) collect(ctx context.Context, m *member, begin, end int) error {
 	collector, err := g.start(begin)
 	if err != nil {
 		return err
@@ -114,6 +119,11 @@
 			return err
 		}
 	}
+	for collector.list.NumMembers() < end-begin { // it merges what a member told behind its answer to it
+		if err := sleep(ctx, time.Millisecond); err != nil {
+			return err
+		}
+	}
 	_, err = m.list.Join(to)
 	return err
 }
--- a/internal/lab/capacity/slopes/member.go
+++ b/internal/lab/capacity/slopes/member.go
@@ -1,11 +1,15 @@
 package slopes
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
 	"io"
 	"log"
+	"maps"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,14 +48,65 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), memberPort)
 }
 
+// The times of internal/fleet's part that keeps a relay a member (Fleet.belong).
+const (
+	// joinFirst to joinMost is the pause between two tries to find others.
+	joinFirst, joinMost = 250 * time.Millisecond, 8 * time.Second
+	// rejoinEvery is the pause between two tries to reach somebody who is no member at present.
+	rejoinEvery = 10 * time.Second
+	// seeds is how many members all are told to join: the first ones.
+	seeds = 3
+)
+
 // member is one relay's part in the membership.
 type member struct {
 	number    int
 	list      *memberlist.Memberlist
 	transport *Transport
+	delegate  *delegate
 	stopOnce  sync.Once
 }
 
+// belong keeps a member one until ctx ends or it stops, as Fleet.belong does: it tries to join until it knows another, and then now and
+// then one of the seeds or of the dead that it does not know to live.
+func (m *member) belong(ctx context.Context) {
+	for pause := joinFirst; ; {
+		wait := rejoinEvery
+		if m.list.NumMembers() < 2 {
+			wait, pause = pause, min(2*pause, joinMost)
+		}
+		if m.transport.wait(time.Duration((0.5+rand.Float64())*float64(wait)), nil) != nil || ctx.Err() != nil {
+			return
+		}
+		if address := m.absent(); address != "" {
+			_, _ = m.list.Join([]string{address}) // it is tried again
+		}
+	}
+}
+
+// absent picks an address at which no live member is known.
+func (m *member) absent() string {
+	here := map[string]bool{m.list.LocalNode().Address(): true}
+	for _, n := range m.list.Members() {
+		here[n.Address()] = true
+	}
+	var away []string
+	for seed := range seeds {
+		if address := relayAddress(seed).String(); !here[address] {
+			away = append(away, address)
+		}
+	}
+	for _, address := range m.delegate.deadAddresses() {
+		if !here[address] {
+			away = append(away, address)
+		}
+	}
+	if len(away) == 0 {
+		return ""
+	}
+	return away[rand.IntN(len(away))]
+}
+
 // group is all members of one measurement.
 type group struct {
 	network *Network
@@ -77,7 +132,8 @@
 	c.Name, c.Label, c.Keyring, c.Transport = relayName(number), fleetLabel, g.ring, m.transport
 	c.BindAddr, c.BindPort = address.Addr().String(), int(address.Port())
 	c.AdvertiseAddr, c.AdvertisePort = c.BindAddr, c.BindPort
-	d := &delegate{watch: g.watch, started: time.Now()}
+	d := &delegate{watch: g.watch, started: time.Now(), dead: map[string]string{}}
+	m.delegate = d
 	c.Delegate, c.Events, c.Ping, c.Conflict = d, d, d, d
 	if g.tune != nil {
 		g.tune(c)
@@ -91,12 +147,6 @@
 	return m, nil
 }
 
-// fail ends a member as the failure of its machine does.
-func (m *member) fail() {
-	m.transport.CutOff()
-	m.stop()
-}
-
 // stop ends a member without a farewell.
 func (m *member) stop() {
 	m.stopOnce.Do(func() { _ = m.list.Shutdown() })
@@ -107,6 +157,15 @@
 type delegate struct {
 	watch   *watch
 	started time.Time
+
+	mu   sync.Mutex
+	dead map[string]string // addresses by name
+}
+
+func (d *delegate) deadAddresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Values(d.dead))
 }
 
 func (d *delegate) NodeMeta(int) []byte             { return nil }
@@ -118,9 +177,19 @@
 
 func (d *delegate) NotifyConflict(_, _ *memberlist.Node) {}
 
-func (d *delegate) NotifyJoin(n *memberlist.Node) { d.watch.seen(joined, n.Name) }
+func (d *delegate) NotifyJoin(n *memberlist.Node) {
+	d.mu.Lock()
+	delete(d.dead, n.Name)
+	d.mu.Unlock()
+	d.watch.seen(joined, n.Name)
+}
 
-func (d *delegate) NotifyLeave(n *memberlist.Node) { d.watch.seen(left, n.Name) }
+func (d *delegate) NotifyLeave(n *memberlist.Node) {
+	d.mu.Lock()
+	d.dead[n.Name] = n.Address()
+	d.mu.Unlock()
+	d.watch.seen(left, n.Name)
+}
 
 func (d *delegate) NotifyPingComplete(*memberlist.Node, time.Duration, []byte) {}
 
--- a/internal/lab/capacity/slopes/membership.go
+++ b/internal/lab/capacity/slopes/membership.go
@@ -57,10 +57,6 @@
 const (
 	// startWithin is the time over which all members start.
 	startWithin = 2 * time.Second
-	// seeds is how many members all others are told to join.
-	seeds = 3
-	// joinFirst to joinMost is the pause between two tries to join, as in internal/fleet.
-	joinFirst, joinMost = 250 * time.Millisecond, 8 * time.Second
 	// lookEvery is how often the state of an experiment is looked at.
 	lookEvery = 100 * time.Millisecond
 )
@@ -110,6 +106,7 @@
 	to       *Recorder
 	progress func(string)
 	group    *group
+	belongs  sync.WaitGroup // what keeps each member one
 
 	mu      sync.Mutex
 	members []*member
@@ -139,15 +136,13 @@
 	return nil
 }
 
-// startAll starts all members at random times within startWithin. Each joins a seed and tries again until it knows another member,
-// as internal/fleet does.
+// startAll starts all members at random times within startWithin.
 func (run *membershipRun) startAll(ctx context.Context) error {
 	run.say("all start within 2 s")
 	begun, cpu := time.Now(), processTime()
 	failed := make(chan error, run.size)
-	var starting sync.WaitGroup
 	for n := range run.size {
-		starting.Go(func() {
+		run.belongs.Go(func() {
 			if err := sleep(ctx, time.Duration(rand.Float64()*float64(startWithin))); err != nil {
 				return
 			}
@@ -159,11 +154,10 @@
 			run.mu.Lock()
 			run.members = append(run.members, m)
 			run.mu.Unlock()
-			joinSeed(ctx, m)
+			m.belong(ctx)
 		})
 	}
 	known, took, peak := run.untilAllKnown(ctx, begun)
-	starting.Wait()
 	select {
 	case err := <-failed:
 		return err
@@ -183,18 +177,6 @@
 		{startPeak, peak}, {startTurned, float64(turned)}, {startCPUEach, milliseconds(used) / float64(run.size)}})
 }
 
-// joinSeed joins a member to one of the seeds.
-func joinSeed(ctx context.Context, m *member) {
-	for pause := joinFirst; m.list.NumMembers() < 2; pause = min(2*pause, joinMost) {
-		if sleep(ctx, time.Duration((0.5+rand.Float64())*float64(pause))) != nil {
-			return
-		}
-		if seed := rand.IntN(seeds); seed != m.number {
-			_, _ = m.list.Join([]string{relayAddress(seed).String()}) // it is tried again
-		}
-	}
-}
-
 // untilAllKnown waits until each member knows all. It returns the share that is known, the time, and the most bytes that any member
 // sent and received in a second.
 func (run *membershipRun) untilAllKnown(ctx context.Context, begun time.Time) (known float64, took time.Duration, peak float64) {
@@ -273,6 +255,7 @@
 	run.mu.Lock()
 	run.members = append(run.members, newcomer)
 	run.mu.Unlock()
+	run.belongs.Go(func() { newcomer.belong(ctx) })
 	run.group.watch.begin(joined, relayName(run.size))
 	if _, err := newcomer.list.Join([]string{relayAddress(0).String()}); err != nil {
 		return err
@@ -363,7 +346,12 @@
 	}
 }
 
-func (run *membershipRun) stopAll() { failAll(run.snapshot()) }
+// stopAll ends all members and what keeps them.
+func (run *membershipRun) stopAll() {
+	failAll(run.snapshot())
+	run.belongs.Wait()
+	failAll(run.snapshot()) // those that were just starting
+}
 
 func (run *membershipRun) recordAll(values []measured) error { return recordAll(run.record, values) }
 
--- a/internal/lab/capacity/slopes/network.go
+++ b/internal/lab/capacity/slopes/network.go
@@ -28,6 +28,8 @@
 	loss  float64       // share of packets
 	// streamMost is how many bytes a stream may bring.
 	streamMost int
+	// streamsMost is how many streams that came a member may have open.
+	streamsMost int64
 
 	mu         sync.RWMutex
 	transports map[string]*Transport
@@ -35,7 +37,7 @@
 
 // NewNetwork returns one without members, with internal/fleet's bound on streams.
 func NewNetwork(delay time.Duration, loss float64) *Network {
-	return &Network{delay: delay, loss: loss, streamMost: streamBytesMost, transports: map[string]*Transport{}}
+	return &Network{delay: delay, loss: loss, streamMost: streamBytesMost, streamsMost: streamsAtOnceMost, transports: map[string]*Transport{}}
 }
 
 // Traffic counts what passed a member's transport.
@@ -191,7 +193,7 @@
 		return nil, err
 	}
 	t.counting(func(c *Traffic) { c.StreamsOpened++ })
-	if to.open.Add(1) > streamsAtOnceMost {
+	if to.open.Add(1) > t.network.streamsMost {
 		to.open.Add(-1)
 		to.counting(func(c *Traffic) { c.StreamsTurned++ })
 		return nil, errTurnedAway
--- a/internal/lab/capacity/slopes/relay.go
+++ b/internal/lab/capacity/slopes/relay.go
@@ -35,6 +35,7 @@
 	listedHeap      = Quantity{Name: "heap, relay, listed", Unit: "bytes"}
 	listedAllHeap   = Quantity{Name: "heap, all, listed", Unit: "bytes", Budget: budgetMemory}
 	calledHeap      = Quantity{Name: "heap, relay, a message to each", Unit: "bytes"}
+	calledRefused   = Quantity{Name: "a message to each: refused at first", Unit: "share"}
 	startCPU        = Quantity{Name: "first step", Unit: "ms CPU"}
 	waitingShare    = Quantity{Name: "one message held, no arrivals", Unit: "share of a core", Budget: budgetCPUShare}
 	loadShare       = Quantity{Name: "relay steps at 564 events/s", Unit: "share of a core"}
