--- a/cmd/slatelab/capacity_slopes.go
+++ b/cmd/slatelab/capacity_slopes.go
@@ -147,6 +147,7 @@
 	}
 	c.Flags().IntSliceVar(&plan.Relays, "relays", []int{50, 100, 200, 400, 800}, "numbers of members")
 	c.Flags().IntSliceVar(&plan.FullStates, "full-states", []int{50, 100, 200, 400, 800, 1600, 3900}, "numbers of members whose full exchange is measured")
+	c.Flags().IntSliceVar(&plan.Fleets, "fleets", nil, "numbers of the program's whole fleet parts that are run on loopback sockets, too")
 	c.Flags().DurationVar(&plan.Idle, "idle", plan.Idle, "how long members are watched while nothing happens")
 	c.Flags().DurationVar(&plan.Start, "start", plan.Start, "time over which all members start")
 	c.Flags().DurationVar(&plan.Settle, "settle", plan.Settle, "rest before that")
--- a/internal/lab/capacity/slopes/destinations.go
+++ b/internal/lab/capacity/slopes/destinations.go
@@ -184,7 +184,7 @@
 	}
 	took := float64(result.took)
 	return recordAll(record, []measured{{loadShare, float64(sum(result.steps)) / took}, {loadProcess, float64(result.process) / took},
-		{loadMedian, milliseconds(quantile(result.verdicts, 0.5))}, {load99, milliseconds(quantile(result.verdicts, 0.99))},
+		{loadLongest, milliseconds(quantile(result.steps, 1))}, {loadMedian, milliseconds(quantile(result.verdicts, 0.5))}, {load99, milliseconds(quantile(result.verdicts, 0.99))},
 		{loadUnanswered, float64(result.unanswered) / float64(max(result.offered, 1))}})
 }
 
--- a/internal/lab/capacity/slopes/fit.go
+++ b/internal/lab/capacity/slopes/fit.go
@@ -78,7 +78,7 @@
 			best = fit
 		}
 	}
-	if math.Abs(best.Slope) < significance*best.SlopeError {
+	if math.Abs(best.Slope) <= significance*best.SlopeError {
 		best = fitConstant(points)
 	}
 	best.Exponent = exponent(points)
--- a/internal/lab/capacity/slopes/membership.go
+++ b/internal/lab/capacity/slopes/membership.go
@@ -21,6 +21,7 @@
 	Delay      time.Duration // of packets, one way
 	Loss       float64       // share of packets
 	FullStates []int         // numbers of members whose full exchange is measured
+	Fleets     []int         // numbers of the program's own fleet parts, on loopback sockets; none for no such measurement
 }
 
 // DefaultMembership is the plan of the command line, without its sizes.
@@ -73,6 +74,11 @@
 			return fmt.Errorf("slopes: a full state of %d relays makes no sense", n)
 		}
 	}
+	for _, n := range p.Fleets {
+		if n < seeds {
+			return fmt.Errorf("slopes: %d fleet parts are fewer than the %d that are joined", n, seeds)
+		}
+	}
 	if p.Loss < 0 || p.Loss > 0.9 || p.Delay < 0 || p.Idle <= 0 || p.Start < 0 || p.Settle < 0 || p.Patience <= 0 {
 		return errors.New("slopes: loss, delay or a time makes no sense")
 	}
@@ -87,6 +93,9 @@
 	if err := measureFullStates(ctx, plan.FullStates, to, progress); err != nil {
 		return err
 	}
+	if err := measureFleets(ctx, plan, to, progress); err != nil {
+		return err
+	}
 	for _, n := range plan.Relays {
 		run := &membershipRun{plan: plan, size: n, to: to, progress: progress}
 		if err := run.measure(ctx); err != nil {
--- a/internal/lab/capacity/slopes/relay.go
+++ b/internal/lab/capacity/slopes/relay.go
@@ -42,6 +42,7 @@
 	loadProcess     = Quantity{Name: "process at 564 events/s, load included", Unit: "share of a core"}
 	loadMedian      = Quantity{Name: "answer to a hand-in at 564/s, median", Unit: "ms"}
 	load99          = Quantity{Name: "answer to a hand-in at 564/s, 99 %", Unit: "ms"}
+	loadLongest     = Quantity{Name: "relay step at 564 events/s, longest", Unit: "ms CPU"}
 	loadUnanswered  = Quantity{Name: "hand-ins without an answer in 2 s", Unit: "share"}
 	saturatedEvents = Quantity{Name: "events for a core-second of relay steps", Unit: "events"}
 	saturatedModule = Quantity{Name: "events for a core-second of the module", Unit: "events"}
--- a/internal/lab/capacity/slopes/slopes_test.go
+++ b/internal/lab/capacity/slopes/slopes_test.go
@@ -63,7 +63,7 @@
 		t.Fatal(err)
 	}
 	checkFigures(t, r, Destinations, plan.Destinations, listBytes, listParse, listStep, changeBytes, changeParse, changeStep, bookHeap, flowsHeap, listedHeap,
-		listedAllHeap, calledHeap, startCPU, waitingShare, loadShare, loadProcess, loadMedian, load99, loadUnanswered, saturatedEvents, saturatedModule,
+		listedAllHeap, calledHeap, startCPU, waitingShare, loadShare, loadProcess, loadLongest, loadMedian, load99, loadUnanswered, saturatedEvents, saturatedModule,
 		saturatedAll)
 	checkFigures(t, r, Held, plan.Held, stepMedian, step99, stepLongest, journalBytes, journalEach, journalWrite, journalReplay, restartAll, restartElapsed,
 		heldHeap, holdingShare, holdingStep99, holdingLongest, holdingKept)
@@ -132,7 +132,7 @@
 
 // TestMembership measures a small fleet: all figures are there, and an exchange grows as the members.
 func TestMembership(t *testing.T) {
-	plan := MembershipPlan{Relays: []int{17, 18, 19, 20}, FullStates: []int{10, 20, 40, 80}, Start: 50 * time.Millisecond,
+	plan := MembershipPlan{Relays: []int{17, 18, 19, 20}, FullStates: []int{10, 20, 40, 80}, Fleets: []int{3, 4, 5, 6}, Start: 50 * time.Millisecond,
 		Idle: 100 * time.Millisecond, Patience: 300 * time.Millisecond,
 		Delay: time.Millisecond}
 	var lines, tables bytes.Buffer
@@ -144,6 +144,7 @@
 		idleBytes99, idleBytesMost, idlePacketPart, idlePackets, idlePackets99, idlePacketMost, idleCPU, joinBytes, joinAll, deathMedian, deathAll,
 		zoneMedian, zoneAll, zoneKnown, zoneFalse, zoneBytes)
 	checkFigures(t, r, Relays, plan.FullStates, fullStateBytes, fullStateEach, fullStateCPU, fullStateHeap, fullStatePeriod)
+	checkFigures(t, r, Relays, plan.Fleets, fleetIdle, fleetIdleCPU, fleetChange, fleetChangeMost)
 	if p := projection(t, r, Relays, fullStateBytes); p.Fit.Form != Linear || p.Fit.Slope < 50 || p.Fit.Slope > 200 {
 		t.Errorf("an exchange grows by %+v", p.Fit)
 	}
