--- a/internal/lab/capacity/slopes/process.go
+++ b/internal/lab/capacity/slopes/process.go
@@ -1,6 +1,7 @@
 package slopes
 
 import (
+	"context"
 	"runtime"
 	"slices"
 	"time"
@@ -44,6 +45,28 @@
 	return float64(m.HeapAlloc)
 }
 
+// settledHeap is the heap once it falls no more from one look to the next: timers of what was measured before hold some of it for
+// seconds.
+func settledHeap(ctx context.Context, pause time.Duration) (float64, error) {
+	const (
+		most      = 30   // looks
+		tolerance = 0.01 // of the heap
+		smallest  = 1e6  // bytes that a fall is told by at least
+	)
+	heap := heapBytes()
+	for range most {
+		if err := sleep(ctx, pause); err != nil {
+			return 0, err
+		}
+		before := heap
+		heap = heapBytes()
+		if before-heap < max(tolerance*before, smallest) {
+			break
+		}
+	}
+	return heap, nil
+}
+
 // quantile is the value under which the share q of a list lies. It sorts the list.
 func quantile[T ~int64 | ~float64](list []T, q float64) T {
 	if len(list) == 0 {
