capacity: lateness of timers and false deaths tell a starved laboratory

Cause: 400 members on two cores of a busy machine held each other dead, and the rest they cost read as 26 kB/s. Change: lateness, false deaths and health scores are recorded beside.

--- a/internal/lab/capacity/slopes/membership.go
+++ b/internal/lab/capacity/slopes/membership.go
@@ -46,6 +46,10 @@
 	idlePackets99  = Quantity{Name: "idle: packets, 99 %", Unit: "packets/s"}
 	idlePacketMost = Quantity{Name: "idle: packets, busiest", Unit: "packets/s"}
 	idleCPU        = Quantity{Name: "idle: processor, each member", Unit: "share of a core", Budget: budgetCPUShare}
+	idleFalse      = Quantity{Name: "idle: living ones held dead", Unit: "times"}
+	idleHealth     = Quantity{Name: "idle: memberlist's health score, mean (0 is well)", Unit: "score"}
+	idleLate       = Quantity{Name: "idle: lateness of this process's timers, 99 %", Unit: "ms"}
+	startLate      = Quantity{Name: "all start at once: lateness of this process's timers, 99 %", Unit: "ms"}
 	joinBytes      = Quantity{Name: "join: bytes of the one who joins", Unit: "bytes"}
 	joinAll        = Quantity{Name: "join: until all know", Unit: "s"}
 	deathMedian    = Quantity{Name: "death of one: until half know", Unit: "s"}
@@ -147,7 +151,7 @@
 // startAll starts all members at random times within a short span.
 func (run *membershipRun) startAll(ctx context.Context) error {
 	run.say(fmt.Sprintf("all start within %v", run.plan.Start))
-	begun, cpu := time.Now(), processTime()
+	begun, cpu, late := time.Now(), processTime(), watchLateness(ctx)
 	failed := make(chan error, run.size)
 	for n := range run.size {
 		run.belongs.Go(func() {
@@ -182,7 +186,7 @@
 	}
 	used := processTime() - cpu
 	return run.recordAll([]measured{{startAll, took.Seconds()}, {startKnown, known}, {startBytes, mean(bytes)}, {startBusiest, quantile(bytes, 1)},
-		{startPeak, peak}, {startTurned, float64(turned)}, {startCPUEach, milliseconds(used) / float64(run.size)}})
+		{startPeak, peak}, {startTurned, float64(turned)}, {startCPUEach, milliseconds(used) / float64(run.size)}, {startLate, milliseconds(late.end())}})
 }
 
 // untilAllKnown waits until each member knows all. It returns the share that is known, the time, and the most bytes that any member
@@ -235,11 +239,19 @@
 	}
 	heap := heapBytes() - heapBefore
 	run.say(fmt.Sprintf("idle for %v", run.plan.Idle))
-	before, cpu, begun := run.traffic(), processTime(), time.Now()
-	if err := sleep(ctx, run.plan.Idle); err != nil {
+	run.group.watch.begin(left)
+	before, cpu, begun, late := run.traffic(), processTime(), time.Now(), watchLateness(ctx)
+	err := sleep(ctx, run.plan.Idle)
+	lateness := late.end()
+	if err != nil {
 		return err
 	}
 	used, took := processTime()-cpu, time.Since(begun).Seconds()
+	_, falseDeaths := run.group.watch.result()
+	health := 0.0
+	for _, m := range run.snapshot() {
+		health += float64(m.list.GetHealthScore()) / float64(run.size)
+	}
 	var bytes, packets, packetBytes []float64
 	for i, t := range run.traffic() {
 		d := t.Minus(before[i])
@@ -249,7 +261,8 @@
 	}
 	return run.recordAll([]measured{{heapEach, heap / float64(run.size)}, {idleBytes, mean(bytes)}, {idleBytes99, quantile(bytes, 0.99)},
 		{idleBytesMost, quantile(bytes, 1)}, {idlePacketPart, mean(packetBytes)}, {idlePackets, mean(packets)}, {idlePackets99, quantile(packets, 0.99)},
-		{idlePacketMost, quantile(packets, 1)}, {idleCPU, used.Seconds() / took / float64(run.size)}})
+		{idlePacketMost, quantile(packets, 1)}, {idleCPU, used.Seconds() / took / float64(run.size)},
+		{idleFalse, float64(falseDeaths)}, {idleHealth, health}, {idleLate, milliseconds(lateness)}})
 }
 
 // join has one more member join.
--- a/internal/lab/capacity/slopes/process.go
+++ b/internal/lab/capacity/slopes/process.go
@@ -79,3 +79,41 @@
 func microseconds(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// latenessEvery is how often the lateness of timers is looked at.
+const latenessEvery = 5 * time.Millisecond
+
+// lateness watches how late this process's timers fire. Members that share a process that is short of processor time miss each
+// other's answers, and what they cost then is the laboratory's doing: far under the half second that a probe waits, it is not.
+type lateness struct {
+	stop chan struct{}
+	done chan []time.Duration
+}
+
+// watchLateness watches until end is called or ctx ends.
+func watchLateness(ctx context.Context) *lateness {
+	l := &lateness{stop: make(chan struct{}), done: make(chan []time.Duration, 1)}
+	go func() {
+		var late []time.Duration
+		for {
+			due := time.Now().Add(latenessEvery)
+			select {
+			case <-ctx.Done():
+				l.done <- late
+				return
+			case <-l.stop:
+				l.done <- late
+				return
+			case <-time.After(latenessEvery):
+				late = append(late, time.Since(due))
+			}
+		}
+	}()
+	return l
+}
+
+// end ends the watch and returns what 99 % of the timers were late by at most.
+func (l *lateness) end() time.Duration {
+	close(l.stop)
+	return quantile(<-l.done, 0.99)
+}
--- a/internal/lab/capacity/slopes/slopes_test.go
+++ b/internal/lab/capacity/slopes/slopes_test.go
@@ -141,7 +141,7 @@
 		t.Fatal(err)
 	}
 	checkFigures(t, r, Relays, plan.Relays, startAll, startKnown, startBytes, startBusiest, startPeak, startTurned, startCPUEach, heapEach, idleBytes,
-		idleBytes99, idleBytesMost, idlePacketPart, idlePackets, idlePackets99, idlePacketMost, idleCPU, joinBytes, joinAll, deathMedian, deathAll,
+		idleBytes99, idleBytesMost, idlePacketPart, idlePackets, idlePackets99, idlePacketMost, idleCPU, idleFalse, idleHealth, idleLate, startLate, joinBytes, joinAll, deathMedian, deathAll,
 		zoneMedian, zoneAll, zoneKnown, zoneFalse, zoneBytes)
 	checkFigures(t, r, Relays, plan.FullStates, fullStateBytes, fullStateEach, fullStateCPU, fullStateHeap, fullStatePeriod)
 	if p := projection(t, r, Relays, fullStateBytes); p.Fit.Form != Linear || p.Fit.Slope < 50 || p.Fit.Slope > 200 {
