Slopes follow the standard names; memberlist is tuned in one place

Cause: the merge of the slopes met the renamed packages, and repeated memberlist's configuration with a test that compared the sources. Change: fleet.TuneMemberlist is used by the relay and by the laboratory, which replaces that test by construction; the compared constants have their new names and places.

--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -146,6 +146,19 @@
 	return list, nil
 }
 
+// TuneMemberlist sets what a fleet's relays change of memberlist's configuration for a local network: times, queues and protocol
+// versions. The laboratory's measurements of membership use it too.
+func TuneMemberlist(c *memberlist.Config) {
+	c.EnableCompression = false // packets hold names and counts of some tens of bytes
+	c.SuspicionMult = suspicionMultiplier
+	c.TCPTimeout = streamTimeout
+	c.DeadNodeReclaimTime = nameReclaimTime
+	c.HandoffQueueDepth = handoffQueue
+	c.DelegateProtocolVersion = wire.Version
+	c.DelegateProtocolMin = wire.Version
+	c.DelegateProtocolMax = wire.Version
+}
+
 // memberlistConfig is memberlist's configuration for a local network, with this relay's names, keys and delegates.
 func (f *Fleet) memberlistConfig(t *transport) *memberlist.Config {
 	c := memberlist.DefaultLANConfig()
@@ -159,14 +172,7 @@
 		c.AdvertiseAddr = a.Addr().String()
 		c.AdvertisePort = int(a.Port())
 	}
-	c.EnableCompression = false // packets hold names and counts of some tens of bytes
-	c.SuspicionMult = suspicionMultiplier
-	c.TCPTimeout = streamTimeout
-	c.DeadNodeReclaimTime = nameReclaimTime
-	c.HandoffQueueDepth = handoffQueue
-	c.DelegateProtocolVersion = wire.Version
-	c.DelegateProtocolMin = wire.Version
-	c.DelegateProtocolMax = wire.Version
+	TuneMemberlist(c)
 	c.Delegate = delegate{f}
 	c.Events = delegate{f}
 	c.Ping = delegate{f}
--- a/internal/lab/capacity/slopes/bounds.go
+++ b/internal/lab/capacity/slopes/bounds.go
@@ -16,13 +16,13 @@
 const (
 	discoveryListMost   = 4 << 20   // internal/pool maxList
 	membersGoneMost     = 2048      // internal/pool goneMost
-	dividedMost         = 16384     // internal/allowance mostDests
-	claimedMost         = 24        // internal/allowance mostClaimed
-	judgedMost          = 8192      // internal/verdicts mostKept
-	readingsMost        = 16384     // internal/fleet readMost
-	relaysGoneMost      = 4096      // internal/fleet goneMost
-	streamBytesMost     = 512 << 10 // internal/fleet streamMost
-	streamsAtOnceMost   = 8         // internal/fleet streamsMost
+	dividedMost         = 16384     // internal/allowance maxDestinations
+	claimedMost         = 24        // internal/allowance maxClaimed
+	judgedMost          = 8192      // internal/verdicts maxTracked
+	readingsMost        = 16384     // internal/fleet maxReadings
+	relaysGoneMost      = 4096      // internal/fleet maxListed
+	streamBytesMost     = 512 << 10 // internal/fleet maxStream
+	streamsAtOnceMost   = 8         // internal/fleet maxStreams
 	journalLiveShare    = 0.4       // internal/journal livePart
 	recalledLimits      = 1873      // internal/recall, in 3 MB; docs/sizes.md says 1,875
 	exampleOpen         = 200       // example/config.json max-open
@@ -55,15 +55,15 @@
 		{Name: "journal, 0.4 of disk_mb 3", Unit: "bytes", Allowed: exampleDisk * journalLiveShare, Needed: held * journalBytesEach, AtEdge: "refused with a time"},
 		{Name: "discovery list, maxList", Unit: "bytes", Allowed: discoveryListMost, Needed: destinations * entryBytes, AtEdge: "the known list stays in force"},
 		{Name: "limits remembered over a restart", Unit: "destinations", Allowed: recalledLimits, Needed: destinations, AtEdge: "the rest starts without a limit"},
-		{Name: "destinations whose limits are divided, mostDests", Unit: "destinations", Allowed: dividedMost, Needed: destinations, AtEdge: "sent to as by a relay alone"},
-		{Name: "destinations with a reading kept, readMost", Unit: "destinations", Allowed: readingsMost, Needed: destinations, AtEdge: "all readings are dropped"},
-		{Name: "destinations judged, mostKept", Unit: "destinations", Allowed: judgedMost, Needed: destinations, AtEdge: "the older half is dropped"},
-		{Name: "statements of one relay, MostOf", Unit: "statements", Allowed: verdicts.MostOf, Needed: down, AtEdge: "the least important give way"},
-		{Name: "statements of a packet, MostNews", Unit: "statements", Allowed: wire.MostNews, Needed: down, AtEdge: "further packets"},
+		{Name: "destinations whose limits are divided, maxDestinations", Unit: "destinations", Allowed: dividedMost, Needed: destinations, AtEdge: "sent to as by a relay alone"},
+		{Name: "destinations with a reading kept, maxReadings", Unit: "destinations", Allowed: readingsMost, Needed: destinations, AtEdge: "all readings are dropped"},
+		{Name: "destinations judged, maxTracked", Unit: "destinations", Allowed: judgedMost, Needed: destinations, AtEdge: "the older half is dropped"},
+		{Name: "statements of one relay, MaxPerOrigin", Unit: "statements", Allowed: verdicts.MaxPerOrigin, Needed: down, AtEdge: "the least important give way"},
+		{Name: "statements of a packet, MaxNews", Unit: "statements", Allowed: wire.MaxNews, Needed: down, AtEdge: "further packets"},
 		{Name: "destinations that one round of claims tells of", Unit: "destinations", Allowed: claimedMost * allowance.Shards, Needed: destinations, AtEdge: "the rest at a later claim"},
 		{Name: "members that have left and are remembered", Unit: "members", Allowed: membersGoneMost, Needed: down, AtEdge: "the oldest is forgotten"},
 		{Name: "connections to members, a quarter of sockets 1,024", Unit: "connections", Allowed: exampleSockets * memberSocketsShare, Needed: destinations, AtEdge: "idle ones give way"},
-		{Name: "relays that are gone and still listed, goneMost", Unit: "relays", Allowed: relaysGoneMost, Needed: planned[Relays], AtEdge: "the gone are forgotten"},
+		{Name: "relays that are gone and still listed, maxListed", Unit: "relays", Allowed: relaysGoneMost, Needed: planned[Relays], AtEdge: "the gone are forgotten"},
 	}
 	for i := range list {
 		list[i].Factor = list[i].Needed / list[i].Allowed
--- a/internal/lab/capacity/slopes/member.go
+++ b/internal/lab/capacity/slopes/member.go
@@ -15,7 +15,7 @@
 
 	"github.com/hashicorp/memberlist"
 
-	"wrenford/internal/fleet/wire"
+	"wrenford/internal/fleet"
 )
 
 const (
@@ -27,15 +27,10 @@
 	keyBytes = 32
 )
 
-// memberConfig is the configuration that internal/fleet gives memberlist (Fleet.create). A test compares it with the source.
+// memberConfig is the configuration that internal/fleet gives memberlist.
 func memberConfig() *memberlist.Config {
 	c := memberlist.DefaultLANConfig()
-	c.EnableCompression = false
-	c.SuspicionMult = 3
-	c.TCPTimeout = 2 * time.Second
-	c.DeadNodeReclaimTime = 5 * time.Second
-	c.HandoffQueueDepth = 512
-	c.DelegateProtocolVersion, c.DelegateProtocolMin, c.DelegateProtocolMax = wire.Version, wire.Version, wire.Version
+	fleet.TuneMemberlist(c)
 	c.Logger = log.New(io.Discard, "", 0)
 	return c
 }
@@ -48,7 +43,7 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), memberPort)
 }
 
-// The times of internal/fleet's part that keeps a relay a member (Fleet.belong).
+// The times of internal/fleet's part that keeps a relay a member .
 const (
 	// joinFirst to joinMost is the pause between two tries to find others.
 	joinFirst, joinMost = 250 * time.Millisecond, 8 * time.Second
--- a/internal/lab/capacity/slopes/program.go
+++ b/internal/lab/capacity/slopes/program.go
@@ -124,9 +124,21 @@
 	if err := os.Mkdir(state, keyMode|0o100); err != nil {
 		return err
 	}
-	part, err := fleet.New(fleet.Config{Name: fleetLabel, Self: relayName(number), Bind: bind, Join: run.bind[:min(len(run.bind), seeds)],
-		KeyFile: run.keyFile(), State: state, Seed: uint64(number), Agree: fleetAgree, Exchange: fleetExchange, Bytes: fleetBytes,
-		Divide: true, Relays: run.size}, deafRelay{})
+	config := fleet.Config{
+		Name:             fleetLabel,
+		Self:             relayName(number),
+		Bind:             bind,
+		Join:             run.bind[:min(len(run.bind), seeds)],
+		KeyFile:          run.keyFile(),
+		StateDir:         state,
+		Seed:             uint64(number),
+		Quorum:           fleetAgree,
+		ExchangeInterval: fleetExchange,
+		BytesPerSecond:   fleetBytes,
+		DivideLimits:     true,
+		Relays:           run.size,
+	}
+	part, err := fleet.New(config, deafRelay{})
 	if err != nil {
 		return err
 	}
