Add slatelab capacity: fleets of hollow relays in virtual time

Cause: the capacity plan (3,900 relays, a change each 6.2 s) needs measured figures before and after a new mechanism.

--- a/cmd/slatelab/main.go
+++ b/cmd/slatelab/main.go
@@ -33,7 +33,7 @@
 and reports what came of every message. Everything that it starts it also ends.`,
 		SilenceErrors: true, SilenceUsage: true,
 	}
-	root.AddCommand(toyCommand(), putCommand(), overloadCommand(), burnCommand(), idleCommand(), caCommand(), tlsCommand(), connectionsCommand(), fleetCommand(), faultsCommand(), scaleCommand(), limitsCommand())
+	root.AddCommand(toyCommand(), putCommand(), overloadCommand(), burnCommand(), idleCommand(), caCommand(), tlsCommand(), connectionsCommand(), fleetCommand(), faultsCommand(), scaleCommand(), limitsCommand(), capacityCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/lab/capacity/result.go
@@ -0,0 +1,75 @@
+package capacity
+
+import "time"
+
+// Result is what one run came to.
+type Result struct {
+	Scenario string `json:"scenario"`
+	Carrier  string `json:"carrier"`
+	Relays   int    `json:"relays"`
+	Seed     uint64 `json:"seed"`
+	Reach    Reach  `json:"reach"`
+	// Bound is the time within which the program says that all know a change; 0 where it says nothing.
+	Bound   float64 `json:"bound_s,omitempty"`
+	Traffic Traffic `json:"traffic"`
+	// Leases are the lengths that relays divide limits by.
+	Leases *Leases `json:"leases,omitempty"`
+	Counts Counts  `json:"counts"`
+	Events uint64  `json:"events"`
+	Cost   Cost    `json:"cost"`
+}
+
+// Leases are the lengths by which relays of a fleet of a size divide limits.
+type Leases struct {
+	Every float64 `json:"every_s"`
+	Lease float64 `json:"lease_s"`
+	Loan  float64 `json:"loan_s"`
+}
+
+// Cost is what a run took of the machine. It differs from run to run.
+type Cost struct {
+	// Processor is the share of a core that the carrier's code took for a relay, in virtual time.
+	Processor Distribution `json:"processor_share"`
+	// HeapPerRelay is what a relay's process holds in the end, in bytes.
+	HeapPerRelay float64 `json:"heap_bytes_per_relay"`
+	// PeakHeap is the highest of the whole process while this run went on, and of others beside it.
+	PeakHeap uint64  `json:"peak_heap_bytes"`
+	Wall     float64 `json:"wall_s"`
+	// ThreadProcessor is the processor time of the run's thread, and Code the share of it that went to the carrier's code;
+	// the rest is the event loop.
+	ThreadProcessor float64 `json:"thread_processor_s"`
+	Code            float64 `json:"code_share"`
+}
+
+// result sums up a run that is over.
+func (f *fleet) result(carrier string, seed uint64) *Result {
+	r := &Result{Scenario: f.scenario.Name, Carrier: carrier, Relays: len(f.relays), Seed: seed, Bound: f.carrier.Bound().Seconds(), Events: f.events}
+	r.Reach = f.arrivals.reach(f.live)
+	r.Traffic = f.meter.traffic(f.live)
+	for _, x := range f.relays {
+		if x.node != nil {
+			x.node.Counts(&r.Counts)
+		}
+	}
+	if c, ok := f.carrier.(*limitsCarrier); ok {
+		t := c.Terms()
+		r.Leases = &Leases{Every: t.Every.Seconds(), Lease: t.Lease.Seconds(), Loan: t.Loan.Seconds()}
+	}
+	return r
+}
+
+// processor is the share of a core that relays took during the measured time. The wall time that was measured round each call of
+// the carrier's code is taken at the rate at which the run's thread had a processor: a machine that is shared doesn't count as code.
+func (f *fleet) processor(wall, thread time.Duration) Distribution {
+	had := 1.0
+	if wall > 0 {
+		had = min(float64(thread)/float64(wall), 1)
+	}
+	var list []float64
+	for i, r := range f.relays {
+		if f.live(i) {
+			list = append(list, had*float64(r.used)/float64(f.scenario.Length))
+		}
+	}
+	return distributionOf(list)
+}
--- /dev/null
+++ b/internal/lab/capacity/topology.go
@@ -0,0 +1,129 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"wrenford/internal/lab/capacity/capacityv1"
+)
+
+// The topology that a scenario gets for what it leaves out: the operators' plan.
+const (
+	defaultRegions       = 7
+	defaultZones         = 17
+	defaultLoss          = 0.01
+	defaultInZoneMin     = 200 * time.Microsecond
+	defaultInZoneMax     = time.Millisecond
+	defaultInRegionMin   = 500 * time.Microsecond
+	defaultInRegionMax   = 2 * time.Millisecond
+	defaultBetweenMin    = 20 * time.Millisecond
+	defaultBetweenMax    = 120 * time.Millisecond
+	betweenRegionsJitter = 0.1 // of the range between regions, added to a pair's own delay
+)
+
+// DelayRange is a one-way delay, evenly drawn.
+type DelayRange struct{ Min, Max time.Duration }
+
+func (r DelayRange) draw(rng *rand.Rand) time.Duration {
+	return r.Min + time.Duration(rng.Float64()*float64(r.Max-r.Min))
+}
+
+// Topology says where relays stand and what the links between them do.
+type Topology struct {
+	Regions, Zones                   int
+	InZone, InRegion, BetweenRegions DelayRange
+	Loss                             float64
+}
+
+// DefaultTopology is the operators' plan.
+func DefaultTopology() Topology {
+	return Topology{Regions: defaultRegions, Zones: defaultZones, Loss: defaultLoss,
+		InZone:         DelayRange{defaultInZoneMin, defaultInZoneMax},
+		InRegion:       DelayRange{defaultInRegionMin, defaultInRegionMax},
+		BetweenRegions: DelayRange{defaultBetweenMin, defaultBetweenMax}}
+}
+
+// topologyOf fills what a scenario leaves out.
+func topologyOf(m *capacityv1.Topology) Topology {
+	t := DefaultTopology()
+	if m == nil {
+		return t
+	}
+	if m.Regions != nil {
+		t.Regions = int(*m.Regions)
+	}
+	if m.Zones != nil {
+		t.Zones = int(*m.Zones)
+	}
+	if m.Loss != nil {
+		t.Loss = *m.Loss
+	}
+	for from, to := range map[*capacityv1.DelayRange]*DelayRange{m.InZone: &t.InZone, m.InRegion: &t.InRegion, m.BetweenRegions: &t.BetweenRegions} {
+		if from != nil {
+			*to = DelayRange{millis(from.MinMs), millis(from.MaxMs)}
+		}
+	}
+	return t
+}
+
+// Zone is that of a relay: they are dealt evenly.
+func (t Topology) Zone(relay int) int { return relay % t.Zones }
+
+// Region is that of a relay.
+func (t Topology) Region(relay int) int { return t.Zone(relay) % t.Regions }
+
+// MaxDelay is the longest one-way delay of any link.
+func (t Topology) MaxDelay() time.Duration {
+	if t.Regions > 1 {
+		return t.BetweenRegions.Max
+	}
+	return max(t.InZone.Max, t.InRegion.Max)
+}
+
+func relayName(relay int) string { return fmt.Sprintf("relay-%04d", relay) }
+func zoneName(zone int) string   { return fmt.Sprintf("zone-%02d", zone) }
+func regionName(r int) string    { return fmt.Sprintf("region-%d", r) }
+
+// links draws what becomes of packets.
+type links struct {
+	topology Topology
+	rng      *rand.Rand
+	between  [][]time.Duration // the least delay of each pair of regions
+}
+
+func newLinks(t Topology, rng *rand.Rand) *links {
+	l := &links{topology: t, rng: rng, between: make([][]time.Duration, t.Regions)}
+	for a := range l.between {
+		l.between[a] = make([]time.Duration, t.Regions)
+	}
+	fixed := DelayRange{t.BetweenRegions.Min, t.BetweenRegions.Max - l.jitter()}
+	for a := range t.Regions {
+		for b := range a {
+			delay := fixed.draw(rng)
+			l.between[a][b], l.between[b][a] = delay, delay
+		}
+	}
+	return l
+}
+
+func (l *links) jitter() time.Duration {
+	r := l.topology.BetweenRegions
+	return time.Duration(betweenRegionsJitter * float64(r.Max-r.Min))
+}
+
+// pass draws whether a packet arrives, and after how long.
+func (l *links) pass(from, to int) (delay time.Duration, arrives bool) {
+	t := l.topology
+	lost := l.rng.Float64() < t.Loss
+	fromRegion, toRegion := t.Region(from), t.Region(to)
+	switch {
+	case t.Zone(from) == t.Zone(to):
+		delay = t.InZone.draw(l.rng)
+	case fromRegion == toRegion:
+		delay = t.InRegion.draw(l.rng)
+	default:
+		delay = l.between[fromRegion][toRegion] + time.Duration(l.rng.Float64()*float64(l.jitter()))
+	}
+	return delay, !lost
+}
