--- a/cmd/slatelab/capacity.go
+++ b/cmd/slatelab/capacity.go
@@ -29,6 +29,7 @@
 	workers      int
 	jsonFile     string
 	format       string
+	length       time.Duration
 	changes      int
 	destinations int
 }
@@ -63,6 +64,7 @@
 	flags.IntVar(&o.workers, "workers", 3, "runs side by side; each takes one core and some of another")
 	flags.StringVar(&o.jsonFile, "json", "", "file to which the results are also written, as lines of JSON")
 	flags.StringVar(&o.format, "format", formatTable, "of standard output: table or json")
+	flags.DurationVar(&o.length, "length", 0, "measured virtual time, instead of the scenario's")
 	flags.IntVar(&o.changes, "changes", 0, "number of changes, instead of the scenario's")
 	flags.IntVar(&o.destinations, "destinations", 0, "number of destinations, instead of the scenario's")
 	return c
@@ -97,7 +99,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if s, err = s.Override(o.changes, o.destinations); err != nil {
+		if s, err = s.Override(o.length, o.changes, o.destinations); err != nil {
 			return nil, err
 		}
 		scenarios = append(scenarios, s)
--- a/internal/lab/capacity/report.go
+++ b/internal/lab/capacity/report.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 )
 
@@ -20,8 +22,8 @@
 const ordinaryScenario = "ordinary"
 
 // tableHeader names the columns. Times are in seconds, bytes a second of one relay.
-const tableHeader = "carrier\tscenario\trelays\tchanges\tincomplete\tmissing\tto half p50/p99\tto 99 % p50/p99\tto all p50/p99/max\tbound\t" +
-	"sent B/s mean/p99/busiest\treceived mean/busiest\tpackets/s mean/busiest\tpeak 1 s\tpeak 10 s\tpeak 10 s of ordinary's\tover budget\t" +
+const tableHeader = "carrier\tscenario\trelays\tchanges\tincomplete\tmissing\tto half p50/p99/max\tto 99 % p50/p99/max\tto all p50/p99/max\tbound\t" +
+	"sent B/s mean/p99/busiest\treceived mean/busiest\tpackets/s mean/busiest\tpeak B/s 1 s/10 s\tof ordinary's\tover budget\t" +
 	"processor % mean/busiest\theap KB\twall s"
 
 // WriteTable writes results, and the fits over their sizes, for a person.
@@ -41,21 +43,34 @@
 }
 
 func row(r, ordinary *Result) string {
-	times := r.Reach
-	ratio := "-"
-	if ordinary != nil && ordinary != r {
-		ratio = fmt.Sprintf("%.2f", r.Traffic.Peak10s.Busiest/ordinary.Traffic.Peak10s.Busiest)
-	}
 	bound := "-"
 	if r.Bound > 0 {
 		bound = fmt.Sprintf("%.2f", r.Bound)
 	}
-	x := r.Traffic
-	return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%.4f\t%.2f/%.2f\t%.2f/%.2f\t%.2f/%.2f/%.2f\t%s\t%.0f/%.0f/%.0f\t%.0f/%.0f\t%.2f/%.2f\t%.0f\t%.0f\t%s\t%d\t%.3f/%.3f\t%.0f\t%.1f",
-		r.Carrier, r.Scenario, r.Relays, times.Changes, times.Incomplete, times.Missing, times.ToHalf.P50, times.ToHalf.P99, times.To99.P50, times.To99.P99,
-		times.ToAll.P50, times.ToAll.P99, times.ToAll.Max, bound, x.Sent.Mean, x.Sent.P99, x.Sent.Busiest, x.Received.Mean, x.Received.Busiest,
-		x.Packets.Mean, x.Packets.Busiest, x.Peak1s.Busiest, x.Peak10s.Busiest, ratio, r.Counts.OverBudget,
-		100*r.Cost.Processor.Mean, 100*r.Cost.Processor.Busiest, r.Cost.HeapPerRelay/1024, r.Cost.Wall)
+	x, reach := r.Traffic, r.Reach
+	cells := []string{r.Carrier, r.Scenario, strconv.Itoa(r.Relays), strconv.Itoa(reach.Changes), strconv.Itoa(reach.Incomplete), fmt.Sprintf("%.4f", reach.Missing),
+		reach.ToHalf.cell(), reach.To99.cell(), reach.ToAll.cell(), bound,
+		fmt.Sprintf("%.0f/%.0f/%.0f", x.Sent.Mean, x.Sent.P99, x.Sent.Busiest), fmt.Sprintf("%.0f/%.0f", x.Received.Mean, x.Received.Busiest),
+		fmt.Sprintf("%.2f/%.2f", x.Packets.Mean, x.Packets.Busiest), fmt.Sprintf("%.0f/%.0f", x.Peak1s.Busiest, x.Peak10s.Busiest), peakRatio(r, ordinary),
+		strconv.FormatInt(r.Counts.OverBudget, 10), fmt.Sprintf("%.3f/%.3f", 100*r.Cost.Processor.Mean, 100*r.Cost.Processor.Busiest),
+		fmt.Sprintf("%.0f", r.Cost.HeapPerRelay/1024), fmt.Sprintf("%.1f", r.Cost.Wall)}
+	return strings.Join(cells, "\t")
+}
+
+// cell shows times that there are.
+func (t Times) cell() string {
+	if t == (Times{}) {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f/%.2f/%.2f", t.P50, t.P99, t.Max)
+}
+
+// peakRatio compares the peaks of the busiest relay with those of the ordinary run.
+func peakRatio(r, ordinary *Result) string {
+	if ordinary == nil || ordinary == r {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f/%.2f", r.Traffic.Peak1s.Busiest/ordinary.Traffic.Peak1s.Busiest, r.Traffic.Peak10s.Busiest/ordinary.Traffic.Peak10s.Busiest)
 }
 
 // ordinaryOf is the ordinary run of a result's carrier and size, if there was one.
--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -1,10 +1,12 @@
 package capacity
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,6 +98,8 @@
 			}
 		})
 	}
+	jobs = slices.Clone(jobs)
+	slices.SortStableFunc(jobs, func(a, b Job) int { return cmp.Compare(b.Relays, a.Relays) })
 	for _, job := range jobs {
 		select {
 		case next <- job:
--- a/internal/lab/capacity/scenario.go
+++ b/internal/lab/capacity/scenario.go
@@ -321,12 +321,16 @@
 
 func millis(ms float64) time.Duration { return seconds(ms / 1000) }
 
-// Override returns the scenario with other numbers of changes and of destinations; 0 leaves them. More changes come in the same time.
-func (s *Scenario) Override(changes, destinations int) (*Scenario, error) {
+// Override returns the scenario with another length, and other numbers of changes and of destinations; 0 leaves them. More changes come
+// in the same time.
+func (s *Scenario) Override(length time.Duration, changes, destinations int) (*Scenario, error) {
 	m, ok := proto.Clone(s.CapacityScenario).(*capacityv1.CapacityScenario)
 	if !ok {
 		return nil, errors.New("scenario: it cannot be copied")
 	}
+	if length != 0 {
+		m.LengthS = length.Seconds()
+	}
 	if changes != 0 && m.Changes != nil {
 		if span := m.Changes.EveryS * float64(m.Changes.Count); changes > 0 {
 			m.Changes.EveryS = span / float64(changes)
