--- a/cmd/slatelab/capacity.go
+++ b/cmd/slatelab/capacity.go
@@ -32,6 +32,8 @@
 	length       time.Duration
 	changes      int
 	destinations int
+	real         int
+	binary       string
 }
 
 // capacityCommand plays fleets of thousands of hollow relays.
@@ -50,6 +52,7 @@
 
 Links are modelled: regions, zones, delays and loss are the scenario's. Who is a member is told to relays by the scenario;
 memberlist, by which real relays find it out, is not played, and neither its bytes nor its processor time are in the figures.
+With --real, as many real relays run on loopback addresses instead, idle and with changes, and the simulator is compared with them.
 Scenarios are built in (` + strings.Join(capacity.BuiltIn(), ", ") + `)
 or files in protobuf text format (proto/slatemux/lab/v1/capacity.proto, example/capacity). Progress goes to standard error.`,
 		Example: "  slatelab capacity --relays 100,300,1000,3900 --scenario ordinary,burst --carrier spread,configsync",
@@ -67,6 +70,8 @@
 	flags.DurationVar(&o.length, "length", 0, "measured virtual time, instead of the scenario's")
 	flags.IntVar(&o.changes, "changes", 0, "number of changes, instead of the scenario's")
 	flags.IntVar(&o.destinations, "destinations", 0, "number of destinations, instead of the scenario's")
+	flags.IntVar(&o.real, "real", 0, "start so many real relays instead, and compare the simulator with them")
+	flags.StringVar(&o.binary, "binary", "bin/slatemux", "the relay that --real starts")
 	return c
 }
 
@@ -77,6 +82,9 @@
 	if o.workers < 1 || o.workers > mostWorkers {
 		return fmt.Errorf("--workers: %d is not within 1 to %d", o.workers, mostWorkers)
 	}
+	if o.real != 0 {
+		return o.compareWithReal(cmd)
+	}
 	scenarios, err := o.load()
 	if err != nil {
 		return err
--- a/internal/lab/capacity/configsync.go
+++ b/internal/lab/capacity/configsync.go
@@ -6,17 +6,11 @@
 
 	"wrenford/internal/configsync"
 	"wrenford/internal/fleet/wire"
+	"wrenford/internal/spread"
 )
 
-// Parts of what a message of internal/configsync takes on the network, as long as the program's own encoding does not know it.
-const (
-	packetHeaderBytes    = 40 // version, sender's name, incarnation, uptime and count
-	fieldBytes           = 2  // tag and length of a field
-	numberBytes          = 6  // a number with its tag
-	changeOverheadBytes  = 4*fieldBytes + 3*numberBytes
-	versionOverheadBytes = fieldBytes + fieldBytes + numberBytes
-	deltaOverheadBytes   = fieldBytes + fieldBytes + 2*numberBytes
-)
+// configsyncPacketBytes is the program's largest packet of configuration.
+const configsyncPacketBytes = 1200 + wire.Sealing
 
 // maxConfigurationEntries is how many entries a hollow relay's store holds.
 const maxConfigurationEntries = 1 << 20
@@ -48,7 +42,7 @@
 
 // Start begins a process. It keeps the store of the one before.
 func (c *configsyncCarrier) Start(relay int, incarnation uint64, predecessor Node) (Node, error) {
-	n := &configsyncNode{carrier: c, relay: relay}
+	n := &configsyncNode{carrier: c, relay: relay, incarnation: incarnation}
 	if before, ok := predecessor.(*configsyncNode); ok {
 		n.store = before.store
 		before.Counts(&n.counted)
@@ -57,42 +51,14 @@
 	}
 	config := configsync.Defaults()
 	config.Self = relayName(relay)
-	config.Size = configsyncSize
+	config.Size = wire.ConfigurationSize(config.Self)
+	config.PacketBytes = configsyncPacketBytes
 	config.Seed = c.environment.Seed ^ uint64(relay)<<20 ^ incarnation<<52
 	var err error
 	n.replica, err = configsync.NewReplica(config, 0, n.store)
 	return n, err
 }
 
-// configsyncSize estimates what a message takes on the network: the sealing of a packet and its headers as internal/fleet/wire
-// has them, the header of the program's packet, and the fields as protobuf encodes them.
-func configsyncSize(m *configsync.Message) int {
-	bytes := wire.Sealing + packetHeaderBytes
-	switch {
-	case m.Push != nil:
-		bytes += 3*numberBytes + 2*fieldBytes + len(m.Push.Scope.Low) + len(m.Push.Scope.High) + changesSize(m.Push.Changes)
-	case m.Ack != nil:
-		bytes += numberBytes
-	case m.Exchange != nil:
-		bytes += 3*numberBytes + fieldBytes
-		for source := range m.Exchange.Versions {
-			bytes += versionOverheadBytes + len(source)
-		}
-		for _, delta := range m.Exchange.Deltas {
-			bytes += deltaOverheadBytes + len(delta.Source) + changesSize(delta.Changes)
-		}
-	}
-	return bytes
-}
-
-func changesSize(changes []configsync.Change) (bytes int) {
-	for i := range changes {
-		c := &changes[i]
-		bytes += changeOverheadBytes + len(c.Source) + len(c.Key) + len(c.Value) + len(c.Signature)
-	}
-	return bytes
-}
-
 // configsyncNode is a process of a relay.
 type configsyncNode struct {
 	carrier *configsyncCarrier
@@ -100,12 +66,18 @@
 	store   *configsync.Store
 	replica *configsync.Replica
 	counted Counts
+
+	incarnation uint64
+	packets     uint64
 }
 
-func (n *configsyncNode) messages(list []configsync.Send) (messages []Message) {
+// messages are what the program would put into packets.
+func (n *configsyncNode) messages(now time.Duration, list []configsync.Send) (messages []Message) {
 	for i := range list {
+		n.packets++
 		m := &list[i].Message
-		messages = append(messages, Message{To: n.carrier.environment.relay(list[i].To), Bytes: configsyncSize(m), Body: m})
+		packet := &spread.Packet{From: relayName(n.relay), Incarnation: n.incarnation, Uptime: now, Count: n.packets, Configuration: m}
+		messages = append(messages, Message{To: n.carrier.environment.relay(list[i].To), Bytes: wire.Size(packet), Body: m})
 	}
 	return messages
 }
@@ -133,7 +105,7 @@
 		return nil, err
 	}
 	n.carrier.environment.Learned(n.relay, change)
-	return n.messages(list), nil
+	return n.messages(now, list), nil
 }
 
 // Seed has the store take a change that was made elsewhere, or here.
@@ -156,11 +128,13 @@
 			n.carrier.environment.Learned(n.relay, change)
 		}
 	}
-	return n.messages(list)
+	return n.messages(now, list)
 }
 
 // Tick does what is due.
-func (n *configsyncNode) Tick(now time.Duration) []Message { return n.messages(n.replica.Tick(now)) }
+func (n *configsyncNode) Tick(now time.Duration) []Message {
+	return n.messages(now, n.replica.Tick(now))
+}
 
 // Due is when the replica wants to be called.
 func (n *configsyncNode) Due() time.Duration { return n.replica.Due() }
--- a/internal/lab/fleets/fleets.go
+++ b/internal/lab/fleets/fleets.go
@@ -500,3 +500,9 @@
 	f.D.Close()
 	f.Net.Close()
 }
+
+// Get asks a relay's operators' address.
+func (f *Fleet) Get(relay int, path string, into any) error { return f.seats[relay].get(path, into) }
+
+// Ops is a relay's operators' address.
+func (f *Fleet) Ops(relay int) string { return f.seats[relay].ops }
