--- a/internal/lab/capacity/limits.go
+++ b/internal/lab/capacity/limits.go
@@ -17,10 +17,24 @@
 	readSpread = 0.01
 	// firstReaders is how many relays know the limits from the beginning.
 	firstReaders = 3
+	// warmUpLoans is how many loans the warm-up lasts at least, and measuredClaims how many rounds of claims are measured.
+	warmUpLoans, measuredClaims = 2, 3
 	// limitsLevel is the worth of all calls.
 	limitsLevel = 1
 )
 
+// forSize returns the scenario for a fleet of a size: limits take the longer to be divided, the more relays there are.
+func (s *Scenario) forSize(relays int) *Scenario {
+	if s.Limits == nil {
+		return s
+	}
+	terms := allowance.Usual(relays, spreadAgree)
+	sized := *s
+	sized.WarmUp = max(s.WarmUp, warmUpLoans*terms.Loan)
+	sized.Length = max(s.Length, measuredClaims*terms.Every)
+	return &sized
+}
+
 // limitsCarrier has relays divide limits as the program does today: each wants the same of all destinations.
 type limitsCarrier struct {
 	environment *Environment
--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -122,7 +122,7 @@
 	}
 	p.exclusive.RLock()
 	defer p.exclusive.RUnlock()
-	f, err := newFleet(ctx, job.Scenario, carrier, job.Relays, job.Seed)
+	f, err := newFleet(ctx, job.Scenario.forSize(job.Relays), carrier, job.Relays, job.Seed)
 	if err != nil {
 		return nil, err
 	}
