--- a/internal/fleet/configuration_test.go
+++ b/internal/fleet/configuration_test.go
@@ -67,11 +67,11 @@
 func configured(t *testing.T, dir string, controls ...control) func(*Config) {
 	return func(cfg *Config) {
 		if dir != "" {
-			cfg.State = dir
+			cfg.StateDir = dir
 		}
 		replication := configsync.Defaults()
 		replication.Exchange = 200 * time.Millisecond
-		cfg.Configuration = &ConfigurationConfig{TrustedKeyFile: writeTrusted(t, cfg.State, controls...), Region: "caucasus", Zone: "z-" + cfg.Self,
+		cfg.Configuration = &ConfigurationConfig{TrustedKeyFile: writeTrusted(t, cfg.StateDir, controls...), Region: "caucasus", Zone: "z-" + cfg.Self,
 			MaxEntries: 100, Replication: replication}
 	}
 }
