--- a/cmd/slatelab/capacity_real.go
+++ b/cmd/slatelab/capacity_real.go
@@ -40,7 +40,7 @@
 	}
 	defer os.RemoveAll(dir)
 	config := real.Config{Binary: o.binary, Relays: o.real, Changes: realChanges, Interval: realInterval, Idle: realIdle,
-		Delay: realDelay, Jitter: realJitter, Loss: realLoss, Seed: o.seed}
+		Delay: realDelay, Jitter: realJitter, Loss: realLoss, Seed: o.seed, Baseline: true}
 	result, err := real.Run(cmd.Context(), dir, config, func(line string) { fmt.Fprintln(cmd.ErrOrStderr(), line) })
 	if err != nil {
 		return err
--- a/internal/lab/capacity/arrivals.go
+++ b/internal/lab/capacity/arrivals.go
@@ -51,6 +51,7 @@
 
 // Reach tells how changes came to the relays.
 type Reach struct {
+	// Changes counts those that were to come to any relay.
 	Changes int `json:"changes"`
 	// Incomplete counts the changes that at least one live relay did not have in the end; Missing is the share of all pairs of
 	// a change and a live relay that were so.
@@ -64,7 +65,7 @@
 
 // reach sums up over the relays that live at the end.
 func (a *arrivals) reach(live func(relay int) bool) Reach {
-	r := Reach{Changes: len(a.changes)}
+	r := Reach{}
 	var toHalf, to99, toAll []time.Duration
 	pairs, missing := 0, 0
 	for _, c := range a.changes {
@@ -82,6 +83,7 @@
 		if wanted == 0 {
 			continue
 		}
+		r.Changes++
 		slices.Sort(came)
 		pairs += wanted
 		missing += wanted - len(came)
--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/ed25519"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,7 +16,10 @@
 	"time"
 
 	files "wrenford/example/capacity"
+	"wrenford/internal/configsync"
+	"wrenford/internal/fleet/wire"
 	"wrenford/internal/lab/capacity/capacityv1"
+	"wrenford/internal/spread"
 )
 
 // What the operators' plan allows each relay.
@@ -101,7 +105,7 @@
 // TestConfigsyncKeepsThePlan plays every fault: all changes come to all live relays in time and in few bytes.
 func TestConfigsyncKeepsThePlan(t *testing.T) {
 	var jobs []Job
-	for _, name := range []string{"ordinary", "burst", "restarts", "zone-loss", "mass-restart"} {
+	for _, name := range []string{"ordinary", "burst", "restarts", "zone-loss", "mass-restart", "standing"} {
 		jobs = append(jobs, Job{Scenario: scenarioNamed(t, name), Carrier: "configsync", Relays: testRelays, Seed: testSeed})
 	}
 	for _, r := range play(t, jobs...) {
@@ -390,3 +394,58 @@
 		t.Error(got)
 	}
 }
+
+// BenchmarkVerification measures what a relay takes to verify one change, which the simulator leaves out.
+func BenchmarkVerification(b *testing.B) {
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	change := configsync.Change{Source: "control-0", Sequence: 1, Revision: 1, Key: "endpoint/s-5be2a07c", Value: make([]byte, defaultValueBytes)}
+	configsync.Sign(&change, private)
+	keyring := configsync.NewKeyring(map[string]ed25519.PublicKey{change.Source: public})
+	for b.Loop() {
+		if err := keyring.Verify(&change); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkPacket measures encoding and decoding of a packet with one change, of which the simulator counts about the encoding.
+func BenchmarkPacket(b *testing.B) {
+	change := configsync.Change{Source: "control-0", Sequence: 1, Revision: 1, Key: "endpoint/s-5be2a07c", Value: make([]byte, defaultValueBytes),
+		Signature: make([]byte, signatureBytes)}
+	push := &configsync.Push{Number: 1, Changes: []configsync.Change{change}}
+	packet := &spread.Packet{From: relayName(1), Incarnation: 1, Uptime: time.Hour, Count: 1, Configuration: &configsync.Message{Push: push}}
+	for b.Loop() {
+		raw, err := wire.Append(nil, packet)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := wire.Decode(raw); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkMembers measures what a relay of the planned fleet takes to hear of one change of members.
+func BenchmarkMembers(b *testing.B) {
+	const planned = 3900
+	view := newView(DefaultTopology(), planned, func(int) bool { return true })
+	scenario := &Scenario{Topology: DefaultTopology(), CapacityScenario: &capacityv1.CapacityScenario{Limits: &capacityv1.DividedLimits{Destinations: 1, StepMs: 100}}}
+	for _, c := range carriers[:3] {
+		b.Run(c.name, func(b *testing.B) {
+			carrier, err := c.make(&Environment{Scenario: scenario, Relays: planned})
+			if err != nil {
+				b.Fatal(err)
+			}
+			node, err := carrier.Start(0, 1, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				node.Members(0, view)
+			}
+		})
+	}
+}
--- a/internal/lab/capacity/faults.go
+++ b/internal/lab/capacity/faults.go
@@ -24,6 +24,7 @@
 
 func (f *fleet) planChanges() {
 	c := f.scenario.Changes
+	f.at(0, func() { f.seed(int(c.Standing), f.start, func(int, *relay) bool { return true }) })
 	for i := range int(c.Count) {
 		f.at(seconds(c.AtS+c.EveryS*float64(i)), f.publish)
 	}
@@ -93,9 +94,12 @@
 
 func (f *fleet) planReunion() {
 	c := f.scenario.Reunion
-	f.at(0, f.seed)
+	together := seconds(c.AtS)
+	f.at(0, func() {
+		f.seed(int(c.Changes), f.start+world.Time(together), func(i int, publisher *relay) bool { return f.side(i) == f.side(publisher.index) })
+	})
 	all := newView(f.scenario.Topology, len(f.relays), func(int) bool { return true })
-	f.at(seconds(c.AtS), func() {
+	f.at(together, func() {
 		f.apart = false
 		for _, r := range f.relays {
 			f.hear(r, all)
@@ -103,20 +107,17 @@
 	})
 }
 
-// seed puts the changes of the time apart into the stores of the side on which they were made. They count as published, to the other
-// side, when the links are back.
-func (f *fleet) seed() {
-	c := f.scenario.Reunion
-	together := f.start + world.Time(seconds(c.AtS))
-	for range int(c.Changes) {
+// seed puts changes of the time before into the stores of those relays that had them. They count as published, to the others, at a time.
+func (f *fleet) seed(count int, published world.Time, had func(relay int, publisher *relay) bool) {
+	for range count {
 		publisher := f.controlPoint()
 		if publisher == nil {
 			return
 		}
-		change := f.arrivals.add(together, len(f.relays))
+		change := f.arrivals.add(published, len(f.relays))
 		delays := f.arrivals.changes[change].delays
 		for i, r := range f.relays {
-			if f.side(i) != f.side(publisher.index) {
+			if !had(i, publisher) {
 				continue
 			}
 			delays[i] = exempt
--- a/internal/lab/capacity/real/real.go
+++ b/internal/lab/capacity/real/real.go
@@ -56,6 +56,8 @@
 	Delay, Jitter time.Duration
 	Loss          float64
 	Seed          uint64
+	// Baseline also measures a fleet whose relays have no part in it.
+	Baseline bool
 }
 
 // PerRelay is a figure over the relays.
@@ -89,12 +91,16 @@
 	private ed25519.PrivateKey
 }
 
-// Run measures fleets of real relays: one that replicates configuration, then one without its fleet's part.
+// Run measures fleets of real relays: one that replicates configuration, and the baseline where one is wanted. It ends with its
+// context, but for the start of the relays.
 func Run(ctx context.Context, dir string, config Config, note func(string)) (*Result, error) {
 	result := &Result{Relays: config.Relays}
 	if err := measure(ctx, filepath.Join(dir, "with"), config, note, true, result); err != nil {
 		return nil, err
 	}
+	if !config.Baseline {
+		return result, nil
+	}
 	if err := measure(ctx, filepath.Join(dir, "without"), config, note, false, result); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/lab/capacity/real/real_test.go
@@ -0,0 +1,57 @@
+package real
+
+import (
+	"bytes"
+	"math"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// testTolerance is by how much the simulator's idle bytes may be off in the few seconds of a test.
+	testTolerance = 0.35
+	// testInForce is what the operators' plan allows.
+	testInForce = 7.0
+)
+
+// TestSimulatorAgreesWithRealRelays runs a few relays on loopback, and the simulator at the same size.
+func TestSimulatorAgreesWithRealRelays(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "slatemux")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../../../cmd/slatemux").CombinedOutput(); err != nil {
+		t.Fatalf("%s", out)
+	}
+	config := Config{Binary: binary, Relays: 5, Changes: 2, Interval: time.Second, Idle: 8 * time.Second, Delay: 10 * time.Millisecond,
+		Jitter: 2 * time.Millisecond, Seed: 1}
+	result, err := Run(t.Context(), t.TempDir(), config, func(line string) { t.Log(line) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	model, err := Simulate(t.Context(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, pair := range map[string][2]float64{"statements": {result.Spread.Mean, model.IdleSpread.Traffic.Sent.Mean},
+		"configuration": {result.Configuration.Mean, model.IdleConfiguration.Traffic.Sent.Mean}} {
+		if !(math.Abs(pair[1]/pair[0]-1) <= testTolerance) {
+			t.Errorf("%s of an idle fleet: measured %.0f, simulated %.0f bytes a second", name, pair[0], pair[1])
+		}
+	}
+	for kind, times := range map[string][][]float64{"ban": result.Bans, "configuration entry": result.Entries} {
+		if len(times) != config.Changes {
+			t.Errorf("%d %s changes were made, not %d", len(times), kind, config.Changes)
+		}
+		for _, last := range reached(times, 1) {
+			if last > testInForce {
+				t.Errorf("a %s came to all after %.2f s", kind, last)
+			}
+		}
+	}
+	var table bytes.Buffer
+	if err := WriteTable(&table, result, model); err != nil || !strings.Contains(table.String(), "5 real relays") {
+		t.Errorf("%v\n%s", err, table.String())
+	}
+	t.Log(table.String())
+}
--- a/internal/lab/capacity/scenario.go
+++ b/internal/lab/capacity/scenario.go
@@ -257,6 +257,7 @@
 		c.within("changes.at_s", m.AtS, 0, s.LengthS)
 		c.within("changes.every_s", m.EveryS, 0, maxLength)
 		c.within("changes.control_points", float64(m.ControlPoints), 0, 1000)
+		c.within("changes.standing", float64(m.Standing), 0, maxChanges)
 		c.within("changes.value_bytes", float64(m.ValueBytes), 0, maxValueBytes)
 		if last := m.AtS + m.EveryS*float64(m.Count-1); m.Count > 0 && last > s.LengthS {
 			c.no("changes.count", "the last change comes at %.1f s, after the end", last)
