--- a/cmd/slatelab/capacity.go
+++ b/cmd/slatelab/capacity.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 	formatJSON  = "json"
 	// mostWorkers bounds the runs side by side.
 	mostWorkers = 64
+	// softMemoryLimit has the collector work harder before a run takes more than the 12 GB that it may.
+	softMemoryLimit = 11 << 30
 )
 
 // capacityOptions are the command's flags.
@@ -93,6 +96,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(softMemoryLimit)
 	results, err := o.play(cmd, jobs)
 	capacity.Sort(results)
 	if reportErr := o.report(cmd.OutOrStdout(), results); err == nil {
