--- a/internal/lab/capacity/fleet.go
+++ b/internal/lab/capacity/fleet.go
@@ -30,7 +30,7 @@
 	gone       bool // for good
 	nextTick   world.Time
 	view       *View
-	used       time.Duration // of the machine's time, in the carrier's code
+	used       time.Duration // processor time, in the carrier's code
 }
 
 // fleet is a run that is going on.
@@ -162,12 +162,12 @@
 	})
 }
 
-// call runs the carrier's code at a relay, times it, and sends what comes of it.
+// call runs the carrier's code at a relay, measures its processor time, and sends what comes of it.
 func (f *fleet) call(r *relay, do func(now time.Duration) []Message) {
-	before := time.Now()
+	before := threadProcessor()
 	messages := do((f.sim.Now() - r.began).Duration())
 	due := r.node.Due()
-	took := time.Since(before)
+	took := threadProcessor() - before
 	if f.sim.Now() >= f.start {
 		r.used += took
 	}
--- a/internal/lab/capacity/result.go
+++ b/internal/lab/capacity/result.go
@@ -1,7 +1,5 @@
 package capacity
 
-import "time"
-
 // Result is what one run came to.
 type Result struct {
 	Scenario string `json:"scenario"`
@@ -58,17 +56,13 @@
 	return r
 }
 
-// processor is the share of a core that relays took during the measured time. The wall time that was measured round each call of
-// the carrier's code is taken at the rate at which the run's thread had a processor: a machine that is shared doesn't count as code.
-func (f *fleet) processor(wall, thread time.Duration) Distribution {
-	had := 1.0
-	if wall > 0 {
-		had = min(float64(thread)/float64(wall), 1)
-	}
+// processor is the share of a core that relays took during the measured time: what the run's thread used in the calls of the
+// carrier's code. The collector's own threads are not in it, nor what a real relay takes for sockets, seals and timers.
+func (f *fleet) processor() Distribution {
 	var list []float64
 	for i, r := range f.relays {
 		if f.live(i) {
-			list = append(list, had*float64(r.used)/float64(f.scenario.Length))
+			list = append(list, float64(r.used)/float64(f.scenario.Length))
 		}
 	}
 	return distributionOf(list)
--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -142,7 +142,7 @@
 	}
 	thread, wall := threadProcessor()-cpuBegan, time.Since(began)
 	r := f.result(job.Carrier, job.Seed)
-	r.Cost = Cost{Processor: f.processor(wall, thread), Wall: wall.Seconds(), ThreadProcessor: thread.Seconds(), Code: float64(f.used) / float64(wall)}
+	r.Cost = Cost{Processor: f.processor(), Wall: wall.Seconds(), ThreadProcessor: thread.Seconds(), Code: float64(f.used) / float64(max(thread, 1))}
 	r.Cost.HeapPerRelay = p.heapOf(&f) / float64(job.Relays)
 	r.Cost.PeakHeap = peak.Load()
 	p.note(fmt.Sprintf("%v: over in %.1f s", job, time.Since(began).Seconds()))
