--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -244,7 +244,7 @@
 		carriers []string
 		sizes    []int
 		want     string
-	}{{[]string{"pigeon"}, []int{10}, "carrier: \"pigeon\""}, {[]string{"spread"}, []int{0}, "example/capacity/ordinary.textproto:3: relays: 0"},
+	}{{[]string{"pigeon"}, []int{10}, "carrier: \"pigeon\""}, {[]string{"spread"}, []int{0}, "relays: 0 relays are no fleet"},
 		{[]string{"spread"}, []int{9000}, "relays: 9000 relays take about"}, {[]string{"limits"}, []int{10}, "no scenario suits"}} {
 		if _, err := Jobs(ordinary, c.carriers, c.sizes, 1); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%v at %v: %v, not %q", c.carriers, c.sizes, err, c.want)
--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -37,6 +37,11 @@
 			return nil, err
 		}
 	}
+	for _, n := range sizes {
+		if err := CheckSize(n); err != nil {
+			return nil, fmt.Errorf("relays: %w", err)
+		}
+	}
 	for _, s := range scenarios {
 		own := sizes
 		if len(own) == 0 {
@@ -49,9 +54,6 @@
 				continue
 			}
 			for _, n := range own {
-				if err := s.CheckSize(n); err != nil {
-					return nil, err
-				}
 				jobs = append(jobs, Job{Scenario: s, Carrier: name, Relays: n, Seed: seed})
 			}
 		}
--- a/internal/lab/capacity/scenario.go
+++ b/internal/lab/capacity/scenario.go
@@ -155,11 +155,15 @@
 	}
 }
 
-// CheckSize refuses sizes that no run can have.
-func (s *Scenario) CheckSize(relays int) error {
-	c := &checker{scenario: s}
-	c.size("relays", relays)
-	return errors.Join(c.errs...)
+// CheckSize says what is wrong with a size of a fleet.
+func CheckSize(relays int) error {
+	if relays < 1 {
+		return fmt.Errorf("%d relays are no fleet", relays)
+	}
+	if need := EstimateMemory(relays); need > maxMemoryBytes {
+		return fmt.Errorf("%d relays take about %.1f GB, more than %d GB", relays, float64(need)/(1<<30), maxMemoryBytes>>30)
+	}
+	return nil
 }
 
 func (s *Scenario) workload() workload {
@@ -204,21 +208,15 @@
 	}
 }
 
-func (c *checker) size(field string, relays int) {
-	if relays < 1 {
-		c.no(field, "%d relays are no fleet", relays)
-	} else if need := EstimateMemory(relays); need > maxMemoryBytes {
-		c.no(field, "%d relays take about %.1f GB, more than %d GB", relays, float64(need)/(1<<30), maxMemoryBytes>>30)
-	}
-}
-
 func (c *checker) whole() {
 	s := c.scenario
 	if s.Name == "" {
 		c.no("name", "it is missing")
 	}
 	for _, n := range s.Relays {
-		c.size("relays", int(n))
+		if err := CheckSize(int(n)); err != nil {
+			c.no("relays", "%v", err)
+		}
 	}
 	if !(s.LengthS > 0) || s.LengthS > maxLength {
 		c.no("length_s", "%v is not above 0, up to %v", s.LengthS, maxLength)
