--- a/internal/lab/capacity/spread.go
+++ b/internal/lab/capacity/spread.go
@@ -51,6 +51,7 @@
 	c.tellers[relay] = n.teller
 	if before, ok := predecessor.(*spreadNode); ok {
 		n.bans = before.bans
+		n.stoodAt = -verdicts.Ban.Life() / 3 // they are said again at once
 		n.counted = before.counted
 		n.counted.OverBudget += before.spread.Counters().Short
 	}
