--- a/internal/lab/capacity/report.go
+++ b/internal/lab/capacity/report.go
@@ -24,7 +24,7 @@
 // tableHeader names the columns. Times are in seconds, bytes a second of one relay.
 const tableHeader = "carrier\tscenario\trelays\tchanges\tincomplete\tmissing\tto half p50/p99/max\tto 99 % p50/p99/max\tto all p50/p99/max\tbound\t" +
 	"sent B/s mean/p99/busiest\treceived mean/busiest\tpackets/s mean/busiest\tpeak B/s 1 s/10 s\tof ordinary's\tover budget\t" +
-	"processor % mean/busiest\theap KB\twall s"
+	"processor % mean/busiest\theap KB\tpeak heap MB\twall s"
 
 // WriteTable writes results, and the fits over their sizes, for a person.
 func WriteTable(w io.Writer, results []*Result) error {
@@ -53,7 +53,7 @@
 		fmt.Sprintf("%.0f/%.0f/%.0f", x.Sent.Mean, x.Sent.P99, x.Sent.Busiest), fmt.Sprintf("%.0f/%.0f", x.Received.Mean, x.Received.Busiest),
 		fmt.Sprintf("%.2f/%.2f", x.Packets.Mean, x.Packets.Busiest), fmt.Sprintf("%.0f/%.0f", x.Peak1s.Busiest, x.Peak10s.Busiest), peakRatio(r, ordinary),
 		strconv.FormatInt(r.Counts.OverBudget, 10), fmt.Sprintf("%.3f/%.3f", 100*r.Cost.Processor.Mean, 100*r.Cost.Processor.Busiest),
-		fmt.Sprintf("%.0f", r.Cost.HeapPerRelay/1024), fmt.Sprintf("%.1f", r.Cost.Wall)}
+		fmt.Sprintf("%.0f", r.Cost.HeapPerRelay/1024), strconv.FormatUint(r.Cost.PeakHeap>>20, 10), fmt.Sprintf("%.1f", r.Cost.Wall)}
 	return strings.Join(cells, "\t")
 }
 
