--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -435,7 +435,7 @@
 	scenario := &Scenario{Topology: DefaultTopology(), CapacityScenario: &capacityv1.CapacityScenario{Limits: &capacityv1.DividedLimits{Destinations: 1, StepMs: 100}}}
 	for _, c := range carriers[:3] {
 		b.Run(c.name, func(b *testing.B) {
-			carrier, err := c.make(&Environment{Scenario: scenario, Relays: planned})
+			carrier, err := c.create(&Environment{Scenario: scenario, Relays: planned})
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/lab/capacity/carrier.go
+++ b/internal/lab/capacity/carrier.go
@@ -95,7 +95,7 @@
 type carrierDefinition struct {
 	name     string
 	workload workload
-	make     func(*Environment) (Carrier, error)
+	create   func(*Environment) (Carrier, error)
 }
 
 var carriers = []carrierDefinition{
--- a/internal/lab/capacity/fleet.go
+++ b/internal/lab/capacity/fleet.go
@@ -65,7 +65,7 @@
 		f.relays = append(f.relays, &relay{index: i, down: true, nextTick: noEvent})
 	}
 	var err error
-	if f.carrier, err = c.make(environment); err != nil {
+	if f.carrier, err = c.create(environment); err != nil {
 		return nil, err
 	}
 	f.apart = s.Reunion != nil
--- a/internal/lab/capacity/real/real.go
+++ b/internal/lab/capacity/real/real.go
@@ -233,11 +233,11 @@
 }
 
 // changes makes one change after another, and returns when each relay was seen to have each.
-func (r *run) changes(ctx context.Context, make func(change int) error, has func(relay, change int) (bool, error)) (seen [][]float64, err error) {
+func (r *run) changes(ctx context.Context, publish func(change int) error, has func(relay, change int) (bool, error)) (seen [][]float64, err error) {
 	for change := range r.config.Changes {
 		began := time.Now()
 		waiting := r.await(ctx, began, change, has)
-		if err := make(change); err != nil {
+		if err := publish(change); err != nil {
 			return nil, fmt.Errorf("change %d: %w", change, err)
 		}
 		times, err := waiting()
