--- a/internal/fleet/configuration_driver.go
+++ b/internal/fleet/configuration_driver.go
@@ -78,7 +78,7 @@
 	f.configuration.outbox = nil
 	var packets []spread.Send
 	for i := range outbox {
-		packets = append(packets, f.spread.PostConfiguration(now, outbox[i].To, &outbox[i].Message)...)
+		packets = append(packets, f.spread.SendConfiguration(now, outbox[i].To, &outbox[i].Message)...)
 	}
 	f.send(packets)
 }
