--- a/internal/lab/capacity/carrier.go
+++ b/internal/lab/capacity/carrier.go
@@ -80,7 +80,7 @@
 	Scenario *Scenario
 	Relays   int
 	Seed     uint64
-	// Learned is told that a relay has a change, or a statement that is followed.
+	// Learned is called when a relay has a change, or a statement that is followed.
 	Learned func(relay, change int)
 	// Now is the time since the start of the simulation.
 	Now func() time.Duration
--- a/internal/lab/capacity/fleet.go
+++ b/internal/lab/capacity/fleet.go
@@ -111,7 +111,7 @@
 	})
 }
 
-// run plays until the end, or until its context ends. Progress is told how much of the virtual time is over; pause is called
+// run plays until the end, or until its context ends. Progress is reported as how much of the virtual time is over; pause is called
 // before each slice.
 func (f *fleet) run(pause func(), progress func(done, whole time.Duration)) error {
 	whole := f.scenario.WarmUp + f.scenario.Length
--- a/internal/lab/capacity/limits.go
+++ b/internal/lab/capacity/limits.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// readShare is the chance that an answer of one look's calls told the limit, at the tick of internal/lab/town.
-	readShare, townTick = 0.2, 10 * time.Millisecond
+	// readShare is the chance that the answers of a look at a relay tell the limit, where each relay is looked at every denseTick,
+	// as internal/lab/limits does.
+	readShare, denseTick = 0.2, 10 * time.Millisecond
 	// readSpread is by how much readings differ.
 	readSpread = 0.01
 	// firstReaders is how many relays know the limits from the beginning.
@@ -28,29 +29,29 @@
 	if s.Limits == nil {
 		return s
 	}
-	terms := allowance.Usual(relays, spreadAgree)
+	config := allowance.DefaultConfig(relays, spreadAgree)
 	sized := *s
-	sized.WarmUp = max(s.WarmUp, warmUpLoans*terms.Loan)
-	sized.Length = max(s.Length, measuredClaims*terms.Every)
+	sized.WarmUp = max(s.WarmUp, warmUpLoans*config.LoanDuration)
+	sized.Length = max(s.Length, measuredClaims*config.HeartbeatInterval)
 	return &sized
 }
 
 // limitsCarrier has relays divide limits as the program does today: each wants the same of all destinations.
 type limitsCarrier struct {
 	environment *Environment
-	terms       allowance.Terms
+	config      allowance.Config
 	step        time.Duration
 }
 
 func newLimitsCarrier(e *Environment) (Carrier, error) {
-	return &limitsCarrier{environment: e, terms: allowance.Usual(e.Relays, spreadAgree), step: millis(e.Scenario.Limits.StepMs)}, nil
+	return &limitsCarrier{environment: e, config: allowance.DefaultConfig(e.Relays, spreadAgree), step: millis(e.Scenario.Limits.StepMs)}, nil
 }
 
 // Bound is 0: nothing is to be known by all.
 func (c *limitsCarrier) Bound() time.Duration { return 0 }
 
-// Terms are those of a fleet of the run's size.
-func (c *limitsCarrier) Terms() allowance.Terms { return c.terms }
+// Config is that of a fleet of the run's size.
+func (c *limitsCarrier) Config() allowance.Config { return c.config }
 
 // Start begins a process.
 func (c *limitsCarrier) Start(relay int, incarnation uint64, _ Node) (Node, error) {
@@ -60,15 +61,15 @@
 	n.due = time.Duration(n.rng.Float64() * float64(c.step))
 	n.looked = n.due - c.step
 	var err error
-	n.desk, err = allowance.NewDesk(c.terms, relayName(relay), incarnation, c.environment.Seed^uint64(relay)<<20, 0, incarnation > 1)
+	n.allocator, err = allowance.NewAllocator(c.config, relayName(relay), incarnation, c.environment.Seed^uint64(relay)<<20, 0, incarnation > 1)
 	return n, err
 }
 
-// limitsNode is a process of a relay: a desk, and calls that want to be sent.
+// limitsNode is a process of a relay: an allocator, and calls that want to be sent.
 type limitsNode struct {
 	carrier      *limitsCarrier
 	relay        int
-	desk         *allowance.Desk
+	allocator    *allowance.Allocator
 	rng          *rand.Rand
 	limit        float64
 	destinations []wantedDestination
@@ -78,24 +79,24 @@
 
 // wantedDestination is one that calls wait for.
 type wantedDestination struct {
-	told    allowance.Allowed
-	toldAt  time.Duration
-	waiting float64
+	allocation  allowance.Allocation
+	allocatedAt time.Duration
+	waiting     float64
 }
 
 // Members takes over who lives. The first relays know the limits from the beginning.
 func (n *limitsNode) Members(now time.Duration, view *View) []Message {
-	n.desk.Members(now, view.Names)
+	n.allocator.SetMembers(now, view.Names)
 	if n.relay < firstReaders && now == 0 {
 		for d := range n.destinations {
-			n.desk.Read(now, d, n.limit)
+			n.allocator.ObserveLimit(now, d, n.limit)
 		}
 	}
 	return nil
 }
 
 func (n *limitsNode) messages(now time.Duration) (messages []Message) {
-	for _, p := range n.desk.Posts() {
+	for _, p := range n.allocator.TakeMessages() {
 		n.packets++
 		packet := &spread.Packet{From: relayName(n.relay), Incarnation: 1, Uptime: now, Count: n.packets, Claim: p.Claim, Grant: p.Grant}
 		messages = append(messages, Message{To: n.carrier.environment.relay(p.To), Bytes: wire.Size(packet), Body: p})
@@ -105,24 +106,24 @@
 
 // Receive takes a claim or a grant in.
 func (n *limitsNode) Receive(now time.Duration, from int, body any) []Message {
-	p := body.(allowance.Post)
+	p := body.(allowance.Message)
 	if p.Claim != nil {
-		n.desk.Claimed(now, relayName(from), *p.Claim)
+		n.allocator.ReceiveClaim(now, relayName(from), *p.Claim)
 	} else {
-		n.desk.Granted(now, relayName(from), *p.Grant)
+		n.allocator.ReceiveGrant(now, relayName(from), *p.Grant)
 	}
 	return n.messages(now)
 }
 
-// Tick lets calls arrive and go since the last look, and has the desk do what is due.
+// Tick lets calls arrive and go since the last look, and has the allocator do what is due.
 func (n *limitsNode) Tick(now time.Duration) []Message {
 	span := now - n.looked
 	for d := range n.destinations {
 		n.serve(now, span, d)
 	}
-	for _, a := range n.desk.Tick(now) {
+	for _, a := range n.allocator.Tick(now) {
 		x := &n.destinations[a.Destination]
-		x.told, x.toldAt = a, now
+		x.allocation, x.allocatedAt = a, now
 	}
 	n.looked, n.due = now, now+n.carrier.step
 	return n.messages(now)
@@ -134,27 +135,27 @@
 	wanted := n.carrier.environment.Scenario.Limits.WantedPerRelay
 	x.waiting = min(x.waiting+wanted*span.Seconds(), wanted)
 	free := 0.0
-	if now < x.toldAt+x.told.For {
-		free = x.told.Rate * span.Seconds()
+	if now < x.allocatedAt+x.allocation.Duration {
+		free = x.allocation.Rate * span.Seconds()
 	}
 	if used := min(x.waiting, free); used > 0 {
 		x.waiting -= used
-		if n.rng.Float64() < 1-math.Pow(1-readShare, float64(span)/float64(townTick)) {
-			n.desk.Read(now, d, n.limit*(1+readSpread*(2*n.rng.Float64()-1)))
+		if n.rng.Float64() < 1-math.Pow(1-readShare, float64(span)/float64(denseTick)) {
+			n.allocator.ObserveLimit(now, d, n.limit*(1+readSpread*(2*n.rng.Float64()-1)))
 		}
 	}
 	var arrived, waiting [allowance.Levels]int
 	arrived[limitsLevel] = int(now.Seconds()*wanted) - int((now-span).Seconds()*wanted)
 	waiting[limitsLevel] = int(x.waiting)
-	n.desk.Demand(now, d, arrived, waiting)
+	n.allocator.ReportDemand(now, d, arrived, waiting)
 }
 
 // Due is the next look.
 func (n *limitsNode) Due() time.Duration { return n.due }
 
-// Counts adds what the desk counted.
+// Counts adds what the allocator counted.
 func (n *limitsNode) Counts(to *Counts) {
-	c := n.desk.Counters()
+	c := n.allocator.Counters()
 	to.Errors += c.Strays + c.Foreign
 	to.Retries += c.Avoided
 }
--- a/internal/lab/capacity/result.go
+++ b/internal/lab/capacity/result.go
@@ -50,8 +50,8 @@
 		}
 	}
 	if c, ok := f.carrier.(*limitsCarrier); ok {
-		t := c.Terms()
-		r.Leases = &Leases{Every: t.Every.Seconds(), Lease: t.Lease.Seconds(), Loan: t.Loan.Seconds()}
+		config := c.Config()
+		r.Leases = &Leases{Every: config.HeartbeatInterval.Seconds(), Lease: config.LeaseDuration.Seconds(), Loan: config.LoanDuration.Seconds()}
 	}
 	return r
 }
--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -14,7 +14,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// progressEvery is how often progress is told.
+// progressEvery is how often progress is reported.
 const progressEvery = 2 * time.Second
 
 // Job is one run.
@@ -72,7 +72,7 @@
 	exclusive sync.RWMutex
 }
 
-// NewPool returns one for so many runs at a time. Progress is told to note from several goroutines.
+// NewPool returns one for so many runs at a time. Progress is reported to note from several goroutines.
 func NewPool(workers int, note func(string)) *Pool {
 	return &Pool{workers: max(workers, 1), note: note}
 }
@@ -132,10 +132,10 @@
 	stop := watchHeap(&peak)
 	defer stop()
 	cpuBegan := threadProcessor()
-	told := time.Now()
+	reported := time.Now()
 	err = f.run(p.yield, func(done, whole time.Duration) {
-		if time.Since(told) >= progressEvery {
-			told = time.Now()
+		if time.Since(reported) >= progressEvery {
+			reported = time.Now()
 			p.note(fmt.Sprintf("%v: %.1f of %.1f s", job, done.Seconds(), whole.Seconds()))
 		}
 	})
--- a/internal/lab/capacity/spread.go
+++ b/internal/lab/capacity/spread.go
@@ -23,13 +23,13 @@
 // spreadCarrier carries changes as the program does today: a change is a ban that operators set at one relay.
 type spreadCarrier struct {
 	environment *Environment
-	tellers     []*verdicts.Teller         // of the present processes, by relay
+	announcers  []*verdicts.Announcer      // of the present processes, by relay
 	seeded      map[int]verdicts.Statement // by change
 	followed    map[int]int                // changes, by the destinations whose outages are followed
 }
 
 func newSpreadCarrier(e *Environment) (Carrier, error) {
-	return &spreadCarrier{environment: e, tellers: make([]*verdicts.Teller, e.Relays), seeded: map[int]verdicts.Statement{}}, nil
+	return &spreadCarrier{environment: e, announcers: make([]*verdicts.Announcer, e.Relays), seeded: map[int]verdicts.Statement{}}, nil
 }
 
 // Bound is that of internal/spread.
@@ -45,20 +45,20 @@
 
 func (c *spreadCarrier) start(relay int, incarnation uint64, predecessor Node) (*spreadNode, error) {
 	n := &spreadNode{carrier: c, environment: c.environment, relay: relay, sizes: map[uint64]int{}}
-	n.book = verdicts.NewBook()
-	n.judge = verdicts.NewJudge(relayName(relay), spreadAgree, n.book)
-	n.teller = verdicts.NewTeller(relayName(relay), incarnation)
-	c.tellers[relay] = n.teller
+	n.store = verdicts.NewStore()
+	n.judge = verdicts.NewJudge(relayName(relay), spreadAgree, n.store)
+	n.announcer = verdicts.NewAnnouncer(relayName(relay), incarnation)
+	c.announcers[relay] = n.announcer
 	if before, ok := predecessor.(*spreadNode); ok {
 		n.bans = before.bans
-		n.stoodAt = -verdicts.Ban.Life() / 3 // they are said again at once
+		n.renewedAt = -verdicts.Ban.Life() / 3 // they are announced again at once
 		n.counted = before.counted
 		n.counted.OverBudget += before.spread.Counters().Short
 	}
 	config := spread.Config{Self: relayName(relay), Exchange: spreadExchange, Bytes: spreadBytesPerS, Size: n.size, Packet: spreadPacketBytes,
 		Seed: c.environment.Seed ^ uint64(relay)<<20 ^ incarnation<<52}
 	var err error
-	n.spread, err = spread.New(config, 0, n.book, incarnation)
+	n.spread, err = spread.New(config, 0, n.store, incarnation)
 	return n, err
 }
 
@@ -76,13 +76,13 @@
 	carrier     *spreadCarrier
 	environment *Environment
 	relay       int
-	book        *verdicts.Book
+	store       *verdicts.Store
 	judge       *verdicts.Judge
-	teller      *verdicts.Teller
+	announcer   *verdicts.Announcer
 	spread      *spread.Spread
 	view        *View
 	bans        []int // changes that were made here
-	stoodAt     time.Duration
+	renewedAt   time.Duration
 	sweptAt     time.Duration
 	counted     Counts
 	sizes       map[uint64]int // of packets that were made in the present call, by their counts
@@ -110,47 +110,47 @@
 		for i, had := range n.view.Has {
 			if had && !view.Has[i] {
 				n.judge.Forget(relayName(i))
-				n.judge.Lost(now, n.book.Forget(relayName(i)))
+				n.judge.Expired(now, n.store.Forget(relayName(i)))
 			}
 		}
 		if len(view.Names) > len(n.view.Names) {
-			n.spread.Hurry(now)
+			n.spread.ExchangeSoon(now)
 		}
 	}
 	n.view = view
-	n.spread.Members(view.Names)
+	n.spread.SetMembers(view.Names)
 	return nil
 }
 
 // Publish sets a ban here.
 func (n *spreadNode) Publish(now time.Duration, change int) ([]Message, error) {
 	n.bans = append(n.bans, change)
-	s := n.word(change)
-	if !n.book.Merge(now, s) {
+	s := n.newBan(change)
+	if !n.store.Merge(now, s) {
 		return nil, fmt.Errorf("change %d was not taken at its own relay", change)
 	}
 	n.environment.Learned(n.relay, change)
-	return n.messages(n.spread.Tell(now, []verdicts.Statement{s})), nil
+	return n.messages(n.spread.Announce(now, []verdicts.Statement{s})), nil
 }
 
-// word says a change, as verdicts.Teller.Standing says it again.
-func (n *spreadNode) word(change int) verdicts.Statement {
-	return n.teller.Bans(change, changedEndpoint(change), true)
+// newBan words a change, as verdicts.Announcer.RenewBans renews it.
+func (n *spreadNode) newBan(change int) verdicts.Statement {
+	return n.announcer.Ban(change, changedEndpoint(change), true)
 }
 
 func changedEndpoint(change int) string { return fmt.Sprintf("s-%08x", uint32(change)*2654435761) }
 
-// Seed has the book take a change that was made elsewhere, or here.
+// Seed has the store take a change that was made elsewhere, or here.
 func (n *spreadNode) Seed(now time.Duration, change, publisher int) error {
 	if publisher == n.relay {
 		n.bans = append(n.bans, change)
 	}
 	s, ok := n.carrier.seeded[change]
 	if !ok {
-		s = n.carrier.tellers[publisher].Bans(change, changedEndpoint(change), true)
+		s = n.carrier.announcers[publisher].Ban(change, changedEndpoint(change), true)
 		n.carrier.seeded[change] = s
 	}
-	n.book.Merge(now, s)
+	n.store.Merge(now, s)
 	return nil
 }
 
@@ -158,40 +158,40 @@
 func (n *spreadNode) Receive(now time.Duration, _ int, body any) []Message {
 	news, own, out := n.spread.Receive(now, *body.(*spread.Packet))
 	for _, s := range own {
-		if n.teller.Above(s.Version) {
-			n.spread.Incarnation(n.teller.Incarnation())
+		if n.announcer.Supersede(s.Version) {
+			n.spread.SetIncarnation(n.announcer.Incarnation())
 		}
 	}
 	for _, s := range news {
-		n.judge.Hear(now, s)
+		n.judge.Receive(now, s)
 		n.carrier.learned(n.relay, s)
 	}
 	return n.messages(out)
 }
 
-// Tick drops what has lapsed, says again what stands, and compares books.
+// Tick drops what has expired, renews bans, and compares stores.
 func (n *spreadNode) Tick(now time.Duration) []Message {
 	if now-n.sweptAt >= spreadSweepInterval {
 		n.sweptAt = now
-		n.judge.Lost(now, n.book.Sweep(now))
+		n.judge.Expired(now, n.store.Sweep(now))
 	}
-	list := n.stand(now)
+	list := n.renewBans(now)
 	return n.messages(append(list, n.spread.Tick(now)...))
 }
 
-// stand says all bans of this relay again, every third of their life.
-func (n *spreadNode) stand(now time.Duration) []spread.Send {
-	if now-n.stoodAt < verdicts.Ban.Life()/3 {
+// renewBans announces all bans of this relay again, every third of their life.
+func (n *spreadNode) renewBans(now time.Duration) []spread.Send {
+	if now-n.renewedAt < verdicts.Ban.Life()/3 {
 		return nil
 	}
-	n.stoodAt = now
+	n.renewedAt = now
 	var list []verdicts.Statement
 	for _, change := range n.bans {
-		if s := n.word(change); n.book.Merge(now, s) {
+		if s := n.newBan(change); n.store.Merge(now, s) {
 			list = append(list, s)
 		}
 	}
-	return slices.Clone(n.spread.Tell(now, list))
+	return slices.Clone(n.spread.Announce(now, list))
 }
 
 // Due is when the program's parts want to be called.
--- a/internal/lab/capacity/verdicts.go
+++ b/internal/lab/capacity/verdicts.go
@@ -13,14 +13,14 @@
 // followedOutages is how many outages begin during the run and are followed to all relays; all others stand from its beginning.
 const followedOutages = 200
 
-// outageCarrier has relays tell outages of destinations, as the program does today.
+// outageCarrier has relays announce outages of destinations, as the program does today.
 type outageCarrier struct {
 	spreadCarrier
 	tasks  [][]outageTask // by relay
 	repeat time.Duration
 }
 
-// outageTask is an outage that one relay tells.
+// outageTask is an outage that one relay announces.
 type outageTask struct {
 	next        time.Duration // since the start of the simulation
 	destination int
@@ -48,7 +48,7 @@
 func newOutageCarrier(e *Environment) (Carrier, error) {
 	m := e.Scenario.Outages
 	c := &outageCarrier{tasks: make([][]outageTask, e.Relays), repeat: seconds(m.RepeatS)}
-	c.environment, c.tellers = e, make([]*verdicts.Teller, e.Relays)
+	c.environment, c.announcers = e, make([]*verdicts.Announcer, e.Relays)
 	c.followed = map[int]int{}
 	rng := rand.New(rand.NewPCG(e.Seed, 0x0074))
 	down := int(float64(m.Destinations) * m.DownShare)
@@ -94,7 +94,7 @@
 	return n, nil
 }
 
-// outageNode is a process of a relay that tells outages.
+// outageNode is a process of a relay that announces outages.
 type outageNode struct {
 	*spreadNode
 	carrier *outageCarrier
@@ -102,10 +102,10 @@
 	queue   outageQueue
 }
 
-// Tick says what is due, beside all that a spreadNode does.
+// Tick announces what is due, beside all that a spreadNode does.
 func (n *outageNode) Tick(now time.Duration) (messages []Message) {
 	for len(n.queue) > 0 && n.queue[0].next <= now+n.began {
-		messages = append(messages, n.say(now)...)
+		messages = append(messages, n.announceNext(now)...)
 	}
 	if n.spread.Due() <= now {
 		messages = append(messages, n.spreadNode.Tick(now)...)
@@ -113,8 +113,8 @@
 	return messages
 }
 
-// say tells the outage that is next, and puts it off by the repetition.
-func (n *outageNode) say(now time.Duration) []Message {
+// announceNext announces the outage that is next, and puts it off by the repetition.
+func (n *outageNode) announceNext(now time.Duration) []Message {
 	task := &n.queue[0]
 	task.next += n.carrier.repeat
 	destination := task.destination
@@ -122,15 +122,15 @@
 		n.carrier.followed[destination] = n.environment.Follow()
 	}
 	heap.Fix(&n.queue, 0)
-	s := n.teller.IsOut(destination, fmt.Sprintf("d-%06d", destination), now)
-	if !n.book.Merge(now, s) {
+	s := n.announcer.Outage(destination, fmt.Sprintf("d-%06d", destination), now)
+	if !n.store.Merge(now, s) {
 		return nil
 	}
 	n.carrier.learned(n.relay, s)
-	return n.messages(n.spread.Tell(now, []verdicts.Statement{s}))
+	return n.messages(n.spread.Announce(now, []verdicts.Statement{s}))
 }
 
-// Due is when something is to be said, or the spreadNode has something to do.
+// Due is when something is to be announced, or the spreadNode has something to do.
 func (n *outageNode) Due() time.Duration {
 	if len(n.queue) == 0 {
 		return n.spread.Due()
