--- a/cmd/slatelab/capacity.go
+++ b/cmd/slatelab/capacity.go
@@ -75,6 +75,7 @@
 	flags.IntVar(&o.destinations, "destinations", 0, "number of destinations, instead of the scenario's")
 	flags.IntVar(&o.real, "real", 0, "start so many real relays instead, and compare the simulator with them")
 	flags.StringVar(&o.binary, "binary", "bin/slatemux", "the relay that --real starts")
+	c.AddCommand(capacitySlopesCommands()...)
 	return c
 }
 
--- a/cmd/slatelab/capacity_slopes.go
+++ b/cmd/slatelab/capacity_slopes.go
@@ -91,13 +91,13 @@
 	var output slopesOutput
 	plan := slopes.RelayPlan{Span: slopes.DefaultSpan}
 	c := &cobra.Command{
-		Use:   "capacity-relay",
+		Use:   "relay",
 		Short: "Measure what one relay costs, by the number of destinations and of held messages",
 		Long: `Measure memory, processor time, journal and restart of one relay in this process, without sockets: against the number of
 destinations that discovery lists, and against the number of messages held for destinations that are down. A curve is fitted to
 each cost and extended to the planned sizes. Processor time is that of the process or of the relay's thread, so that other
 work on the machine counts as little as possible.`,
-		Example: "  slatelab capacity-relay --destinations 1000,3000,10000,30000 --held 1000,3000,10000,30000 --seed 1",
+		Example: "  slatelab capacity relay --destinations 1000,3000,10000,30000 --held 1000,3000,10000,30000 --seed 1",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if err := plan.Check(); err != nil {
@@ -128,12 +128,12 @@
 	var output slopesOutput
 	plan := slopes.DefaultMembership
 	c := &cobra.Command{
-		Use:   "capacity-membership",
+		Use:   "membership",
 		Short: "Measure what the membership of many relays costs, by their number",
 		Long: `Run many members of the relays' membership in this process, over a network in memory, in real time and with the configuration
 that the program gives memberlist: all start at once, rest, one joins, one fails, a zone fails. Bytes are those of packets and
 streams without the headers of UDP and TCP. A curve is fitted to each cost and extended to the planned number.`,
-		Example: "  slatelab capacity-membership --relays 50,100,200,400",
+		Example: "  slatelab capacity membership --relays 50,100,200,400",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if err := plan.Check(); err != nil {
--- a/cmd/slatelab/capacity_slopes_test.go
+++ b/cmd/slatelab/capacity_slopes_test.go
@@ -22,17 +22,17 @@
 // TestSlopesRefuse wants flags and sizes that make no sense to be told.
 func TestSlopesRefuse(t *testing.T) {
 	for _, c := range []struct{ args, want string }{
-		{"capacity-relay --destinations 0,1,2,3", "a size of 0"},
-		{"capacity-relay --held 0,1,2,3", "a size of 0"},
-		{"capacity-relay --held 1,2,3", "too few"},
-		{"capacity-relay --destinations x", "invalid argument"},
-		{"capacity-relay --nonsense 1", "unknown flag"},
-		{"capacity-relay --cores 0", "0 cores"},
-		{"capacity-relay 5", "unknown command"},
-		{"capacity-membership --relays 0,17,18,19", "a size of 0"},
-		{"capacity-membership --relays 16,17,18,19", "16 relays are fewer"},
-		{"capacity-membership --loss 2", "makes no sense"},
-		{"capacity-membership --nonsense 1", "unknown flag"},
+		{"capacity relay --destinations 0,1,2,3", "a size of 0"},
+		{"capacity relay --held 0,1,2,3", "a size of 0"},
+		{"capacity relay --held 1,2,3", "too few"},
+		{"capacity relay --destinations x", "invalid argument"},
+		{"capacity relay --nonsense 1", "unknown flag"},
+		{"capacity relay --cores 0", "0 cores"},
+		{"capacity relay 5", "unknown command"},
+		{"capacity membership --relays 0,17,18,19", "a size of 0"},
+		{"capacity membership --relays 16,17,18,19", "16 relays are fewer"},
+		{"capacity membership --loss 2", "makes no sense"},
+		{"capacity membership --nonsense 1", "unknown flag"},
 	} {
 		if _, err := runSlopes(t.Context(), strings.Fields(c.args)...); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: want an error with %q, got %v", c.args, c.want, err)
@@ -42,7 +42,7 @@
 
 // TestSlopesOfRelay runs the command at small sizes.
 func TestSlopesOfRelay(t *testing.T) {
-	out, err := runSlopes(t.Context(), "capacity-relay", "--destinations", "20,40,60,80", "--held", "20,40,60,80", "--held-over", "20", "--span", "20ms")
+	out, err := runSlopes(t.Context(), "capacity", "relay", "--destinations", "20,40,60,80", "--held", "20,40,60,80", "--held-over", "20", "--span", "20ms")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,14 +55,14 @@
 
 // TestSlopesInterrupted wants both commands to end within a second of an interrupt.
 func TestSlopesInterrupted(t *testing.T) {
-	for _, name := range []string{"capacity-relay", "capacity-membership"} {
+	for _, name := range []string{"relay", "membership"} {
 		ctx, cancel := context.WithCancel(t.Context())
 		interrupted := make(chan time.Time, 1)
 		time.AfterFunc(300*time.Millisecond, func() {
 			interrupted <- time.Now()
 			cancel()
 		})
-		_, err := runSlopes(ctx, name)
+		_, err := runSlopes(ctx, "capacity", name)
 		if took := time.Since(<-interrupted); err == nil || !strings.Contains(err.Error(), "interrupted") || took > time.Second {
 			t.Errorf("%s: ended %v after the interrupt with %v", name, took, err)
 		}
--- a/cmd/slatelab/main.go
+++ b/cmd/slatelab/main.go
@@ -48,7 +48,6 @@
 		limitsCommand(),
 		capacityCommand(),
 	)
-	root.AddCommand(capacitySlopesCommands()...)
 	return root
 }
 
