A relay rebuilds its list of members at most four times a second

Lines: membershipChanged.apply. Change: the first change is taken over at once, further ones after 250 ms together.

--- a/internal/fleet/driver.go
+++ b/internal/fleet/driver.go
@@ -110,6 +110,7 @@
 		e.apply(f, f.now(), &r)
 	}
 	now := f.now()
+	f.rebuildMembers(now, &r)
 	sweep := now-f.lastSweep >= sweepInterval
 	if sweep {
 		expired := f.store.Sweep(now)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,6 +45,7 @@
 	// is not a member here, or from one that knows other members.
 	unknownMember chan struct{}
 	incarnation   atomic.Uint64
+	rebuilds      atomic.Int64 // of what depends on the list of members
 	holdsUntil    atomic.Int64 // when the last hold ends, in Unix nanoseconds; read before every call
 	shared        shared
 
@@ -61,9 +62,12 @@
 	rng         *rand.Rand
 	bansRenewed time.Duration
 	lastSweep   time.Duration
-	allocator   *allowance.Allocator // nil before the relay listens, or where limits are not divided
-	recalled    map[int]float64      // limits that the previous process had learned, by destination
-	mayHaveLent bool                 // an earlier process may have lent this relay's shares
+	nextRebuild time.Duration // when the list of members may be taken over again
+	// membersStale says that memberlist's list has changed since it was taken over.
+	membersStale bool
+	allocator    *allowance.Allocator // nil before the relay listens, or where limits are not divided
+	recalled     map[int]float64      // limits that the previous process had learned, by destination
+	mayHaveLent  bool                 // an earlier process may have lent this relay's shares
 
 	configuration *configuration // nil where none is replicated
 }
--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -39,6 +39,9 @@
 	handoffQueue = 512
 )
 
+// rebuildInterval is the least time between two rebuilds of what depends on the list of members.
+const rebuildInterval = 250 * time.Millisecond
+
 // membershipChanged tells the driver that memberlist's list of members has changed.
 type membershipChanged struct{}
 
@@ -224,12 +227,25 @@
 	return missing[rng.IntN(len(missing))]
 }
 
-// apply takes over memberlist's list of live members, and forgets what members said that are gone.
+// apply has the members taken over at once, or where that was done of late, as soon as it is due again.
 func (e membershipChanged) apply(f *Fleet, now time.Duration, r *stepResult) {
+	f.membersStale = true
+	f.rebuildMembers(now, r)
+}
+
+// rebuildMembers takes over memberlist's list of live members where that is due, and forgets what members said that are gone. It
+// guards against a restart of the whole fleet: a rebuild takes some milliseconds at 3,900 members, and there are two changes a member.
+func (f *Fleet) rebuildMembers(now time.Duration, r *stepResult) {
+	if !f.membersStale || now < f.nextRebuild {
+		return
+	}
 	list := f.memberList()
 	if list == nil {
 		return
 	}
+	f.membersStale = false
+	f.nextRebuild = now + rebuildInterval
+	f.rebuilds.Add(1)
 	live := map[string]*memberlist.Node{}
 	var names []string
 	for _, n := range list.Members() {
