A wait that has come and is unread holds calls: a starved process wrote into it

Trial with traces of writes and told waits: after its start the process stood still from 16.28 to 16.43 s for want of processor; on waking two calls were written at 837.478 and 837.588 ms, and the wait of 4.2 s, answered 100 ms and more before, was read at 837.815 ms. Lines: flow.attempt asks only for waits that are recorded, and nothing orders reading before writing.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -86,17 +86,18 @@
 	done   func(traffic.FlowEnd)
 	origin time.Time // of the time that the pool of connections is told
 
-	mu      sync.Mutex
-	members map[string]*member
-	waits   map[traffic.Group]time.Time // nothing is written before
-	flows   map[flowID]*running
-	calls   int // of them; one may carry several
-	opener  *opener
-	dialer  *dialer
-	conns   *conns.Pool
-	byID    map[conns.ID]*conn              // those that are open
-	ahead   map[conns.ID]context.CancelFunc // being opened without a call
-	held    map[string][]*waiter            // by member: flows for which none may be opened, in the order of their coming
+	mu          sync.Mutex
+	members     map[string]*member
+	waits       map[traffic.Group]time.Time // nothing is written before
+	outstanding map[traffic.Group]*outstanding
+	flows       map[flowID]*running
+	calls       int // of them; one may carry several
+	opener      *opener
+	dialer      *dialer
+	conns       *conns.Pool
+	byID        map[conns.ID]*conn              // those that are open
+	ahead       map[conns.ID]context.CancelFunc // being opened without a call
+	held        map[string][]*waiter            // by member: flows for which none may be opened, in the order of their coming
 }
 
 type flowID struct {
@@ -126,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Manager{cfg: cfg, done: done, origin: time.Now(), members: map[string]*member{}, waits: map[traffic.Group]time.Time{},
+	return &Manager{cfg: cfg, done: done, origin: time.Now(), members: map[string]*member{}, waits: map[traffic.Group]time.Time{}, outstanding: map[traffic.Group]*outstanding{},
 		flows: map[flowID]*running{}, opener: newOpener(cfg.Gate, cfg.Busy), dialer: newDialer(cfg.Names), conns: pool, byID: map[conns.ID]*conn{},
 		ahead: map[conns.ID]context.CancelFunc{}, held: map[string][]*waiter{}}, nil
 }
@@ -264,6 +265,7 @@
 	r.cancel()
 	g.mu.Lock()
 	g.calls--
+	g.noteEnded(r)
 	for _, x := range r.All() {
 		delete(g.flows, flowID{x.ID, x.Attempt})
 	}
@@ -317,6 +319,7 @@
 			g.unused(c)
 			return end, nil
 		}
+		g.awaitUnread(ctx, r)
 		if !g.mayWrite(ctx, r) {
 			g.unused(c)
 			return r.end(traffic.Unsent), nil
@@ -335,6 +338,7 @@
 		call = appendBatch(nil, &r.Flow, from)
 		c.carriesSeveral()
 	}
+	g.noteWritten(r, c)
 	_ = c.nc.SetWriteDeadline(r.lastByteBy())
 	stop := context.AfterFunc(ctx, func() { // also ends a write that hangs
 		c.lookStuck()
--- /dev/null
+++ b/internal/flow/unread_test.go
@@ -0,0 +1,97 @@
+package flow
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"wrenford/internal/traffic"
+)
+
+const waitAnswer = "HTTP/1.1 429 Wait\r\nX-Retry-In-Ms: 900\r\nContent-Length: 0\r\n\r\n"
+
+// arrived waits until bytes that nobody has read lie at a connection.
+func arrived(t *testing.T, c *conn) {
+	t.Helper()
+	for by := time.Now().Add(10 * time.Second); time.Now().Before(by); time.Sleep(time.Millisecond) {
+		n := 0
+		if err := c.plain.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }); err != nil {
+			t.Fatal(err)
+		}
+		if n >= len(waitAnswer) {
+			return
+		}
+	}
+	t.Fatal("no answer has arrived")
+}
+
+// A process that had no processor for a while wakes with a wait unread and another call ready to be written: the wait is read first.
+// The lock of the first call's connection stands for the reader that has not run yet.
+func TestUnreadWaitHoldsCalls(t *testing.T) {
+	r := newRig(t)
+	r.start("a")
+	first := <-r.conns
+	r.read(first)
+	c := r.open()[0]
+	c.mu.Lock()
+	if _, err := io.WriteString(first, waitAnswer); err != nil {
+		t.Fatal(err)
+	}
+	arrived(t, c)
+	r.start("b")
+	second := <-r.conns
+	written := make(chan bool, 1)
+	go func() {
+		n, _ := second.Read(make([]byte, 1))
+		if written <- n > 0; n > 0 {
+			_, _ = io.WriteString(second, ok)
+		}
+	}()
+	time.Sleep(50 * time.Millisecond) // long enough for the call to be written, if nothing holds it
+	c.mu.Unlock()
+	ends := map[string]traffic.FlowEnd{}
+	for range 2 {
+		end := <-r.ends
+		ends[end.ID] = end
+	}
+	if end := ends["a"]; end.Status != traffic.TurnedAway || end.Wait != 900*time.Millisecond {
+		t.Errorf("%+v", end)
+	}
+	if end := ends["b"]; end.Status != traffic.Unsent {
+		t.Errorf("a call was written into a wait that had come: %+v", end)
+	}
+	second.Close()
+	if <-written {
+		t.Error("its member has read it")
+	}
+}
+
+// Answers that were looked at of late are not looked at again for each call, and nothing is kept of calls that have ended.
+func TestOutstandingCallsEnd(t *testing.T) {
+	r := newRig(t)
+	r.start("a")
+	nc := <-r.conns
+	r.read(nc)
+	group := traffic.Group{}
+	now := time.Now()
+	if n := len(r.g.callsToCheck(group, now)); n != 1 {
+		t.Errorf("%d calls to check", n)
+	}
+	if r.g.hasUnread(group, now) {
+		t.Error("an answer before it came")
+	}
+	if n := len(r.g.callsToCheck(group, now.Add(unreadCheckEvery/2))); n != 0 {
+		t.Errorf("%d calls to check right after a check", n)
+	}
+	if _, err := io.WriteString(nc, ok); err != nil {
+		t.Fatal(err)
+	}
+	r.want("a", traffic.Delivered)
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	if n := len(r.g.outstanding); n != 0 {
+		t.Errorf("%d groups are kept", n)
+	}
+}
