Only whole answers hold calls back, not such that go on and on

Cause: the first form of awaitUnread took any byte for an unread answer, so that a member whose answers never end held each call of its group back for 100 ms. Change: what has come is read, and only an answer that is whole holds others back until it is recorded.

--- a/internal/flow/unread.go
+++ b/internal/flow/unread.go
@@ -17,6 +17,8 @@
 	unreadCheckEvery = 20 * time.Millisecond
 	// unreadPoll is the pause between two looks while an answer is on its way through this program.
 	unreadPoll = 200 * time.Microsecond
+	// maxPulls bounds how much of an answer that goes on and on is read in one look.
+	maxPulls = 16
 	// maxUnreadDelay bounds how long a call is held back for that.
 	maxUnreadDelay = 100 * time.Millisecond
 )
@@ -84,7 +86,12 @@
 func (g *Manager) hasUnread(group traffic.Group, now time.Time) bool {
 	unread := false
 	for _, call := range g.callsToCheck(group, now) {
-		unread = call.c.pull() || call.isAnswered() || unread
+		for range maxPulls {
+			if call.isAnswered() || !call.c.pull() {
+				break
+			}
+		}
+		unread = call.isAnswered() || unread // a part of an answer holds nobody back
 	}
 	if unread {
 		return true
--- a/internal/flow/unread_test.go
+++ b/internal/flow/unread_test.go
@@ -95,3 +95,32 @@
 		t.Errorf("%d groups are kept", n)
 	}
 }
+
+// An answer that goes on and on holds no other call back.
+func TestAnswerUnderwayHoldsNobody(t *testing.T) {
+	r := newRig(t)
+	r.start("a")
+	first := <-r.conns
+	r.read(first)
+	if _, err := io.WriteString(first, "HTTP/1.1 500 Err"); err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				_, _ = io.WriteString(first, "o")
+				time.Sleep(50 * time.Microsecond)
+			}
+		}
+	}()
+	begun := time.Now()
+	r.g.awaitUnread(t.Context(), &running{})
+	if took := time.Since(begun); took > maxUnreadDelay/2 {
+		t.Errorf("a call waited for %v", took)
+	}
+}
