--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -319,7 +319,9 @@
 			g.unused(c)
 			return end, nil
 		}
-		g.awaitUnread(ctx, r)
+		if c.plain != nil {
+			g.awaitUnread(ctx, r)
+		}
 		if !g.mayWrite(ctx, r) {
 			g.unused(c)
 			return r.end(traffic.Unsent), nil
@@ -338,7 +340,9 @@
 		call = appendBatch(nil, &r.Flow, from)
 		c.carriesSeveral()
 	}
-	g.noteWritten(r, c)
+	if c.plain != nil { // over TLS nobody but its reader can read it
+		g.noteWritten(r, c)
+	}
 	_ = c.nc.SetWriteDeadline(r.lastByteBy())
 	stop := context.AfterFunc(ctx, func() { // also ends a write that hangs
 		c.lookStuck()
--- a/internal/flow/unread.go
+++ b/internal/flow/unread.go
@@ -71,7 +71,7 @@
 
 // awaitUnread waits until the answers that have come to other calls of the flow's group are read and recorded. It guards against a
 // process that was stopped, or had no processor, for longer than a wait may be unknown: when it runs again, goroutines that have a
-// call to write may run before those that have the answer with the wait to read.
+// call to write may run before those that have the answer with the wait to read. Calls over TLS are left out.
 func (g *Manager) awaitUnread(ctx context.Context, r *running) {
 	for by := time.Now().Add(maxUnreadDelay); ctx.Err() == nil; {
 		now := time.Now()
