--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -295,6 +295,7 @@
 	Evicted      [reasonCount]int64
 	Closed       int64 // idle connections whose closing by the server was visible
 	Quarantines  int64 // quarantines of idle times
+	Unsolicited  int64 // connections on which a server wrote bytes that no call was waiting for; counted by the caller
 }
 
 // New returns a Pool without endpoints, or an error if the configuration is invalid.
@@ -1294,7 +1295,7 @@
 	return slog.GroupValue(slog.Int64("opened", c.Opened), slog.Int64("ahead", c.Preconnected), slog.Int64("unused", c.NeverUsed),
 		slog.Int64("called_off", c.Canceled), slog.Int64("failed", c.OpenFailures), slog.Int64("calls", c.Calls), slog.Int64("reused", c.Reused),
 		slog.Int64("stale", c.Stale), slog.Int64("bans", c.Quarantines), slog.Int64("waited", c.Waited), slog.Int64("closed", c.Closed),
-		slog.Any("given", evictedByReason(c.Evicted)))
+		slog.Int64("unsolicited", c.Unsolicited), slog.Any("given", evictedByReason(c.Evicted)))
 }
 
 // evictedByReason counts evicted connections by reason.
--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -22,7 +22,8 @@
 	underTLS  net.Conn // the TCP connection below TLS; nil for a plain connection
 	manager   *Manager
 	id        conns.ID
-	host      string    // host of the member
+	host      string // host of the member
+	openedAt  time.Time
 	idleSince time.Time // guarded by Manager.mu, like the next two fields; zero before the first call
 	inUse     bool      // taken by a flow
 	reused    bool      // the current call is not the first on this connection
@@ -32,6 +33,8 @@
 	response    *http1.Response // of the current call; nil between calls
 	batch       bool            // the current call carries several transactions
 	callEnd     conns.CallEnd   // how the latest call ended
+	calls       int             // calls of which writing has begun
+	endedAt     time.Time       // when the latest call ended; zero before the first call
 	received    bool            // bytes arrived for the current call
 	unsolicited bool            // bytes arrived while no call was waiting for them
 	stuck       bool            // the peer does not acknowledge written bytes
@@ -82,6 +85,7 @@
 	}
 	if !c.unusable {
 		c.writtenAt = now
+		c.calls++
 	}
 	return !c.unusable
 }
@@ -90,7 +94,13 @@
 // c.mu.
 func (c *conn) noteUnsolicited(bytes int) {
 	if bytes > 0 {
-		slog.Warn("pool member wrote without a call", "addr", c.nc.RemoteAddr(), "bytes", bytes)
+		quietSince := c.openedAt
+		if c.calls > 0 {
+			quietSince = c.endedAt
+		}
+		c.manager.unsolicited.Add(1)
+		slog.Warn("pool member wrote without a call", "addr", c.nc.RemoteAddr(), "bytes", bytes, "member", c.host, "conn", c.id, "calls", c.calls,
+			"quiet", time.Since(quietSince))
 	}
 	c.unsolicited = c.unsolicited || bytes > 0
 	c.unusable = true
@@ -129,7 +139,7 @@
 func (c *conn) endCall(notCanceled bool) conns.CallEnd {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writtenAt, c.response = time.Time{}, nil
+	c.writtenAt, c.response, c.endedAt = time.Time{}, nil, time.Now()
 	switch end := c.callEnd; {
 	case c.stuck:
 		return conns.BrokenBeforeAnswer
@@ -152,6 +162,13 @@
 	return !c.unusable
 }
 
+// callCount returns the number of calls of which writing has begun.
+func (c *conn) callCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
 func (c *conn) isUnusable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -236,6 +253,11 @@
 		case c.received:
 			c.callEnd = conns.BrokenDuringAnswer
 		}
+		if n < len(data) && feedErr == nil {
+			c.manager.unsolicited.Add(1)
+			slog.Warn("pool member wrote more than one answer to a call", "addr", c.nc.RemoteAddr(), "bytes", len(data)-n, "member", c.host,
+				"conn", c.id, "calls", c.calls)
+		}
 		c.result = decodeAnswer(c.response, c.batch)
 		c.response = nil
 		close(c.answered)
--- a/internal/flow/connections.go
+++ b/internal/flow/connections.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"slices"
 	"syscall"
@@ -53,7 +54,7 @@
 	for id, c := range m.connsByID {
 		if !c.inUse && !m.mayReuse(c) {
 			if m.conns.EvictIdle(poolNow, id, conns.ReasonTrust) {
-				m.closeEvicted([]conns.Eviction{{ID: id}})
+				m.closeEvicted([]conns.Eviction{{ID: id, Reason: conns.ReasonTrust}})
 			}
 		} else if c.inUse && m.cfg.UnackedTimeout > 0 && c.unansweredSince(wallNow.Add(-m.cfg.UnackedTimeout)) && c.checkStuck() {
 			c.close()
@@ -82,6 +83,7 @@
 	for _, eviction := range evicted {
 		if c := m.connsByID[eviction.ID]; c != nil {
 			delete(m.connsByID, eviction.ID)
+			slog.Debug("connection closed", "member", c.host, "conn", c.id, "calls", c.callCount(), "reason", eviction.Reason)
 			c.close()
 		}
 	}
@@ -105,7 +107,7 @@
 		}
 		m.conns.ReturnUnused(m.now(), id)
 		m.conns.EvictIdle(m.now(), id, conns.ReasonTrust)
-		m.closeEvicted([]conns.Eviction{{ID: id}})
+		m.closeEvicted([]conns.Eviction{{ID: id, Reason: conns.ReasonTrust}})
 		decide = m.conns.RetryCall
 	}
 }
@@ -156,7 +158,7 @@
 	}
 	if !m.mayReuse(c) {
 		m.conns.EvictIdle(m.now(), c.id, conns.ReasonTrust)
-		m.closeEvicted([]conns.Eviction{{ID: c.id}})
+		m.closeEvicted([]conns.Eviction{{ID: c.id, Reason: conns.ReasonTrust}})
 		return
 	}
 	tlsWaiters := c.underTLS != nil && m.handshakes.hasWaiters(c.host)
@@ -202,7 +204,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.conns.ClosedBeforeUse(m.now(), c.id)
-	m.closeEvicted([]conns.Eviction{{ID: c.id}})
+	m.closeEvicted([]conns.Eviction{{ID: c.id, Reason: conns.ReasonServerClosed}})
 	return m.requestConn(r.Member, m.conns.RetryCall)
 }
 
@@ -296,7 +298,7 @@
 // addConn registers a new connection and starts its reader. raw is the connection below TLS, or nil; forCall says that a call waits for
 // the connection.
 func (m *Manager) addConn(id conns.ID, target *member, nc, raw net.Conn, forCall bool) *conn {
-	c := &conn{nc: nc, underTLS: raw, manager: m, id: id, host: target.Host, readerDone: make(chan struct{})}
+	c := &conn{nc: nc, underTLS: raw, manager: m, id: id, host: target.Host, openedAt: time.Now(), readerDone: make(chan struct{})}
 	if sc, ok := nc.(syscall.Conn); ok && raw == nil {
 		if plain, err := sc.SyscallConn(); err == nil {
 			c.syscallConn = plain
@@ -373,13 +375,17 @@
 	usable := c.cancelCall()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	reason := conns.ReasonServerClosed
 	if !usable {
 		m.conns.ClosedBeforeUse(m.now(), c.id)
-	} else if idle, _ := m.conns.ReturnUnused(m.now(), c.id); idle {
-		m.becameIdle(c, c.idleSince)
-		return
+	} else {
+		var idle bool
+		if idle, reason = m.conns.ReturnUnused(m.now(), c.id); idle {
+			m.becameIdle(c, c.idleSince)
+			return
+		}
 	}
-	m.closeEvicted([]conns.Eviction{{ID: c.id}})
+	m.closeEvicted([]conns.Eviction{{ID: c.id, Reason: reason}})
 	m.serveWaiters()
 }
 
@@ -402,6 +408,7 @@
 	if m.connsByID[c.id] != c || c.inUse {
 		return
 	}
+	slog.Debug("connection ended by the pool member", "member", c.host, "conn", c.id, "calls", c.callCount())
 	m.conns.Closed(m.now(), c.id)
 	delete(m.connsByID, c.id)
 	m.serveWaiters()
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"slatemux/internal/conns"
@@ -94,6 +95,8 @@
 	reportEnd func(traffic.FlowEnd)
 	origin    time.Time // zero point of the times that are passed to conns
 
+	unsolicited atomic.Int64 // connections on which a member wrote bytes that no call was waiting for
+
 	mu            sync.Mutex
 	members       map[string]*member
 	retryAfter    map[traffic.Group]time.Time // no call of the group is written before this time
@@ -238,7 +241,9 @@
 func (m *Manager) Counters() conns.Counters {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.conns.Counters()
+	counters := m.conns.Counters()
+	counters.Unsolicited = m.unsolicited.Load()
+	return counters
 }
 
 // IdleTimes returns how long connections had been idle when they ended, by cause.
@@ -362,7 +367,10 @@
 	}
 	<-c.answered       // always closed in the end: close ends the reader, which closes the channel
 	result := c.result // read before finishCall returns the connection, because its next call clears the result
+	number := c.callCount()
 	m.finishCall(c, c.endCall(stop()), time.Since(writeStart))
+	slog.Debug("call ended", "id", r.ID, "attempt", r.Attempt, "member", r.Member, "conn", c.id, "call", number, "status", result.status,
+		"written", writeStart, "took", time.Since(writeStart))
 	end := r.flowEnd(traffic.ConnectionBroken)
 	if result.status != 0 {
 		end = result.applyTo(end)
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -128,6 +128,7 @@
 	for i, n := range batch {
 		ids[i] = n.ID
 	}
+	slog.Debug("notices answered", "addr", s.addr, "ids", ids)
 	s.mu.Lock()
 	s.queue = append([]traffic.Notice(nil), s.queue[len(batch):]...)
 	s.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -611,6 +611,7 @@
 func (r *Relay) handleFlowEnd(f traffic.FlowEnd, events []dispatch.Event, changes []traffic.Change) ([]dispatch.Event,
 	[]traffic.Change) {
 	r.counters.Ends[f.Status]++
+	slog.Debug("flow ended", "id", f.ID, "attempt", f.Attempt, "member", f.Member, "status", f.Status, "retry_after", f.RetryAfter)
 	if writtenWhole(f.Status) {
 		r.dispatches++
 	}
@@ -702,6 +703,7 @@
 			f := r.flow(&h.Open, a, now)
 			h.Attempts++
 			h.flowStarted = now
+			slog.Debug("flow started", "id", f.ID, "attempt", f.Attempt, "member", f.Member)
 			r.waiting[h.Destination]--
 			r.demands.record(&h.Transaction, 0, -1)
 			r.activeFlows++
@@ -773,6 +775,8 @@
 // end gives a transaction its final answer: directly to the clients that have just submitted it, or by a notice.
 func (r *Relay) end(n traffic.Notice, changes []traffic.Change, deferred *[]deferredAction) []traffic.Change {
 	h := r.open[n.ID]
+	slog.Debug("transaction not delivered", "id", n.ID, "given_up", n.Outcome == traffic.GivenUp, "retry_in", n.RetryIn, "accepted", h.submitters == nil,
+		"attempts", h.Attempts)
 	h.noticePending = h.submitters == nil
 	r.forget(h)
 	if h.submitters != nil { // not accepted: no notice and no journal record
