--- a/internal/lab/partner/partner.go
+++ b/internal/lab/partner/partner.go
@@ -114,10 +114,28 @@
 
 	TLS *tls.Config // configuration of the server side; nil for plain TCP
 
+	Copies Copies // answers that are written again
+
 	RefusedBody string            // calls with this body are refused with 429 and at least the Wait of the first phase; empty for none
 	OnCall      func(ledger.Call) // receives each answered call; may be nil
 }
 
+// Copies says which answers an endpoint, or a device before it, writes again on the connection of the call.
+type Copies struct {
+	Share    float64       // share of the answers that are written again
+	MinDelay time.Duration // between the answer and its copy
+	MaxDelay time.Duration
+	Text     string // written in place of the copy; empty for the answer itself
+}
+
+// delay draws the delay of a copy, or returns false if the answer is written once.
+func (c *Copies) delay(rng *rand.Rand) (time.Duration, bool) {
+	if c.Share <= 0 || rng.Float64() >= c.Share {
+		return 0, false
+	}
+	return c.MinDelay + time.Duration(rng.Float64()*float64(c.MaxDelay-c.MinDelay)), true
+}
+
 // Server is one endpoint.
 type Server struct {
 	cfg   Config
@@ -513,7 +531,14 @@
 		if resp.wait > 0 {
 			head = fmt.Appendf(head, "X-Retry-In-Ms: %d\r\n", resp.wait.Milliseconds())
 		}
-		_, err = c.Write(append(append(head, "\r\n"...), body...))
+		text := append(append(head, "\r\n"...), body...)
+		_, err = c.Write(text)
+		if delay, ok := s.cfg.Copies.delay(rng); ok {
+			if s.cfg.Copies.Text != "" {
+				text = []byte(s.cfg.Copies.Text)
+			}
+			time.AfterFunc(delay, func() { _, _ = c.Write(text) }) // fails once the connection is closed
+		}
 		if call.Answered = time.Now(); err != nil {
 			call.Status, call.Answered = 0, time.Time{}
 		}
