--- a/cmd/slatemux/main.go
+++ b/cmd/slatemux/main.go
@@ -40,9 +40,11 @@
 	// exit are in the journal.
 	exitDelay = 3550 * time.Millisecond
 
-	// connRestTime is the minimum time between an answer on a connection to a pool member and the next call on it. It is less than half
-	// of a step.
-	connRestTime = 2 * time.Millisecond
+	// connRestTime is the minimum time between an answer on a connection to a pool member and the next call on it. Bytes that the member
+	// writes in this time are not taken for the answer to another call.
+	connRestTime = 250 * time.Millisecond
+	// singleCallPeriod is how long connections carry a single call after a pool member wrote bytes that no call was waiting for.
+	singleCallPeriod = 10 * time.Minute
 
 	// finalAnswersTimeout is the time that clients get at the exit to receive the answers to commands that the relay has read.
 	finalAnswersTimeout = 100 * time.Millisecond
@@ -164,12 +166,13 @@
 	}
 	connsConfig := cfg.gateway.Conns.Config
 	connsConfig.MaxConns, connsConfig.MaxIdle, connsConfig.Seed = limits.memberConns, cfg.settings.KeepAlive, uint64(cfg.seed)
+	connsConfig.MinRest, connsConfig.SingleCallPeriod = connRestTime, singleCallPeriod
 	var resolver flow.Resolver // a nil interface if no names are looked up
 	if cfg.gateway.Conns.LookUpNames {
 		resolver = net.DefaultResolver
 	}
 	flows, err := flow.New(flow.Config{Resolver: resolver, TLS: flowTLS, HandshakeGate: cfg.gateway.TLS.Handshakes, ProgramLoad: cpuBusy, ConnectTimeout: cfg.settings.ConnectTimeout,
-		MaxCalls: limits.flows, SettleTime: connRestTime, Conns: connsConfig, MaxConnWait: cfg.gateway.Conns.MaxConnWait, UnackedTimeout: cfg.gateway.Conns.UnackedTimeout,
+		MaxCalls: limits.flows, Conns: connsConfig, MaxConnWait: cfg.gateway.Conns.MaxConnWait, UnackedTimeout: cfg.gateway.Conns.UnackedTimeout,
 		LocalDelay: meters.ProbeWait, SharedWaits: sharedWaits, Fleet: flowFleet}, func(end traffic.FlowEnd) { r.FlowEnded(end) })
 	if err != nil {
 		return err
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -32,7 +32,12 @@
 	MaxStaleShare        float64       // maximum share of calls that may fail on dead connections; near this share, less risk is taken
 	MinBackoff           time.Duration // first wait before the next preconnect to an endpoint after a failed opening; each failure doubles it
 	MaxBackoff           time.Duration // maximum of that wait
-	Seed                 uint64
+	SingleCall           bool          // connections always carry a single call
+	MinRest              time.Duration // minimum time between the end of a call and the next call on the same connection
+	// SingleCallPeriod is how long connections carry a single call after a server wrote bytes that no call was waiting for; 0 to ignore
+	// such bytes.
+	SingleCallPeriod time.Duration
+	Seed             uint64
 }
 
 // Defaults returns the configuration of a relay. The caller adds the maximum number of connections and their maximum idle time.
@@ -52,6 +57,8 @@
 		return fmt.Errorf("conns: maximum age %v is negative, or half-life of a peak %v is not positive", c.MaxAge, c.PeakHalfLife)
 	case !(c.LossPrice > 0) || !(c.OpenPrice > 0) || !(c.MaxStaleShare > 0 && c.MaxStaleShare < 1):
 		return fmt.Errorf("conns: price of a loss, price of an opening or maximum share of stale calls is out of range")
+	case c.MinRest < 0 || c.SingleCallPeriod < 0:
+		return fmt.Errorf("conns: minimum rest %v or period of single calls %v is negative", c.MinRest, c.SingleCallPeriod)
 	case c.MinBackoff <= 0 || c.MaxBackoff < c.MinBackoff:
 		return fmt.Errorf("conns: minimum backoff %v is not positive, or maximum backoff %v is below the minimum", c.MinBackoff, c.MaxBackoff)
 	}
@@ -138,10 +145,12 @@
 	ReasonServerClosed               // the server announced that it closes the connection
 	ReasonPressure                   // memory is short
 	ReasonTrust                      // the trust settings under which the connection was opened have changed
+	ReasonUnsolicited                // the server writes bytes that no call waits for, so a connection carries a single call
+	ReasonResting                    // a call needs the place of the connection, which has not rested for long enough
 	reasonCount
 )
 
-var reasonNames = [reasonCount]string{"idle", "age", "uses", "thin", "room", "leaving", "moved", "server", "pressure", "trust"}
+var reasonNames = [reasonCount]string{"idle", "age", "uses", "thin", "room", "leaving", "moved", "server", "pressure", "trust", "unsolicited", "resting"}
 
 // String returns the name of the reason in log lines.
 func (r Reason) String() string { return reasonNames[r] }
@@ -222,6 +231,8 @@
 	provenIdleFrom   time.Duration    // start of the current period of provenIdle
 	idleLossAt       time.Duration    // time of the newest loss that is attributed to idling; 0 for never
 
+	singleCallUntil time.Duration // connections carry a single call before this time
+
 	suspectedIdles []time.Duration // idle times of losses that are not yet attributed to idling or to another reason
 
 	maxUses             int // limit of calls per connection; 0 for none
@@ -271,14 +282,17 @@
 	destinations map[int]*destination
 	conns        map[ID]*conn
 	keepNoIdle   bool // connections are closed instead of becoming idle
-	lastID       ID
-	rng          *rand.Rand
-	clock        time.Duration // the latest time that a caller has passed
-	lastTickAt   time.Duration
-	recentCalls  float64 // calls in the window of staleWindowCalls
-	staleCalls   float64 // of recentCalls, those that failed on dead connections
-	counters     Counters
-	idleTimes    IdleTimes
+
+	singleCallUntil time.Duration // connections to all endpoints carry a single call before this time
+
+	lastID      ID
+	rng         *rand.Rand
+	clock       time.Duration // the latest time that a caller has passed
+	lastTickAt  time.Duration
+	recentCalls float64 // calls in the window of staleWindowCalls
+	staleCalls  float64 // of recentCalls, those that failed on dead connections
+	counters    Counters
+	idleTimes   IdleTimes
 }
 
 // Counters counts events since the start.
@@ -519,12 +533,15 @@
 		p.startCall(c)
 		return Use, c.id, evict
 	}
-	if e.atConnLimit(p.clock) {
-		p.counters.Waited++
-		return Wait, 0, evict
+	var forRoom []Eviction
+	hasRoom := !e.atConnLimit(p.clock)
+	if hasRoom {
+		forRoom, hasRoom = p.makeRoom(e)
 	}
-	forRoom, ok := p.makeRoom(e)
-	if evict = append(evict, forRoom...); !ok {
+	if !hasRoom {
+		forRoom, hasRoom = p.replaceResting(e)
+	}
+	if evict = append(evict, forRoom...); !hasRoom {
 		p.counters.Waited++
 		return Wait, 0, evict
 	}
@@ -610,11 +627,11 @@
 	return evict
 }
 
-// Claim assigns a waiting call to a connection that has just become idle. It returns false if the connection is not idle.
+// Claim assigns a waiting call to a connection that has just become idle. It returns false if the connection is not idle or has to rest.
 func (p *Pool) Claim(now time.Duration, id ID) bool {
 	p.advanceClock(now)
 	c := p.conns[id]
-	if c == nil || c.state != stateIdle {
+	if c == nil || c.state != stateIdle || p.isResting(c) {
 		return false
 	}
 	p.startCall(c)
@@ -671,7 +688,7 @@
 			continue
 		}
 		c := o.idleConns[0]
-		excess := float64(len(o.conns)) - max(min(o.targetConns(), fair), 0)
+		excess := float64(len(o.conns)) - max(min(p.targetConns(o), fair), 0)
 		if excess > largestExcess || excess == largestExcess &&
 			(c.idleSince < worst.idleSince || c.idleSince == worst.idleSince && c.id < worst.id) {
 			worst, largestExcess = c, excess
@@ -715,6 +732,9 @@
 			evicted = append(evicted, p.evict(c, reason))
 			continue
 		}
+		if p.isResting(c) {
+			continue
+		}
 		if p.clock-c.idleSince > trustedIdle {
 			if unproven == nil { // the shortest idle time
 				unproven = c
@@ -767,6 +787,8 @@
 		return ReasonAge, true
 	case e.maxUses > 0 && c.calls >= e.maxUses && c.id%connsPerUsesTrial != 0:
 		return ReasonUses, true
+	case c.calls > 0 && p.singleCall(e):
+		return ReasonUnsolicited, true
 	}
 	return 0, false
 }
@@ -896,6 +918,8 @@
 		reason = ReasonAge
 	case e.maxUses > 0 && c.calls >= e.maxUses && c.id%connsPerUsesTrial != 0:
 		reason = ReasonUses
+	case p.singleCall(e):
+		reason = ReasonUnsolicited
 	case len(p.conns) > p.cfg.MaxConns:
 		reason = ReasonRoom
 	case p.keepNoIdle:
@@ -1047,12 +1071,12 @@
 }
 
 // targetConns returns the number of connections that an endpoint needs. It covers the mean number of concurrent calls by Little's law,
-// their variation, and the recent peak.
-func (e *endpoint) targetConns() float64 {
+// their variation, and the recent peak. A connection that rests between two calls counts as busy.
+func (p *Pool) targetConns(e *endpoint) float64 {
 	if !e.acceptsCalls {
 		return 0
 	}
-	busy := e.callsPerSecond * (e.serviceSeconds + e.serviceSpreadSeconds)
+	busy := e.callsPerSecond * (e.serviceSeconds + e.serviceSpreadSeconds + p.cfg.MinRest.Seconds())
 	needed := busy + busyDeviations*math.Sqrt(busy)
 	if e.callsPerSecond > 0.5 {
 		needed = max(needed, 1)
@@ -1084,7 +1108,7 @@
 			}
 		}
 		soft, hard := p.idleLimits(e)
-		surplus := float64(len(e.conns)) - e.targetConns()
+		surplus := float64(len(e.conns)) - p.targetConns(e)
 		candidates := slices.Clone(e.idleConns)
 		// The more file descriptors are in use, the sooner surplus connections are closed: after minSurplusIdle once half are in use.
 		surplusAfter := max(minSurplusIdle, time.Duration((1-2*float64(len(p.conns))/float64(p.cfg.MaxConns))*float64(soft)))
@@ -1158,7 +1182,7 @@
 	// A connection is worth opening if a call uses it before it reaches the idle limit.
 	wanted := 0
 	if soft, _ := p.idleLimits(e); e.callsPerSecond*soft.Seconds() > 3 {
-		wanted = int(e.targetConns()) - len(e.conns)
+		wanted = int(p.targetConns(e)) - len(e.conns)
 	}
 	wanted = max(wanted, e.expectedCalls-freeCount)
 	if e.slowStart || e.openFailures > 0 || e.lastOpenedAt == 0 { // the endpoint is new or recovering
@@ -1177,7 +1201,7 @@
 func (p *Pool) Unneeded() (ids []ID) {
 	for _, name := range slices.Sorted(maps.Keys(p.endpoints)) {
 		e := p.endpoints[name]
-		surplus := len(e.conns) - max(int(e.targetConns()), e.busyCount+e.expectedCalls)
+		surplus := len(e.conns) - max(int(p.targetConns(e)), e.busyCount+e.expectedCalls)
 		for _, c := range e.connsByID() {
 			if c.state == stateOpening && c.preconnected && surplus > 0 {
 				ids = append(ids, c.id)
@@ -1197,7 +1221,7 @@
 		idleConns = append(idleConns, e.idleConns...)
 	}
 	slices.SortFunc(idleConns, func(a, b *conn) int {
-		surplus := func(c *conn) float64 { return float64(len(c.owner.conns)) - c.owner.targetConns() }
+		surplus := func(c *conn) float64 { return float64(len(c.owner.conns)) - p.targetConns(c.owner) }
 		return cmp.Or(cmp.Compare(surplus(b), surplus(a)), cmp.Compare(a.idleSince, b.idleSince), cmp.Compare(a.id, b.id))
 	})
 	for _, c := range idleConns[:min(maxEvicted, len(idleConns))] {
@@ -1317,7 +1341,7 @@
 	for _, name := range slices.Sorted(maps.Keys(p.endpoints)) {
 		e := p.endpoints[name]
 		soft, _ := p.idleLimits(e)
-		s := EndpointState{Endpoint: name, AcceptsCalls: e.acceptsCalls, SlowStart: e.slowStart, Target: int(e.targetConns()),
+		s := EndpointState{Endpoint: name, AcceptsCalls: e.acceptsCalls, SlowStart: e.slowStart, Target: int(p.targetConns(e)),
 			CallsPerSecond: e.callsPerSecond, Service: time.Duration(e.serviceSeconds * 1e9),
 			Spread: time.Duration(e.serviceSpreadSeconds * 1e9), IdleLimit: soft, MaxUses: e.maxUses, ConnLimit: e.connLimit,
 			OpenFailures: e.openFailures, Evicted: e.evicted, Stale: e.staleCalls}
--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -162,6 +162,13 @@
 	return !c.unusable
 }
 
+// hasUnsolicited reports whether bytes arrived that no call was waiting for, after the first call.
+func (c *conn) hasUnsolicited() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unsolicited && c.calls > 0
+}
+
 // callCount returns the number of calls of which writing has begun.
 func (c *conn) callCount() int {
 	c.mu.Lock()
@@ -254,6 +261,7 @@
 			c.callEnd = conns.BrokenDuringAnswer
 		}
 		if n < len(data) && feedErr == nil {
+			c.unsolicited = true
 			c.manager.unsolicited.Add(1)
 			slog.Warn("pool member wrote more than one answer to a call", "addr", c.nc.RemoteAddr(), "bytes", len(data)-n, "member", c.host,
 				"conn", c.id, "calls", c.calls)
@@ -277,16 +285,3 @@
 		c.readDeadlineSet = underway
 	}
 }
-
-// waitSettled waits until settledAt and reports whether the connection is still open. The pause after an answer lets bytes that the pool
-// member sends behind it arrive, so that they are not taken for the answer to the next call.
-func (c *conn) waitSettled(settledAt time.Time) bool {
-	timer := time.NewTimer(time.Until(settledAt))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-c.readerDone:
-		return false
-	}
-}
--- a/internal/flow/connections.go
+++ b/internal/flow/connections.go
@@ -162,7 +162,11 @@
 		return
 	}
 	tlsWaiters := c.underTLS != nil && m.handshakes.hasWaiters(c.host)
-	if !tlsWaiters && len(m.waiters[c.host]) == 0 || !m.conns.Claim(m.now(), c.id) {
+	if !tlsWaiters && len(m.waiters[c.host]) == 0 {
+		return
+	}
+	if !m.conns.Claim(m.now(), c.id) {
+		m.serveWaiters() // a connection that has to rest may be replaced
 		return
 	}
 	c.inUse, c.reused = true, true
@@ -183,7 +187,7 @@
 	for {
 		switch {
 		case l.c != nil:
-			if (l.c.idleSince.IsZero() || l.c.waitSettled(l.c.idleSince.Add(m.cfg.SettleTime))) && l.c.beginCall() {
+			if l.c.beginCall() {
 				return l.c, nil
 			}
 			l = m.replaceConn(r, l.c)
@@ -203,6 +207,7 @@
 func (m *Manager) replaceConn(r *activeFlow, c *conn) lease {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noteUnsolicited(c)
 	m.conns.ClosedBeforeUse(m.now(), c.id)
 	m.closeEvicted([]conns.Eviction{{ID: c.id, Reason: conns.ReasonServerClosed}})
 	return m.requestConn(r.Member, m.conns.RetryCall)
@@ -362,6 +367,7 @@
 func (m *Manager) finishCall(c *conn, end conns.CallEnd, duration time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noteUnsolicited(c)
 	if idle, reason := m.conns.CallEnded(m.now(), c.id, end, duration); idle {
 		m.becameIdle(c, time.Now())
 	} else {
@@ -377,6 +383,7 @@
 	defer m.mu.Unlock()
 	reason := conns.ReasonServerClosed
 	if !usable {
+		m.noteUnsolicited(c)
 		m.conns.ClosedBeforeUse(m.now(), c.id)
 	} else {
 		var idle bool
@@ -401,6 +408,13 @@
 	}
 }
 
+// noteUnsolicited reports unsolicited bytes on a connection that has carried a call to conns.Pool. The caller holds m.mu.
+func (m *Manager) noteUnsolicited(c *conn) {
+	if c.hasUnsolicited() {
+		m.conns.Unsolicited(m.now(), c.id)
+	}
+}
+
 // readerEnded removes a connection whose reader has ended. A connection in use is removed later, when its flow returns the connection.
 func (m *Manager) readerEnded(c *conn) {
 	m.mu.Lock()
@@ -408,6 +422,7 @@
 	if m.connsByID[c.id] != c || c.inUse {
 		return
 	}
+	m.noteUnsolicited(c)
 	slog.Debug("connection ended by the pool member", "member", c.host, "conn", c.id, "calls", c.callCount())
 	m.conns.Closed(m.now(), c.id)
 	delete(m.connsByID, c.id)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -19,7 +19,6 @@
 type Config struct {
 	ConnectTimeout time.Duration // timeout for opening a connection
 	MaxCalls       int           // maximum number of calls in flight
-	SettleTime     time.Duration // minimum time between an answer and the next call on the same connection
 	Conns          conns.Config  // how many connections are kept, and which are used
 
 	// MaxConnWait bounds how long a flow waits for a connection while no new one may be opened; 0 means 250 ms. A flow that waits longer
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -53,6 +53,13 @@
 	return c
 }
 
+// restConfig returns a configuration with at most two connections that rest for this time between two calls.
+func restConfig(minRest time.Duration) conns.Config {
+	c := connsConfig(2)
+	c.MinRest = minRest
+	return c
+}
+
 func mustNew(g *Manager, err error) *Manager {
 	if err != nil {
 		panic(err)
@@ -162,11 +169,12 @@
 	}
 }
 
-// Bytes that follow an answer in a packet of their own must not be taken for the answer to the next call. A connection settles for a
-// moment before its next call, and is closed if any bytes arrive.
+// Bytes that follow an answer in a packet of their own must not be taken for the answer to the next call. A connection rests for a
+// while before its next call, and is closed if any bytes arrive.
 func TestUnsolicitedBytesAfterAnswer(t *testing.T) {
 	r := newHarness(t)
-	r.manager.cfg.SettleTime = time.Hour
+	r.manager = mustNew(New(Config{ConnectTimeout: time.Minute, MaxCalls: 2, Conns: restConfig(time.Hour)}, func(e traffic.FlowEnd) { r.ends <- e }))
+	r.setHealth(traffic.Active)
 	r.startFlow("a")
 	nc := <-r.conns
 	r.readCall(nc)
--- a/internal/lab/partner/partner.go
+++ b/internal/lab/partner/partner.go
@@ -114,7 +114,8 @@
 
 	TLS *tls.Config // configuration of the server side; nil for plain TCP
 
-	Copies Copies // answers that are written again
+	Copies       Copies        // answers that are written again
+	ConnectDelay time.Duration // added to the first call of each connection, as by a TLS handshake
 
 	RefusedBody string            // calls with this body are refused with 429 and at least the Wait of the first phase; empty for none
 	OnCall      func(ledger.Call) // receives each answered call; may be nil
@@ -465,6 +466,7 @@
 		c = tlsConn
 	}
 	r := bufio.NewReaderSize(c, 4096)
+	time.Sleep(s.cfg.ConnectDelay)
 	for {
 		req, first, err := readHead(r)
 		if err != nil {
