--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -35,13 +35,9 @@
 	counters Counters
 	wake     chan struct{}
 
-	// Used by the goroutine in Run alone: the connection, its address, and the context that ends when the platform leaves that
-	// address. A move closes the connection at once, also during a call. Notices without an answer are sent again to the new
-	// address.
-	conn        net.Conn
+	// Used by the goroutine in Run alone: the address of the latest call, and the context that ends when the platform leaves it.
 	addr        string
 	platformCtx context.Context
-	stopClose   func() bool
 }
 
 // Counters holds counts since the start: calls, and those of them that were not answered and so are repeated.
@@ -77,7 +73,6 @@
 
 // Run delivers notices until ctx ends.
 func (s *Sender) Run(ctx context.Context) {
-	defer s.closeConn()
 	batchLimit := maxBatchLines // 1 after a call that the platform could not read, to find the invalid line
 	for {
 		s.mu.Lock()
@@ -107,7 +102,6 @@
 			slog.Error("notice refused by the platform", "id", batch[0].ID)
 			s.removeAnswered(batch)
 		default:
-			s.closeConn()
 			if s.platformCtx.Err() != nil {
 				continue // the platform has moved, so there is no reason to pause
 			}
@@ -135,40 +129,27 @@
 	s.answered(ids)
 }
 
-func (s *Sender) closeConn() {
-	if s.conn != nil {
-		s.stopClose()
-		s.conn.Close()
-		s.conn = nil
-	}
-}
-
-// call sends a batch and returns the HTTP status of the answer; 0 if there was none.
+// call sends a batch on a connection of its own, since a second answer to an earlier call would be taken for the answer to this one. It
+// returns the HTTP status of the answer; 0 if there was none. A move of the platform ends the call, and the notices are sent again to the
+// new address.
 func (s *Sender) call(ctx context.Context, batch []traffic.Notice) (int, error) {
 	deadline := time.Now().Add(answerTimeout)
-	if s.conn != nil && s.platformCtx.Err() != nil {
-		s.closeConn()
-	}
-	if s.conn == nil {
-		s.addr, s.platformCtx = s.platform.Current()
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		defer context.AfterFunc(s.platformCtx, cancel)()
-		dialer := net.Dialer{Deadline: deadline}
-		nc, err := dialer.DialContext(ctx, "tcp", s.addr)
-		if err != nil {
-			return 0, fmt.Errorf("notice: %w", err)
-		}
-		s.conn, s.stopClose = nc, context.AfterFunc(s.platformCtx, func() { nc.Close() })
+	s.addr, s.platformCtx = s.platform.Current()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.platformCtx, cancel)()
+	dialer := net.Dialer{Deadline: deadline}
+	nc, err := dialer.DialContext(ctx, "tcp", s.addr)
+	if err != nil {
+		return 0, fmt.Errorf("notice: %w", err)
 	}
-	resp, err := http1.Exchange(s.conn, http1.AppendRequest(nil, "POST", "/v1/notices", s.addr, nil, encode(batch)),
+	defer nc.Close()
+	defer context.AfterFunc(s.platformCtx, func() { nc.Close() })()
+	resp, err := http1.Exchange(nc, http1.AppendRequest(nil, "POST", "/v1/notices", s.addr, nil, encode(batch)),
 		http1.MaxHeadBytes, deadline, deadline)
 	if err != nil {
 		return 0, err
 	}
-	if !resp.Reusable() {
-		s.closeConn()
-	}
 	return resp.Status, nil
 }
 
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -1,8 +1,10 @@
 package notice
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -54,3 +56,53 @@
 	cancel()
 	<-ended
 }
+
+// A second copy of an answer must not stand for the answer to the next notices. The platform here answers the first call of a connection
+// twice and does not read further calls on it.
+func TestSecondAnswerIsForNoOtherNotice(t *testing.T) {
+	const noContent = "HTTP/1.1 204 No Content\r\n\r\n"
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	received := make(chan string, 20)
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				req, err := http.ReadRequest(bufio.NewReader(nc))
+				if err != nil {
+					return
+				}
+				body, _ := io.ReadAll(req.Body)
+				received <- string(body)
+				_, _ = io.WriteString(nc, noContent)
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(nc, noContent)
+			}()
+		}
+	}()
+	answered := make(chan []string, 20)
+	s := New(discoveryaddr.New(ln.Addr().String()), func(ids []string) { answered <- ids })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { s.Run(ctx); close(ended) }()
+	for _, id := range []string{"a", "b", "c"} {
+		s.Send(traffic.Notice{ID: id, Outcome: traffic.GivenUp})
+		<-answered
+		select {
+		case got := <-received:
+			if !strings.Contains(got, `"`+id+`"`) {
+				t.Errorf("%s was answered, and the platform has read %q", id, got)
+			}
+		default:
+			t.Errorf("%s was answered, and the platform has not read it", id)
+		}
+	}
+	cancel()
+	<-ended
+}
