--- /dev/null
+++ b/internal/journal/faults_test.go
@@ -0,0 +1,100 @@
+package journal
+
+import (
+	"errors"
+	"os"
+	"syscall"
+	"testing"
+
+	"slatemux/internal/traffic"
+)
+
+// faultyFile fails writes and truncations while an error is set. A failed write leaves half of its bytes in the file.
+type faultyFile struct {
+	*os.File
+	err error
+}
+
+func (f *faultyFile) Write(b []byte) (int, error) {
+	if f.err == nil {
+		return f.File.Write(b)
+	}
+	n, _ := f.File.Write(b[:len(b)/2])
+	return n, f.err
+}
+
+func (f *faultyFile) Truncate(size int64) error {
+	if f.err == nil {
+		return f.File.Truncate(size)
+	}
+	return f.err
+}
+
+// faultyDisk is a folder in which every write fails while an error is set.
+type faultyDisk struct {
+	err   error
+	files []*faultyFile
+}
+
+func (d *faultyDisk) create(path string) (file, error) {
+	if d.err != nil {
+		return nil, d.err
+	}
+	f, err := createFile(path)
+	if err != nil {
+		return nil, err
+	}
+	faulty := &faultyFile{File: f.(*os.File)}
+	d.files = append(d.files, faulty)
+	return faulty, nil
+}
+
+// fail sets the error of all later writes; nil ends the fault.
+func (d *faultyDisk) fail(err error) {
+	d.err = err
+	for _, f := range d.files {
+		f.err = err
+	}
+}
+
+func openOnDisk(t *testing.T, dir, id string, limit int64, disk *faultyDisk) *Journal {
+	t.Helper()
+	j, err := openWith(dir, limit, id, disk.create)
+	if err != nil {
+		t.Fatalf("the journal did not open: %v", err)
+	}
+	return j
+}
+
+// ids returns the ids of the open transactions that a new process finds in the folder.
+func idsAfterKill(t *testing.T, j *Journal, dir string) (ids []string) {
+	t.Helper()
+	_ = j.Close() // releases the lock, as the kernel does when a process ends
+	next := mustOpenAs(t, dir, "next")
+	defer next.Close()
+	open, _ := next.Pending()
+	for _, o := range open {
+		ids = append(ids, o.ID)
+	}
+	return ids
+}
+
+// Guards against lost messages behind a write that failed halfway and could not be undone at once.
+func TestRecordsAfterFailedWriteAreReplayed(t *testing.T) {
+	for _, fault := range []error{syscall.ENOSPC, syscall.EIO} {
+		dir, disk := t.TempDir(), &faultyDisk{}
+		j := openOnDisk(t, dir, "1", megabyte, disk)
+		mustCommit(t, j, traffic.TransactionAccepted{Transaction: transaction("a", 10)})
+		disk.fail(fault)
+		for range 2 {
+			if err := j.Commit([]traffic.Change{traffic.TransactionAccepted{Transaction: transaction("b", 10)}}); !errors.Is(err, fault) {
+				t.Errorf("commit on a faulty disk: %v, want %v", err, fault)
+			}
+		}
+		disk.fail(nil)
+		mustCommit(t, j, traffic.TransactionAccepted{Transaction: transaction("c", 10)})
+		if ids := idsAfterKill(t, j, dir); len(ids) != 2 || ids[0] != "a" || ids[1] != "c" {
+			t.Errorf("after %v the next process finds %v, want a and c", fault, ids)
+		}
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -41,8 +41,10 @@
 	name            string // of this process's file, which stays locked while the process runs
 	otherFilesBytes int64  // size, in whole blocks, of the files of other running processes when the folder was last read
 	limitBytes      atomic.Int64
-	file            *os.File
+	file            file
+	create          func(path string) (file, error)
 	fileBytes       int64
+	torn            bool  // a failed write has left bytes behind fileBytes
 	liveBytes       int64 // upper bound of the size of a compacted file
 	open            map[string]*entry
 	notices         map[string]*entry
@@ -52,6 +54,18 @@
 	stats           [3]atomic.Int64 // copy of the results of Stats, for other goroutines
 }
 
+// file is an open journal file of this process.
+type file interface {
+	io.WriteCloser
+	Truncate(size int64) error
+	Fd() uintptr
+}
+
+// createFile creates or empties a file that is written at its end.
+func createFile(path string) (file, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
+}
+
 // entry is a pending entry: an open transaction, or the unanswered notice of its end.
 type entry struct {
 	seq            int64
@@ -70,7 +84,12 @@
 
 // openAs is Open for a given process id. The ids of processes that run at the same time must differ.
 func openAs(dir string, limitBytes int64, id string) (*Journal, error) {
-	j := &Journal{dir: dir, name: filePrefix + "." + id, open: map[string]*entry{}, notices: map[string]*entry{}}
+	return openWith(dir, limitBytes, id, createFile)
+}
+
+// openWith is openAs with a function that creates this process's files.
+func openWith(dir string, limitBytes int64, id string, create func(path string) (file, error)) (*Journal, error) {
+	j := &Journal{dir: dir, name: filePrefix + "." + id, create: create, open: map[string]*entry{}, notices: map[string]*entry{}}
 	j.SetLimit(limitBytes)
 	if j.limitBytes.Load() < 8*blockBytes {
 		return nil, fmt.Errorf("journal: a limit of %d bytes is too small", limitBytes)
@@ -243,6 +262,9 @@
 	if len(changes) == 0 {
 		return nil
 	}
+	if err := j.undoPartialWrite(); err != nil {
+		return err
+	}
 	j.buf = j.buf[:0]
 	for _, ch := range changes {
 		j.buf = appendChange(j.buf, ch)
@@ -256,10 +278,9 @@
 		return fmt.Errorf("journal: full: file %d bytes, limit %d bytes", j.fileBytes, j.ownLimitBytes())
 	}
 	if n, err := j.file.Write(j.buf); err != nil {
-		if n > 0 { // no record may follow a truncated one: replay would stop there
-			if terr := j.file.Truncate(j.fileBytes); terr != nil {
-				return fmt.Errorf("journal: partial write not undone: %w", terr)
-			}
+		j.torn = n > 0
+		if undoErr := j.undoPartialWrite(); undoErr != nil {
+			slog.Error("journal write not undone yet", "err", undoErr)
 		}
 		return fmt.Errorf("journal: %w", err)
 	}
@@ -271,6 +292,19 @@
 	return nil
 }
 
+// undoPartialWrite removes what a failed write has left behind the last complete record. No record may follow a truncated one, because
+// replay stops there.
+func (j *Journal) undoPartialWrite() error {
+	if !j.torn {
+		return nil
+	}
+	if err := j.file.Truncate(j.fileBytes); err != nil {
+		return fmt.Errorf("journal: partial write not undone: %w", err)
+	}
+	j.torn = false
+	return nil
+}
+
 // Stats returns the size of the file in bytes, the upper bound of its size after a compaction, and the number of compactions.
 // It is safe for concurrent use.
 func (j *Journal) Stats() (size, live, compactions int64) {
@@ -373,7 +407,7 @@
 		return fmt.Errorf("journal: no space for a compaction: new file %d, old file %d, limit %d bytes", len(b), j.fileBytes, j.ownLimitBytes())
 	}
 	newName := j.name + compactionSuffix
-	f, err := os.OpenFile(j.path(newName), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
+	f, err := j.create(j.path(newName))
 	if err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
@@ -391,7 +425,7 @@
 	if j.file != nil {
 		j.file.Close()
 	}
-	j.file, j.fileBytes = f, int64(len(b))
+	j.file, j.fileBytes, j.torn = f, int64(len(b)), false
 	j.compactions++
 	j.publishStats()
 	return nil
--- a/internal/journal/lock.go
+++ b/internal/journal/lock.go
@@ -8,7 +8,7 @@
 )
 
 // lock takes the exclusive lock of a file that this process has just created. No other process has opened the file yet.
-func lock(f *os.File) error {
+func lock(f file) error {
 	err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
 	if err != nil && !lockedByOther(err) {
 		// Without file locks the journal still works, if only one process at a time uses the folder.
