--- a/internal/journal/faults_test.go
+++ b/internal/journal/faults_test.go
@@ -98,3 +98,73 @@
 		}
 	}
 }
+
+// Guards against a start that fails, or forgets messages, while the folder cannot be written.
+func TestStartOnFaultyDisk(t *testing.T) {
+	dir, disk := t.TempDir(), &faultyDisk{}
+	predecessor := openOnDisk(t, dir, "1", megabyte, disk)
+	mustCommit(t, predecessor, processHistory...)
+	predecessor.Close()
+	disk.fail(syscall.ENOSPC)
+	j := openOnDisk(t, dir, "2", megabyte, disk)
+	if open, notices := j.Pending(); len(open) != 3 || len(notices) != 1 {
+		t.Fatalf("recovered %d transactions and %d notices, want 3 and 1", len(open), len(notices))
+	}
+	change := []traffic.Change{traffic.FlowStarted{ID: "a", Attempt: 2, At: baseTime}}
+	if err := j.Commit(change); !errors.Is(err, syscall.ENOSPC) {
+		t.Errorf("commit on a faulty disk: %v", err)
+	}
+	disk.fail(nil)
+	mustCommit(t, j, change...)
+	mustCommit(t, j, traffic.Ended{ID: "b"})
+	if ids := idsAfterKill(t, j, dir); len(ids) != 2 || ids[0] != "a" || ids[1] != "c" {
+		t.Errorf("the next process finds %v, want a and c", ids)
+	}
+}
+
+// A kill while the folder cannot be written leaves the predecessor's file as it was.
+func TestKillOnFaultyDiskLosesNothing(t *testing.T) {
+	dir, disk := t.TempDir(), &faultyDisk{}
+	predecessor := openOnDisk(t, dir, "1", megabyte, disk)
+	mustCommit(t, predecessor, processHistory...)
+	predecessor.Close()
+	disk.fail(syscall.EIO)
+	j := openOnDisk(t, dir, "2", megabyte, disk)
+	_ = j.Commit([]traffic.Change{traffic.Ended{ID: "a"}})
+	if ids := idsAfterKill(t, j, dir); len(ids) != 3 {
+		t.Errorf("the next process finds %v, want three transactions", ids)
+	}
+}
+
+// Guards against messages of a predecessor that a failed recovery swallows, and against own flows that a recovery takes for ended.
+func TestRecoverOnFaultyDisk(t *testing.T) {
+	dir, disk := t.TempDir(), &faultyDisk{}
+	predecessor := openOnDisk(t, dir, "1", megabyte, disk)
+	mustCommit(t, predecessor, traffic.TransactionAccepted{Transaction: transaction("a", 3)})
+	successor := openOnDisk(t, dir, "2", megabyte, disk)
+	mustCommit(t, successor, traffic.TransactionAccepted{Transaction: transaction("own", 3)}, traffic.FlowStarted{ID: "own", At: baseTime})
+	predecessor.Close()
+	disk.fail(syscall.ENOSPC)
+	recovered := map[string]int{}
+	recoverOnce := func() {
+		open, _, _ := successor.Recover()
+		for _, o := range open {
+			recovered[o.ID]++
+		}
+	}
+	recoverOnce()
+	recoverOnce()
+	disk.fail(nil)
+	recoverOnce()
+	mustCommit(t, successor, traffic.FlowEnded{ID: "own"})
+	if recovered["a"] != 1 || len(recovered) != 1 {
+		t.Errorf("recovered %v, want a once", recovered)
+	}
+	_ = successor.Close()
+	next := mustOpenAs(t, dir, "next")
+	defer next.Close()
+	open, _ := next.Pending()
+	if len(open) != 2 || !open[0].FirstSent.IsZero() || !open[1].FirstSent.IsZero() {
+		t.Errorf("the next process finds %+v, want two transactions that have not run", open)
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -16,6 +17,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"slatemux/internal/traffic"
 )
 
@@ -38,8 +41,9 @@
 // concurrent use.
 type Journal struct {
 	dir             string
-	name            string // of this process's file, which stays locked while the process runs
-	otherFilesBytes int64  // size, in whole blocks, of the files of other running processes when the folder was last read
+	name            string   // of this process's file, which stays locked while the process runs
+	orphans         []orphan // files of ended processes whose entries are not in this process's file yet
+	otherFilesBytes int64    // size, in whole blocks, of the files of other running processes when the folder was last read
 	limitBytes      atomic.Int64
 	file            file
 	create          func(path string) (file, error)
@@ -94,71 +98,55 @@
 	if j.limitBytes.Load() < 8*blockBytes {
 		return nil, fmt.Errorf("journal: a limit of %d bytes is too small", limitBytes)
 	}
-	orphans, err := j.replayOrphans()
+	replayed, orphans, err := j.replayOrphans()
 	if err != nil {
 		return nil, err
 	}
-	if err := j.compact(); err != nil {
+	j.takeOver(replayed, orphans)
+	if err := j.prepareWrite(); isTemporary(err) {
+		slog.Error("journal write failed", "err", err) // the entries stay in the files of the ended processes until a write succeeds
+	} else if err != nil {
 		return nil, err
 	}
-	j.removeRecovered(orphans)
 	return j, nil
 }
 
-// Recover recovers the pending entries of processes that have ended since the folder was last read. It writes the entries to this
-// process's file and returns them in the order in which they were recorded. Entries that this process already has are not returned.
+// Recover recovers the pending entries of processes that have ended since the folder was last read, and returns them in the order in which
+// they were recorded. Entries that this process already has are not returned. If the entries cannot be written to this process's file, the
+// files of the ended processes stay until a later write succeeds. If they do not fit into the folder, a later call returns them.
 func (j *Journal) Recover() ([]traffic.Open, []traffic.Notice, error) {
-	before := make(map[string]bool, len(j.open)+len(j.notices))
-	for id := range j.open {
-		before[id] = true
-	}
-	for id := range j.notices {
-		before[id] = true
-	}
-	orphans, err := j.replayOrphans()
-	if err != nil || len(orphans) == 0 {
-		return nil, nil, err
-	}
-	if err := j.compact(); err != nil {
-		for _, o := range orphans { // unlock the files; the next call of Recover reads them again
-			o.file.Close()
-		}
+	replayed, orphans, err := j.replayOrphans()
+	if err != nil {
 		return nil, nil, err
 	}
-	j.removeRecovered(orphans)
-	var open []traffic.Open
-	var notices []traffic.Notice
-	for _, e := range sortedBySeq(j.open) {
-		if !before[e.open.ID] {
-			open = append(open, e.open)
-		}
+	oldBytes := j.fileBytes + orphansBytes(j.orphans) + orphansBytes(orphans)
+	if size := j.liveBytes + replayed.liveBytes; len(orphans) > 0 && roundUpToBlocks(size)+roundUpToBlocks(oldBytes) > j.ownLimitBytes() {
+		closeAll(orphans) // unlocks the files
+		return nil, nil, fmt.Errorf("journal: no space to take over: new file %d, old files %d, limit %d bytes", size, oldBytes, j.ownLimitBytes())
 	}
-	for _, e := range sortedBySeq(j.notices) {
-		if !before[e.notice.ID] {
-			notices = append(notices, e.notice)
-		}
-	}
-	return open, notices, nil
+	open, notices := j.takeOver(replayed, orphans).Pending()
+	return open, notices, j.adoptOrphans()
 }
 
 // orphan is the file of a process that has ended. This process holds the file's lock.
 type orphan struct {
-	name string
-	file *os.File
+	name  string
+	file  *os.File
+	bytes int64
 }
 
-// replayOrphans replays and locks the files in the folder that no running process has locked. If an ended process had the same
-// id as this process, the file with this process's own name is one of them.
-func (j *Journal) replayOrphans() ([]orphan, error) {
+// replayOrphans replays and locks the files in the folder that no running process has locked. If an ended process had the same id as this
+// process, the file with this process's own name is one of them.
+func (j *Journal) replayOrphans() (replayed *Journal, orphans []orphan, err error) {
 	names, err := filepath.Glob(filepath.Join(j.dir, filePrefix+"*"))
 	if err != nil {
-		return nil, fmt.Errorf("journal: %w", err)
+		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
-	var orphans []orphan
+	replayed = &Journal{open: map[string]*entry{}, notices: map[string]*entry{}}
 	j.otherFilesBytes = 0
 	for _, path := range names {
 		base := filepath.Base(path)
-		if base == j.name+compactionSuffix || base == j.name && j.file != nil {
+		if base == j.name+compactionSuffix || base == j.name && j.file != nil || j.holdsOrphan(base) {
 			continue
 		}
 		if strings.HasSuffix(base, compactionSuffix) { // compaction file of another process, in progress or left over
@@ -180,21 +168,76 @@
 			slog.Warn("journal of an ended process not read", "file", base, "err", err)
 			continue
 		}
-		j.replay(base, raw)
-		orphans = append(orphans, orphan{base, f})
+		replayed.replay(base, raw)
+		orphans = append(orphans, orphan{base, f, int64(len(raw))})
 	}
-	for _, e := range j.open {
+	return replayed, orphans, nil
+}
+
+// holdsOrphan reports whether this process has replayed a file whose entries are not in its own file yet.
+func (j *Journal) holdsOrphan(name string) bool {
+	return slices.ContainsFunc(j.orphans, func(o orphan) bool { return o.name == name })
+}
+
+// takeOver adds the pending entries of ended processes, and returns those that this process did not have.
+func (j *Journal) takeOver(replayed *Journal, orphans []orphan) *Journal {
+	j.orphans = append(j.orphans, orphans...)
+	added := &Journal{open: map[string]*entry{}, notices: map[string]*entry{}}
+	for _, e := range sortedBySeq(replayed.open) {
 		if e.inFlight { // the flow was in progress when the process ended: it may have run
 			e.setMayHaveRun()
 		}
+		if own := j.open[e.open.ID]; own != nil {
+			if own.open.FirstSent.IsZero() {
+				own.open.FirstSent = e.open.FirstSent
+			}
+			continue
+		}
+		j.add(j.open, e.open.ID, e)
+		added.open[e.open.ID] = e
+	}
+	for _, e := range sortedBySeq(replayed.notices) {
+		if j.notices[e.notice.ID] == nil {
+			j.add(j.notices, e.notice.ID, e)
+			added.notices[e.notice.ID] = e
+		}
+	}
+	return added
+}
+
+// adoptOrphans writes the entries of ended processes to this process's file and removes the files of these processes.
+func (j *Journal) adoptOrphans() error {
+	if len(j.orphans) == 0 && j.file != nil {
+		return nil
+	}
+	if err := j.compact(); err != nil {
+		return err
+	}
+	j.removeRecovered()
+	return nil
+}
+
+// prepareWrite makes the file ready for the next record.
+func (j *Journal) prepareWrite() error {
+	if err := j.adoptOrphans(); err != nil {
+		return err
+	}
+	return j.undoPartialWrite()
+}
+
+// isTemporary reports whether a write may succeed later without any change to the configuration.
+func isTemporary(err error) bool {
+	for _, temporary := range []error{unix.ENOSPC, unix.EDQUOT, unix.EIO, unix.EINTR, unix.EAGAIN, unix.EMFILE, unix.ENFILE, unix.ENOMEM, unix.ENOBUFS} {
+		if errors.Is(err, temporary) {
+			return true
+		}
 	}
-	return orphans, nil
+	return false
 }
 
 // replay applies the records of a file. It stops at the first invalid record.
 func (j *Journal) replay(file string, raw []byte) {
 	rest := raw
-	j.fileBytes += int64(len(raw)) // the replayed file exists beside the compacted one until it is removed
 	for len(rest) > 0 {
 		ch, n, err := decode(rest)
 		if err != nil {
@@ -208,8 +251,8 @@
 }
 
 // removeRecovered removes and unlocks the replayed files once this process's own file holds their pending entries.
-func (j *Journal) removeRecovered(orphans []orphan) {
-	for _, o := range orphans {
+func (j *Journal) removeRecovered() {
+	for _, o := range j.orphans {
 		if o.name != j.name {
 			os.Remove(j.path(o.name))
 		}
@@ -217,6 +260,22 @@
 		o.file.Close()
 		slog.Info("journal taken over", "file", o.name)
 	}
+	j.orphans = nil
+}
+
+// orphansBytes returns the size of replayed files, which exist beside this process's file until they are removed.
+func orphansBytes(orphans []orphan) (sum int64) {
+	for _, o := range orphans {
+		sum += o.bytes
+	}
+	return sum
+}
+
+// closeAll closes the files and thereby releases their locks.
+func closeAll(orphans []orphan) {
+	for _, o := range orphans {
+		o.file.Close()
+	}
 }
 
 // ownLimitBytes returns the part of the folder's limit that is left for this process's file. During a handover the files of both
@@ -262,7 +321,7 @@
 	if len(changes) == 0 {
 		return nil
 	}
-	if err := j.undoPartialWrite(); err != nil {
+	if err := j.prepareWrite(); err != nil {
 		return err
 	}
 	j.buf = j.buf[:0]
@@ -318,8 +377,14 @@
 	}
 }
 
-// Close closes the file and thereby releases its lock.
-func (j *Journal) Close() error { return j.file.Close() }
+// Close closes the files and thereby releases their locks.
+func (j *Journal) Close() error {
+	closeAll(j.orphans)
+	if j.file == nil {
+		return nil
+	}
+	return j.file.Close()
+}
 
 // roundUpToBlocks rounds a size in bytes up to whole blocks.
 func roundUpToBlocks(n int64) int64 { return (n + blockBytes - 1) / blockBytes * blockBytes }
@@ -403,8 +468,9 @@
 			b = e.appendTo(b)
 		}
 	}
-	if roundUpToBlocks(int64(len(b)))+roundUpToBlocks(j.fileBytes) > j.ownLimitBytes() {
-		return fmt.Errorf("journal: no space for a compaction: new file %d, old file %d, limit %d bytes", len(b), j.fileBytes, j.ownLimitBytes())
+	oldBytes := j.fileBytes + orphansBytes(j.orphans)
+	if roundUpToBlocks(int64(len(b)))+roundUpToBlocks(oldBytes) > j.ownLimitBytes() {
+		return fmt.Errorf("journal: no space for a compaction: new file %d, old files %d, limit %d bytes", len(b), oldBytes, j.ownLimitBytes())
 	}
 	newName := j.name + compactionSuffix
 	f, err := j.create(j.path(newName))
