--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -19,6 +19,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"slatemux/internal/machineclock"
 	"slatemux/internal/traffic"
 )
 
@@ -45,6 +46,8 @@
 	orphans         []orphan // files of ended processes whose entries are not in this process's file yet
 	otherFilesBytes int64    // size, in whole blocks, of the files of other running processes when the folder was last read
 	limitBytes      atomic.Int64
+	anchor          machineclock.Anchor
+	boot            string // the run of the machine
 	file            file
 	create          func(path string) (file, error)
 	fileBytes       int64
@@ -93,7 +96,12 @@
 
 // openWith is openAs with a function that creates this process's files.
 func openWith(dir string, limitBytes int64, id string, create func(path string) (file, error)) (*Journal, error) {
-	j := &Journal{dir: dir, name: filePrefix + "." + id, create: create, open: map[string]*entry{}, notices: map[string]*entry{}}
+	return openClocked(dir, limitBytes, id, create, machineclock.Process, machineclock.BootID())
+}
+
+// openClocked is openWith with the clocks of this process.
+func openClocked(dir string, limitBytes int64, id string, create func(path string) (file, error), anchor machineclock.Anchor, boot string) (*Journal, error) {
+	j := &Journal{dir: dir, name: filePrefix + "." + id, create: create, anchor: anchor, boot: boot, open: map[string]*entry{}, notices: map[string]*entry{}}
 	j.SetLimit(limitBytes)
 	if j.limitBytes.Load() < 8*blockBytes {
 		return nil, fmt.Errorf("journal: a limit of %d bytes is too small", limitBytes)
@@ -142,7 +150,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
-	replayed = &Journal{open: map[string]*entry{}, notices: map[string]*entry{}}
+	replayed = &Journal{anchor: j.anchor, boot: j.boot, open: map[string]*entry{}, notices: map[string]*entry{}}
 	j.otherFilesBytes = 0
 	for _, path := range names {
 		base := filepath.Base(path)
@@ -237,7 +245,7 @@
 
 // replay applies the records of a file. It stops at the first invalid record.
 func (j *Journal) replay(file string, raw []byte) {
-	rest := raw
+	rest, clock := raw, clockReader{anchor: j.anchor, boot: j.boot}
 	for len(rest) > 0 {
 		ch, n, err := decode(rest)
 		if err != nil {
@@ -245,7 +253,9 @@
 			slog.Warn("journal tail dropped", "file", file, "bytes", len(rest), "at", len(raw)-len(rest), "err", err)
 			break
 		}
-		j.apply(ch)
+		if converted, ok := clock.change(ch); ok {
+			j.apply(converted)
+		}
 		rest = rest[n:]
 	}
 }
@@ -326,7 +336,7 @@
 	}
 	j.buf = j.buf[:0]
 	for _, ch := range changes {
-		j.buf = appendChange(j.buf, ch)
+		j.buf = appendChange(j.buf, j.stored(ch))
 	}
 	if float64(j.fileBytes+int64(len(j.buf))) > fileShare*float64(j.ownLimitBytes()) {
 		if err := j.compact(); err != nil {
@@ -434,7 +444,7 @@
 	j.seq++
 	e.seq = j.seq
 	// This is an upper bound: maxSummaryBytes assumes numbers of maximum width.
-	e.compactedBytes = int64(len(e.appendTo(nil))) + maxSummaryBytes(id)
+	e.compactedBytes = int64(len(j.appendEntry(nil, e))) + maxSummaryBytes(id)
 	j.liveBytes += e.compactedBytes
 	m[id] = e
 }
@@ -447,25 +457,25 @@
 	}
 }
 
-// appendTo appends the records that stand for the entry in a compacted file.
-func (e *entry) appendTo(b []byte) []byte {
+// appendEntry appends the records that stand for an entry in a compacted file.
+func (j *Journal) appendEntry(b []byte, e *entry) []byte {
 	if e.notice.ID != "" {
 		n := e.notice
 		return appendChange(b, traffic.Ended{ID: n.ID, Notice: &n})
 	}
-	b = appendChange(b, traffic.TransactionAccepted{Transaction: e.open.Transaction})
+	b = appendChange(b, j.stored(traffic.TransactionAccepted{Transaction: e.open.Transaction}))
 	if e.open.Attempts > 0 {
-		b = appendChange(b, summary{e.open.ID, e.open.Attempts, e.open.FirstSent, e.inFlight, e.flowBegun})
+		b = appendChange(b, j.stored(summary{e.open.ID, e.open.Attempts, e.open.FirstSent, e.inFlight, e.flowBegun}))
 	}
 	return b
 }
 
 // compact writes the pending entries to a new file, which then replaces the old one.
 func (j *Journal) compact() error {
-	var b []byte
+	b := appendChange(nil, traffic.NoticeAnswered{ID: newFileClock(j.anchor, j.boot).id()})
 	for _, m := range []map[string]*entry{j.open, j.notices} {
 		for _, e := range sortedBySeq(m) {
-			b = e.appendTo(b)
+			b = j.appendEntry(b, e)
 		}
 	}
 	oldBytes := j.fileBytes + orphansBytes(j.orphans)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -76,6 +76,7 @@
 		j.Close()
 		for i := range got {
 			got[i].Body = append([]byte{}, got[i].Body...)
+			got[i].Deadline, got[i].FirstSent = got[i].Deadline.Round(0), got[i].FirstSent.Round(0) // without the monotonic reading
 		}
 		if !reflect.DeepEqual(got, wantOpen) {
 			t.Errorf("%s: %+v\nwant %+v", state, got, wantOpen)
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -11,7 +11,7 @@
 
 // A record consists of the length of the payload, the checksum of the payload (four bytes each, little-endian) and the payload.
 // The payload consists of a kind and the fields of that kind. Numbers are varints, strings are preceded by their length, times
-// are Unix microseconds.
+// are Unix microseconds of the clock that clock.go describes.
 
 // summary replaces the records of an open transaction's flows in a compacted file.
 type summary struct {
