--- a/internal/keyorder/keyorder.go
+++ b/internal/keyorder/keyorder.go
@@ -13,6 +13,7 @@
 	"time"
 	"unsafe"
 
+	"slatemux/internal/machineclock"
 	"slatemux/internal/mmapfile"
 )
 
@@ -28,21 +29,27 @@
 )
 
 // slot is the entry of an open message. A slot with ticket 0 is free, and a slot whose time is over may be reused.
+// Times are on the clock of the machine, which no step of the wall clock moves.
 type slot struct{ ticket, key, id, owner, until atomic.Uint64 }
 
 // Table is the shared table. A nil Table shares nothing.
 type Table struct {
 	owner uint64
 	file  *mmapfile.File
+	clock machineclock.Anchor
 }
 
+// filePrefix begins the name of the table's file. The name ends with the id of the machine's run, because the clock of the machine begins
+// again with each.
+const filePrefix = "slatemux-turns-2-"
+
 // Open maps the table of a folder for the process named owner, and creates the table if it does not exist.
 func Open(dir, owner string) (*Table, error) {
-	file, err := mmapfile.Open(filepath.Join(dir, "slatemux-turns"), headerBytes+slotCount*slotBytes)
+	file, err := mmapfile.Open(filepath.Join(dir, filePrefix+machineclock.BootID()), headerBytes+slotCount*slotBytes)
 	if err != nil {
 		return nil, fmt.Errorf("key order table: %w", err)
 	}
-	return &Table{owner: hash(owner), file: file}, nil
+	return &Table{owner: hash(owner), file: file, clock: machineclock.Process}, nil
 }
 
 // Close unmaps the table. A closed table shares nothing.
@@ -85,7 +92,7 @@
 		if found {
 			ticket = s.ticket.Load()
 			s.owner.Store(t.owner)
-			s.until.Store(uint64(until.UnixNano()))
+			s.until.Store(t.clock.ToMachineTicks(until))
 		}
 		return found
 	})
@@ -94,7 +101,7 @@
 	}
 	t.probe(keyHash, func(s *slot, next func() uint64) bool {
 		previous := s.ticket.Load()
-		if previous != 0 && s.until.Load() > uint64(now.UnixNano()) {
+		if previous != 0 && s.until.Load() > t.clock.ToMachineTicks(now) {
 			return false
 		}
 		newTicket := next()
@@ -106,7 +113,7 @@
 		s.key.Store(keyHash)
 		s.id.Store(idHash)
 		s.owner.Store(t.owner)
-		s.until.Store(uint64(until.UnixNano()))
+		s.until.Store(t.clock.ToMachineTicks(until))
 		return true
 	})
 	return ticket
@@ -120,7 +127,7 @@
 	keyHash, idHash, ownTicket, earliestOther := hash(key), hash(id), uint64(0), uint64(1<<64-1)
 	t.probe(keyHash, func(s *slot, next func() uint64) bool {
 		ticket := s.ticket.Load()
-		if ticket == 0 || s.key.Load() != keyHash || s.until.Load() <= uint64(now.UnixNano()) {
+		if ticket == 0 || s.key.Load() != keyHash || s.until.Load() <= t.clock.ToMachineTicks(now) {
 			return false
 		}
 		if s.id.Load() == idHash {
--- a/internal/keyorder/keyorder_test.go
+++ b/internal/keyorder/keyorder_test.go
@@ -68,3 +68,25 @@
 		t.Error("a nil table makes messages wait, or Close fails")
 	}
 }
+
+// A step of the wall clock between two processes neither lengthens nor ends the time of a message.
+func TestStepOfWallClockKeepsOrder(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+		dir, now := t.TempDir(), time.Now()
+		a, aErr := Open(dir, "1")
+		b, bErr := Open(dir, "2")
+		if err := errors.Join(aErr, bErr); err != nil {
+			t.Fatal(err)
+		}
+		a.TakeTicket("k", "m1", now, now.Add(time.Second))
+		b.clock.Time = b.clock.Time.Add(step) // the same monotonic clock, and a wall clock that shows step more
+		now = now.Add(step)
+		b.TakeTicket("k", "m2", now, now.Add(time.Minute))
+		if !b.MustWait("k", "m2", now.Add(900*time.Millisecond)) || b.MustWait("k", "m2", now.Add(1100*time.Millisecond)) {
+			t.Errorf("after a step of %v the earlier message does not block for one second", step)
+		}
+		if err := errors.Join(a.Close(), b.Close()); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/lab/handover_test.go
+++ b/internal/lab/handover_test.go
@@ -12,6 +12,7 @@
 
 	"slatemux/internal/lab/ledger"
 	"slatemux/internal/lab/load"
+	"slatemux/internal/retryafter"
 )
 
 // Handover under load: a second process starts on the client address of the first and reports ready on its own admin endpoint, then
@@ -77,8 +78,8 @@
 	if len(journals) != 1 {
 		t.Errorf("journals left in the state folder: %v", journals)
 	}
-	if _, err := os.Stat(filepath.Join(tmp, "slatemux-waits-2")); err != nil {
-		t.Errorf("no shared table of waits: %v", err)
+	if tables, err := filepath.Glob(filepath.Join(tmp, retryafter.FilePrefix+"*")); err != nil || len(tables) != 1 {
+		t.Errorf("shared tables of waits: %v, %v; want one", tables, err)
 	}
 }
 
--- a/internal/machineclock/machineclock.go
+++ b/internal/machineclock/machineclock.go
@@ -39,7 +39,23 @@
 func (a Anchor) ToWall(t time.Time) int64 { return a.Wall + int64(t.Sub(a.Time)) }
 
 // FromWall returns a time of the wall clock. The result has a monotonic reading, so later steps of the wall clock do not move it.
-func (a Anchor) FromWall(unixNano int64) time.Time { return a.Time.Add(time.Duration(unixNano - a.Wall)) }
+func (a Anchor) FromWall(unixNano int64) time.Time {
+	return a.Time.Add(time.Duration(unixNano - a.Wall))
+}
+
+// ToMachineTicks returns a time as nanoseconds of the clock of the machine, in a form in which later times are larger numbers. Zero is
+// earlier than all times.
+func (a Anchor) ToMachineTicks(t time.Time) uint64 {
+	return uint64(int64(a.ToMachine(t)) + ticksOffset)
+}
+
+// FromMachineTicks returns the time of a result of ToMachineTicks.
+func (a Anchor) FromMachineTicks(ticks uint64) time.Time {
+	return a.FromMachine(time.Duration(int64(ticks) - ticksOffset))
+}
+
+// ticksOffset makes times before the start of the machine's clock positive.
+const ticksOffset = 1 << 62
 
 // BootID identifies the current run of the machine. Times of the clock of the machine are comparable only within one run. The result is
 // empty if the run cannot be identified.
--- a/internal/retryafter/retryafter.go
+++ b/internal/retryafter/retryafter.go
@@ -12,6 +12,7 @@
 	"time"
 	"unsafe"
 
+	"slatemux/internal/machineclock"
 	"slatemux/internal/mmapfile"
 	"slatemux/internal/traffic"
 )
@@ -24,18 +25,25 @@
 	maxProbes = 32
 )
 
-const slotBytes = 16 // the group's hash, then the end of the wait in Unix nanoseconds
+const slotBytes = 16 // the group's hash, then the end of the wait on the clock of the machine, which no step of the wall clock moves
 
 // Table is the shared table. A nil Table shares nothing.
-type Table struct{ file *mmapfile.File }
+type Table struct {
+	file  *mmapfile.File
+	clock machineclock.Anchor
+}
+
+// FilePrefix begins the name of the table's file. The name ends with the id of the machine's run, because the clock of the machine begins
+// again with each.
+const FilePrefix = "slatemux-waits-3-"
 
 // Open maps the table of a folder, and creates the table if it does not exist.
 func Open(dir string) (*Table, error) {
-	file, err := mmapfile.Open(filepath.Join(dir, "slatemux-waits-2"), slotCount*slotBytes)
+	file, err := mmapfile.Open(filepath.Join(dir, FilePrefix+machineclock.BootID()), slotCount*slotBytes)
 	if err != nil {
 		return nil, fmt.Errorf("retry-after table: %w", err)
 	}
-	return &Table{file}, nil
+	return &Table{file, machineclock.Process}, nil
 }
 
 // Close unmaps the table. A closed table shares nothing.
@@ -65,7 +73,7 @@
 	if t == nil {
 		return
 	}
-	t.file.Use(func(mem []byte) { record(mem, groupHash(group), uint64(until.UnixNano())) })
+	t.file.Use(func(mem []byte) { record(mem, groupHash(group), t.clock.ToMachineTicks(until)) })
 }
 
 func record(mem []byte, hash, end uint64) {
@@ -93,13 +101,13 @@
 	if t == nil {
 		return until
 	}
-	hash, nowNanos := groupHash(group), uint64(now.UnixNano())
+	hash, nowTicks := groupHash(group), t.clock.ToMachineTicks(now)
 	t.file.Use(func(mem []byte) {
 		for n := range maxProbes {
 			hashWord, endWord := slotWords(mem, probeIndex(hash, n))
 			if atomic.LoadUint64(hashWord) == hash {
-				if end := atomic.LoadUint64(endWord); end > nowNanos {
-					until = time.Unix(0, int64(end))
+				if end := atomic.LoadUint64(endWord); end > nowTicks {
+					until = t.clock.FromMachineTicks(end)
 					return
 				}
 			}
--- a/internal/retryafter/retryafter_test.go
+++ b/internal/retryafter/retryafter_test.go
@@ -75,3 +75,32 @@
 		t.Errorf("a closed table returns %v", got)
 	}
 }
+
+// A step of the wall clock between two processes neither lengthens nor ends a wait. The later process has the same monotonic clock, and its
+// wall clock shows step more.
+func TestStepOfWallClockKeepsWait(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+		dir := t.TempDir()
+		a, err := Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		group, now := traffic.Group{Destination: 3}, time.Now()
+		a.Record(group, now.Add(16*time.Second))
+		b.clock.Time = b.clock.Time.Add(step)
+		now = now.Add(step)
+		if left := b.Until(group, now).Sub(now); left != 16*time.Second {
+			t.Errorf("after a step of %v the wait lasts %v", step, left)
+		}
+		if left := b.Until(group, now.Add(17*time.Second)); !left.IsZero() {
+			t.Errorf("after a step of %v the wait has not ended", step)
+		}
+		if err := errors.Join(a.Close(), b.Close()); err != nil {
+			t.Error(err)
+		}
+	}
+}
