--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -309,6 +309,7 @@
 	Evicted      [reasonCount]int64
 	Closed       int64 // idle connections whose closing by the server was visible
 	Quarantines  int64 // quarantines of idle times
+	Spare        int64 // of Opened, those beside an opening that took long
 	Unsolicited  int64 // connections on which a server wrote bytes that no call was waiting for; counted by the caller
 }
 
@@ -549,6 +550,32 @@
 	return Open, c.id, evict
 }
 
+// UseIdle assigns a call whose connection is still being opened to an idle connection. It returns false if none is usable.
+func (p *Pool) UseIdle(now time.Duration, name string) (id ID, evict []Eviction, ok bool) {
+	p.advanceClock(now)
+	e := p.endpoints[name]
+	if e == nil || !e.acceptsCalls {
+		return 0, nil, false
+	}
+	c, evict := p.bestIdle(e)
+	if c == nil {
+		return 0, evict, false
+	}
+	p.startCall(c)
+	return c.id, evict, true
+}
+
+// OpenSpare allows a second opening beside one that takes long. It returns false if there is no room without an eviction.
+func (p *Pool) OpenSpare(now time.Duration, name string) (ID, bool) {
+	p.advanceClock(now)
+	e := p.endpoints[name]
+	if e == nil || !e.acceptsCalls || e.atConnLimit(p.clock) || len(p.conns) >= p.cfg.MaxConns {
+		return 0, false
+	}
+	p.counters.Spare++
+	return p.openConn(e).id, true
+}
+
 // ReturnUnused takes back a connection that did not carry its call after all. The connection is idle again, with its earlier idle time.
 // If the connection must be closed instead, ReturnUnused returns false and the reason.
 func (p *Pool) ReturnUnused(now time.Duration, id ID) (idle bool, reason Reason) {
@@ -1319,7 +1346,7 @@
 	return slog.GroupValue(slog.Int64("opened", c.Opened), slog.Int64("ahead", c.Preconnected), slog.Int64("unused", c.NeverUsed),
 		slog.Int64("called_off", c.Canceled), slog.Int64("failed", c.OpenFailures), slog.Int64("calls", c.Calls), slog.Int64("reused", c.Reused),
 		slog.Int64("stale", c.Stale), slog.Int64("bans", c.Quarantines), slog.Int64("waited", c.Waited), slog.Int64("closed", c.Closed),
-		slog.Int64("unsolicited", c.Unsolicited), slog.Any("given", evictedByReason(c.Evicted)))
+		slog.Int64("unsolicited", c.Unsolicited), slog.Int64("spare", c.Spare), slog.Any("given", evictedByReason(c.Evicted)))
 }
 
 // evictedByReason counts evicted connections by reason.
--- a/internal/flow/connections.go
+++ b/internal/flow/connections.go
@@ -247,11 +247,7 @@
 	target := *r.target
 	m.mu.Unlock()
 	if m.cfg.TLS == nil || !m.cfg.TLS.UsesTLS(&target.Member) {
-		nc, err := m.dialer.dial(ctx, target.Address, r.StartedAt.Add(m.cfg.ConnectTimeout))
-		if err != nil {
-			return nil, m.openingFailed(ctx, id, err)
-		}
-		return m.addConn(id, &target, nc, nil, true), nil
+		return m.connectPlain(ctx, r, id, &target)
 	}
 	waitStart := time.Now()
 	granted := m.handshakes.wait(ctx, target.Host, r.Worth, r.Deadline)
@@ -340,7 +336,7 @@
 			m.mu.Unlock()
 		}()
 		if m.cfg.TLS == nil || !m.cfg.TLS.UsesTLS(&target.Member) {
-			if nc, err := m.dialer.dial(ctx, target.Address, deadline); err != nil {
+			if nc, err := m.dial(ctx, target.Address, deadline); err != nil {
 				_ = m.openingFailed(ctx, id, err) // the next call that opens a connection reports the failure
 			} else {
 				m.addConn(id, &target, nc, nil, false)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -104,6 +104,7 @@
 	callCount     int // calls in flight; one call may carry several flows
 	handshakes    *handshakeQueue
 	dialer        *dialer
+	dial          func(ctx context.Context, address string, deadline time.Time) (net.Conn, error) // for connections without TLS
 	conns         *conns.Pool
 	connsByID     map[conns.ID]*conn              // open connections
 	preconnecting map[conns.ID]context.CancelFunc // connections that are being opened ahead of any call
@@ -137,9 +138,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Manager{cfg: cfg, reportEnd: reportEnd, origin: time.Now(), members: map[string]*member{}, retryAfter: map[traffic.Group]time.Time{}, outstanding: map[traffic.Group]*outstanding{},
+	m := &Manager{cfg: cfg, reportEnd: reportEnd, origin: time.Now(), members: map[string]*member{}, retryAfter: map[traffic.Group]time.Time{}, outstanding: map[traffic.Group]*outstanding{},
 		flows: map[flowID]*activeFlow{}, handshakes: newHandshakeQueue(cfg.HandshakeGate, cfg.ProgramLoad), dialer: newDialer(cfg.Resolver), conns: pool, connsByID: map[conns.ID]*conn{},
-		preconnecting: map[conns.ID]context.CancelFunc{}, waiters: map[string][]*waiter{}}, nil
+		preconnecting: map[conns.ID]context.CancelFunc{}, waiters: map[string][]*waiter{}}
+	m.dial = m.dialer.dial
+	return m, nil
 }
 
 // UpdatePool applies an update of the pool. A flow to a leaving member ends unsent unless its first byte is already written.
