--- a/internal/front/connection_end_test.go
+++ b/internal/front/connection_end_test.go
@@ -255,3 +255,24 @@
 		})
 	}
 }
+
+// The first command of a connection that crosses the end of the connection must be answered: it may be read, and its client has no earlier
+// connection that could have ended between two commands.
+func TestFirstCommandThatCrossesEndIsRefused(t *testing.T) {
+	for name, end := range endConnections {
+		t.Run(name, func(t *testing.T) {
+			s, r := startHookedServer(t, nil)
+			nc, rd := dialAndSend(t, s, "")
+			waitUntil(func() bool { return len(s.clients()) == 1 })
+			end(s)
+			waitUntil(func() bool { return len(s.clients()) == 0 })
+			if _, err := nc.Write([]byte(submitCommand)); err != nil {
+				t.Fatal(err)
+			}
+			expectLine(t, "a client whose first command crossed the end", rd, "-BUSY")
+			if n := r.n.Load(); n != 0 {
+				t.Errorf("%d submissions", n)
+			}
+		})
+	}
+}
