--- a/cmd/slatelab/main.go
+++ b/cmd/slatelab/main.go
@@ -42,7 +42,7 @@
 		idleCommand(),
 		caCommand(),
 		tlsCommand(),
-		connectionsCommand(), answersCommand(),
+		connectionsCommand(), answersCommand(), soakCommand(),
 		fleetCommand(),
 		faultsCommand(),
 		scaleCommand(),
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,205 @@
+// Package soak plays random days against the real program: restarts by SIGTERM and SIGKILL, signals in series, partners that write answers
+// twice, refuse, hang or reset, and crowds of clients. A seed gives the day. The rules of package ledger are checked on every message.
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"slatemux/internal/lab"
+	"slatemux/internal/lab/ledger"
+	"slatemux/internal/lab/load"
+	"slatemux/internal/lab/partner"
+)
+
+const (
+	// killDelay is the time from SIGTERM to SIGKILL: the earliest that the protocol allows.
+	killDelay = 3700 * time.Millisecond
+	// restartDelay is the time from SIGKILL to the next start.
+	restartDelay = 600 * time.Millisecond
+	// settleTimeout bounds the wait for the end of all messages when a day is over.
+	settleTimeout = 60 * time.Second
+	// crowdClients is the number of idle clients of a crowded day: more than the relay may have connections.
+	crowdClients = 300
+)
+
+// Day is what happens to one relay. Plan draws it from a seed.
+type Day struct {
+	Seed     uint64
+	Length   time.Duration
+	Rate     float64 // messages a second
+	Clients  int
+	Crowd    int // clients that connect and send nothing, or half a command
+	Restarts []Restart
+	Partners []partner.Config
+}
+
+// Restart is one restart of the relay, with signals in series before it.
+type Restart struct {
+	After   time.Duration // since the relay was ready
+	Signals []syscall.Signal
+	Planned bool // SIGTERM, and SIGKILL after killDelay; otherwise SIGKILL alone
+}
+
+// Result is the outcome of a day.
+type Result struct {
+	Verdict ledger.Verdict
+	Calls   []ledger.Call // in order of arrival
+	Began   time.Time
+	Log     string // of the last process
+}
+
+// Plan draws the day of a seed. length is the time without the restarts.
+func Plan(seed uint64, length time.Duration) Day {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	day := Day{Seed: seed, Length: length, Rate: 40 + 120*rng.Float64(), Clients: 10 + rng.IntN(50)}
+	if rng.IntN(3) == 0 {
+		day.Crowd = crowdClients
+	}
+	harmless := []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2}
+	for range 1 + rng.IntN(2) {
+		r := Restart{After: time.Duration((0.5 + 1.5*rng.Float64()) * float64(time.Second)), Planned: rng.IntN(3) > 0}
+		for range rng.IntN(8) {
+			r.Signals = append(r.Signals, harmless[rng.IntN(len(harmless))])
+		}
+		day.Restarts = append(day.Restarts, r)
+	}
+	for n := range 3 {
+		latency := partner.Latency{Mean: time.Duration(5+rng.IntN(120)) * time.Millisecond, CV: 0.8}
+		normal := partner.Phase{Rate: 20 + 60*rng.Float64(), Wait: time.Duration(rng.IntN(3)) * 300 * time.Millisecond, ErrorRate: 0.02, Latency: latency}
+		phases := []partner.Phase{normal}
+		if rng.IntN(2) == 0 {
+			trouble, back := normal, normal
+			trouble.From, trouble.Mode = time.Duration((1+2*rng.Float64())*float64(time.Second)), partner.Mode(1+rng.IntN(4))
+			back.From = trouble.From + time.Duration((0.5+2*rng.Float64())*float64(time.Second))
+			phases = append(phases, trouble, back)
+		}
+		config := partner.Config{Name: fmt.Sprint("p", n), Dest: n / 2, Seed: seed + uint64(n), LoadReport: "x0=0.500,x1=90.000", Phases: phases}
+		if rng.IntN(2) == 0 {
+			config.Copies = partner.Copies{Share: 0.2 * rng.Float64(), MaxDelay: time.Duration(1+rng.IntN(200)) * time.Millisecond}
+		}
+		day.Partners = append(day.Partners, config)
+	}
+	return day
+}
+
+// Run plays a day with the given program in an empty folder. It returns an error if the day could not be played, or if the relay did not
+// become ready or ended by itself.
+func Run(ctx context.Context, binary, dir string, day Day) (Result, error) {
+	classes := append(lab.DefaultClasses(), lab.Class{Name: "alarm", Repeat: "unsafe", Worth: 3, Aim: time.Second, Deadline: 5 * time.Second})
+	d, err := lab.Start(dir, lab.DeploymentConfig{Classes: classes, Tenants: []lab.Tenant{{Name: "acme", Share: 1}}, Partners: day.Partners, MemoryMB: 64, DiskMB: 64,
+		Sockets: 256, MaxOpen: 2000, MaxCalls: 100, KeepAlive: 5 * time.Second, Seed: day.Seed})
+	if err != nil {
+		return Result{}, err
+	}
+	defer d.Close()
+	env, began := []string{"TMPDIR=" + dir}, time.Now()
+	relay, err := d.StartRelayWithEnv(binary, nil, env, "")
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { relay.Kill() }()
+	crowdCtx, endCrowd := context.WithCancel(ctx)
+	defer endCrowd()
+	var crowd sync.WaitGroup
+	for n := range day.Crowd {
+		crowd.Go(func() { idleClient(crowdCtx, d.Listen, n) })
+	}
+	loaded := make(chan error, 1)
+	loadCtx, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	go func() { loaded <- d.RunLoad(loadCtx, day.load()) }()
+	for _, r := range day.Restarts {
+		if relay, err = restart(d, binary, env, relay, r); err != nil {
+			return Result{}, errors.Join(err, fmt.Errorf("log: %s", relay.Log()))
+		}
+	}
+	time.Sleep(day.Length)
+	endLoad()
+	endCrowd()
+	if err := <-loaded; err != nil {
+		return Result{}, err
+	}
+	crowd.Wait()
+	if err := relay.AwaitSettled(time.Now().Add(settleTimeout)); err != nil {
+		return Result{}, fmt.Errorf("%w\n%s", err, relay.Log())
+	}
+	relay.Kill()
+	d.Close()
+	calls, _ := d.Ledger.Calls()
+	return Result{Verdict: d.Ledger.Judge(ledger.DefaultRules(d.Classes), time.Now().Add(time.Hour)), Calls: calls, Began: began, Log: relay.Log()}, nil
+}
+
+// load returns the load of the day.
+func (day *Day) load() load.Config {
+	stream := func(class int, share float64, deadline time.Duration) load.Stream {
+		return load.Stream{Class: class, Tenant: "acme", Share: share, BodyBytes: 100, Deadline: deadline}
+	}
+	return load.Config{Clients: day.Clients, Patience: 400 * time.Millisecond, Streams: []load.Stream{stream(0, 0.4, 8*time.Second), stream(1, 0.4, 3*time.Second),
+		stream(2, 0.2, 3*time.Second)}, Steps: []load.Step{{For: time.Hour, Rate: day.Rate}}, Dests: []int{0, 1}, MaxRetries: 1, RetryAfterShare: 0.5, Seed: day.Seed, Poisson: true}
+}
+
+// restart sends the signals of a restart, ends the process and starts the next one.
+func restart(d *lab.Deployment, binary string, env []string, relay *lab.Process, r Restart) (*lab.Process, error) {
+	time.Sleep(r.After)
+	for _, s := range r.Signals {
+		if err := relay.Signal(s); err != nil {
+			return relay, fmt.Errorf("soak: the relay ended by itself: %w", err)
+		}
+	}
+	down := ledger.Downtime{}
+	if r.Planned {
+		down.Stopping = time.Now()
+		for _, s := range append([]syscall.Signal{syscall.SIGTERM}, r.Signals...) { // the series goes on behind SIGTERM
+			_ = relay.Signal(s)
+		}
+		ended := make(chan time.Time, 1)
+		go func() {
+			_ = relay.Wait()
+			ended <- time.Now()
+		}()
+		time.Sleep(time.Until(down.Stopping.Add(killDelay)))
+		relay.Kill()
+		down.From = <-ended
+	} else {
+		down.From = time.Now()
+		relay.Kill()
+	}
+	time.Sleep(restartDelay)
+	next, err := d.StartRelayWithEnv(binary, nil, env, "")
+	if err != nil {
+		return relay, err
+	}
+	down.Ready = time.Now()
+	d.Ledger.RecordDowntime(down)
+	return next, nil
+}
+
+// idleClient keeps connecting until ctx ends: it sends nothing, a ping or half a command, and waits until the relay ends the connection.
+func idleClient(ctx context.Context, addr string, n int) {
+	for ctx.Err() == nil {
+		nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		if err == nil {
+			stop := context.AfterFunc(ctx, func() { nc.Close() })
+			_, _ = io.WriteString(nc, []string{"", "PING\r\n", "*5\r\n$7\r\nMSG"}[n%3])
+			_, _ = io.Copy(io.Discard, nc)
+			stop()
+			nc.Close()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// Folder returns the folder of a day below dir.
+func Folder(dir string, day Day) string { return filepath.Join(dir, fmt.Sprint("seed-", day.Seed)) }
--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,44 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// A few days of fixed seeds. Many are played by `slatelab soak`.
+func TestDays(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "slatemux")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/slatemux").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			day := Plan(seed, 2*time.Second)
+			dir := Folder(t.TempDir(), day)
+			if err := os.MkdirAll(dir, 0o700); err != nil {
+				t.Fatal(err)
+			}
+			result, err := Run(t.Context(), binary, dir, day)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i, v := range result.Verdict.Violations {
+				if i < 5 {
+					t.Errorf("%s: message %016x: %s", v.Rule, v.ID, v.Text)
+				}
+			}
+			accepted := 0
+			for _, c := range result.Verdict.Classes {
+				accepted += c.Accepted
+			}
+			if accepted == 0 {
+				t.Error("no message was accepted")
+			}
+		})
+	}
+}
