--- a/internal/flow/http1/exchange.go
+++ b/internal/flow/http1/exchange.go
@@ -9,7 +9,7 @@
 )
 
 // Exchange writes a request and reads its response, keeping up to maxBodyBytes of the body. The first byte of the response must arrive by
-// firstByteBy, and the complete response by completeBy. On an error Exchange also returns the part of the response that was read.
+// firstByteBy, and the complete response by completeBy. A response with bytes behind it is not reusable. On an error Exchange also returns the part of the response that was read.
 func Exchange(nc net.Conn, request []byte, maxBodyBytes int, firstByteBy, completeBy time.Time) (*Response, error) {
 	r, buf := &Response{MaxBodyBytes: maxBodyBytes}, make([]byte, 16<<10)
 	if err := nc.SetDeadline(firstByteBy); err != nil {
@@ -26,9 +26,13 @@
 				return r, fmt.Errorf("http1: set deadline: %w", err)
 			}
 		}
-		if _, feedErr := r.Feed(buf[:n]); feedErr != nil {
+		used, feedErr := r.Feed(buf[:n])
+		if feedErr != nil {
 			return r, feedErr
 		}
+		if used < n { // a second answer, which belongs to no request
+			r.closeAfter = true
+		}
 		if err != nil && !r.Done() {
 			if errors.Is(err, io.EOF) && r.End() == nil {
 				break
--- a/internal/flow/http1/http1_test.go
+++ b/internal/flow/http1/http1_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"io"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -84,3 +87,21 @@
 		t.Errorf("%q, want %q", got, want)
 	}
 }
+
+// A connection on which a second response came with the first must not be used again: the next request would get it.
+func TestSecondResponseEndsReuse(t *testing.T) {
+	for copies, reusable := range map[int]bool{1: true, 2: false} {
+		client, server := net.Pipe()
+		go func() {
+			_, _ = server.Read(make([]byte, 1000))
+			_, _ = io.WriteString(server, strings.Repeat(responses[0].text, copies))
+		}()
+		deadline := time.Now().Add(10 * time.Second)
+		r, err := Exchange(client, AppendRequest(nil, "GET", "/", "m", nil, nil), 100, deadline, deadline)
+		if err != nil || r.Status != 200 || r.Reusable() != reusable {
+			t.Errorf("%d responses: %+v, %v; want Reusable %v", copies, r, err, reusable)
+		}
+		client.Close()
+		server.Close()
+	}
+}
