--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,7 @@
 
 	"slatemux/internal/dispatch"
 	"slatemux/internal/overload"
+	"slatemux/internal/syserror"
 	"slatemux/internal/traffic"
 )
 
@@ -79,7 +80,9 @@
 // Listen opens a virtual server with the given limits. Admission may be nil.
 func Listen(addr string, limits Limits, classes []dispatch.Class, relay Relay, admission Admission) (*Server, error) {
 	// During a handover a successor process listens on the same address. The kernel distributes new connections over both.
-	ln, err := (&net.ListenConfig{Control: reusePort}).Listen(context.Background(), "tcp", addr)
+	ln, err := listenWithRetry(func() (net.Listener, error) {
+		return (&net.ListenConfig{Control: reusePort}).Listen(context.Background(), "tcp", addr)
+	})
 	if err != nil {
 		return nil, fmt.Errorf("front: %w", err)
 	}
@@ -250,6 +253,24 @@
 	}
 }
 
+const (
+	// listenTimeout bounds how long a start waits while the system cannot open the listener.
+	listenTimeout = 5 * time.Second
+	// listenRetryPause is the pause before the next try.
+	listenRetryPause = 20 * time.Millisecond
+)
+
+// listenWithRetry opens the listener. A lack of descriptors or buffers passes, and a start that fails for it would lose the relay.
+func listenWithRetry(listen func() (net.Listener, error)) (net.Listener, error) {
+	for deadline := time.Now().Add(listenTimeout); ; time.Sleep(listenRetryPause) {
+		ln, err := listen()
+		if err == nil || !syserror.IsTemporary(err) || time.Now().After(deadline) {
+			return ln, err
+		}
+		slog.Warn("client address not opened yet", "err", err)
+	}
+}
+
 // limitedListener gives redcon guarded connections, at most as many as the limits allow.
 type limitedListener struct {
 	net.Listener
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,8 @@
 	"github.com/tidwall/redcon"
 	"pgregory.net/rapid"
 
+	"golang.org/x/sys/unix"
+
 	"slatemux/internal/dispatch"
 	"slatemux/internal/proptest"
 	"slatemux/internal/traffic"
@@ -342,3 +345,25 @@
 		t.Errorf("%q", got)
 	}
 }
+
+// A start must not fail because the system has no descriptor or buffer for a moment. Other errors, such as a taken address, end it at once.
+func TestListenRetriesTemporaryErrors(t *testing.T) {
+	for _, temporary := range []error{unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EINTR} {
+		failures := 0
+		ln, err := listenWithRetry(func() (net.Listener, error) {
+			if failures++; failures < 4 {
+				return nil, &net.OpError{Op: "listen", Err: os.NewSyscallError("socket", temporary)}
+			}
+			return net.Listen("tcp", "127.0.0.1:0")
+		})
+		if err != nil {
+			t.Errorf("%v ended the start: %v", temporary, err)
+			continue
+		}
+		ln.Close()
+	}
+	tries := 0
+	if _, err := listenWithRetry(func() (net.Listener, error) { tries++; return nil, unix.EADDRINUSE }); err == nil || tries != 1 {
+		t.Errorf("a taken address: %v after %d tries", err, tries)
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,9 +16,8 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"slatemux/internal/machineclock"
+	"slatemux/internal/syserror"
 	"slatemux/internal/traffic"
 )
 
@@ -111,7 +109,7 @@
 		return nil, err
 	}
 	j.takeOver(replayed, orphans)
-	if err := j.prepareWrite(); isTemporary(err) {
+	if err := j.prepareWrite(); syserror.IsTemporary(err) {
 		slog.Error("journal write failed", "err", err) // the entries stay in the files of the ended processes until a write succeeds
 	} else if err != nil {
 		return nil, err
@@ -233,16 +231,6 @@
 	return j.undoPartialWrite()
 }
 
-// isTemporary reports whether a write may succeed later without any change to the configuration.
-func isTemporary(err error) bool {
-	for _, temporary := range []error{unix.ENOSPC, unix.EDQUOT, unix.EIO, unix.EINTR, unix.EAGAIN, unix.EMFILE, unix.ENFILE, unix.ENOMEM, unix.ENOBUFS} {
-		if errors.Is(err, temporary) {
-			return true
-		}
-	}
-	return false
-}
-
 // replay applies the records of a file. It stops at the first invalid record.
 func (j *Journal) replay(file string, raw []byte) {
 	rest, clock := raw, clockReader{anchor: j.anchor, boot: j.boot}
