--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -81,7 +81,7 @@
 			t.Tenant = value
 		case "k":
 			if t.IdempotencyKey = value; !isPrintable(value) {
-				err = fmt.Errorf("not a key: %.40q", value)
+				return t, fmt.Errorf("not a key: %.40q", value)
 			}
 		case "d":
 			if leftMillis, err = strconv.ParseInt(value, 10, 64); err != nil || leftMillis <= 0 || leftMillis > maxTimeLeft.Milliseconds() {
@@ -95,8 +95,6 @@
 	}
 	effect, known := classes[t.Class]
 	switch {
-	case err != nil:
-		return t, err
 	case !known:
 		return t, fmt.Errorf("unknown class %.40q", t.Class)
 	case leftMillis == 0 || dest < 0:
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -367,3 +367,16 @@
 		t.Errorf("a taken address: %v after %d tries", err, tries)
 	}
 }
+
+// A key with a line break would end the header of its call, and what follows would be a second call of its own on the connection. It must be
+// refused wherever it stands among the fields.
+func TestKeyWithLineBreakIsRefused(t *testing.T) {
+	const key = "k=a\r\n\r\nPOST /hook HTTP/1.1"
+	classes := map[string]dispatch.Effect{"pay": dispatch.Keyed}
+	for _, fields := range []string{"c=pay,t=acme,d=8000,dest=7," + key, key + ",c=pay,t=acme,d=8000,dest=7", "c=pay,d=8000," + key + ",dest=7", key + ",c=pay,k=good,d=8000,dest=7"} {
+		args := [][]byte{[]byte("MSG.PUT"), []byte("0"), []byte("9b1f"), []byte(fields), []byte("body")}
+		if c, err := Parse(args, classes, time.Now()); err == nil {
+			t.Errorf("%q is accepted: %+v", fields, c)
+		}
+	}
+}
