--- a/internal/flow/http1/http1.go
+++ b/internal/flow/http1/http1.go
@@ -219,6 +219,11 @@
 		r.closeAfter = false
 	}
 	length := r.Header("Content-Length")
+	for _, f := range r.fields {
+		if strings.EqualFold(f.Name, "Content-Length") && f.Value != length {
+			return fmt.Errorf("http1: conflicting Content-Length: %.40q and %.40q", length, f.Value)
+		}
+	}
 	switch {
 	case r.Status == 204 || r.Status == 304:
 		r.state = done
--- a/internal/flow/http1/http1_test.go
+++ b/internal/flow/http1/http1_test.go
@@ -105,3 +105,14 @@
 		server.Close()
 	}
 }
+
+// Of two different lengths at least one is wrong, so the end of the response is unknown.
+func TestConflictingLengthsAreAnError(t *testing.T) {
+	for text, ok := range map[string]bool{"Content-Length: 2\r\nContent-Length: 2\r\n\r\nok": true, "Content-Length: 0\r\nContent-Length: 2\r\n\r\nok": false,
+		"Content-Length: 2\r\nA: b\r\ncontent-length: 3\r\n\r\nok": false} {
+		var r Response
+		if _, err := r.Feed([]byte("HTTP/1.1 503 Full\r\n" + text)); (err == nil) != ok || r.Done() != ok {
+			t.Errorf("%q: %v, complete %v", text, err, r.Done())
+		}
+	}
+}
