--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -242,7 +242,7 @@
 	}
 	c.received = c.received || len(data) > 0
 	n, feedErr := c.response.Feed(data)
-	if err != nil {
+	if errors.Is(err, io.EOF) {
 		_ = c.response.End() // Done reports whether the answer is truncated
 	}
 	if feedErr != nil {
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -432,3 +432,22 @@
 		t.Errorf("%d idle connections afterwards, want 1", idle())
 	}
 }
+
+// An answer without a length ends with its connection. After a reset it is truncated: a 503 may be part of an answer that says otherwise.
+func TestResetTruncatesAnswerWithoutLength(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		r := newHarness(t)
+		r.startFlow("a")
+		nc := <-r.conns
+		r.readCall(nc)
+		if _, err := io.WriteString(nc, "HTTP/1.1 503 Full\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if reset {
+			time.Sleep(50 * time.Millisecond) // a reset drops what the relay has not read yet
+			_ = nc.(*net.TCPConn).SetLinger(0)
+		}
+		nc.Close()
+		r.expectEnd("a", map[bool]traffic.FlowStatus{false: traffic.FlowRefused, true: traffic.ConnectionBroken}[reset])
+	}
+}
