--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -222,12 +222,10 @@
 	quarantinedUntil time.Duration
 	quarantineLength time.Duration // length of the quarantine after the newest loss
 	trialRunning     bool
-	nextTrialAt      time.Duration    // no idle time beyond the limit is tried before this time
-	recentGoodIdle   [2]time.Duration // longest idle time of a good reuse, in the current and the previous period of recentGoodPeriod
-	recentGoodFrom   time.Duration    // start of the current period of recentGoodIdle
-	provenIdle       [2]time.Duration // the same for periods of provenPeriod, shortened by losses
-	provenIdleFrom   time.Duration    // start of the current period of provenIdle
-	idleLossAt       time.Duration    // time of the newest loss that is attributed to idling; 0 for never
+	nextTrialAt      time.Duration // no idle time beyond the limit is tried before this time
+	recentGoodIdle   recentMaximum // idle times of good reuses, in periods of recentGoodPeriod, shortened by losses
+	provenIdle       recentMaximum // the same in periods of provenPeriod
+	idleLossAt       time.Duration // time of the newest loss that is attributed to idling; 0 for never
 
 	singleCallUntil time.Duration // connections carry a single call before this time
 
@@ -363,8 +361,8 @@
 				e.maxUses = o.maxUses
 			}
 			e.idleLossAt = max(e.idleLossAt, o.idleLossAt)
-			if siblingProven := o.longestProvenIdle(p.clock); siblingProven > e.provenIdle[0] {
-				e.provenIdle[0], e.provenIdleFrom = siblingProven, p.clock
+			if siblingProven := o.longestProvenIdle(p.clock); siblingProven > e.provenIdle.current {
+				e.provenIdle.current, e.provenIdle.from = siblingProven, p.clock
 			}
 			if o.reuseHistory != &emptyReuseHistory { // only a part, so that observations of this endpoint soon outweigh it
 				e.ownReuseHistory().mergePart(o.reuseHistory)
--- a/internal/conns/idle_limits.go
+++ b/internal/conns/idle_limits.go
@@ -76,12 +76,7 @@
 // longestProvenIdle returns the longest idle time of a good reuse in the current or the previous period of provenPeriod. Only one call at
 // a time tries a longer one: in a burst, other connections with the same idle time would all be lost together.
 func (e *endpoint) longestProvenIdle(now time.Duration) time.Duration {
-	if age := now - e.provenIdleFrom; age >= 2*provenPeriod {
-		e.provenIdle, e.provenIdleFrom = [2]time.Duration{}, now
-	} else if age >= provenPeriod {
-		e.provenIdle, e.provenIdleFrom = [2]time.Duration{0, e.provenIdle[0]}, now
-	}
-	return max(e.provenIdle[0], e.provenIdle[1])
+	return e.provenIdle.at(now, provenPeriod)
 }
 
 // trialAllowed reports whether an idle time beyond the limit may be tried now: one trial at a time, at intervals of trialInterval, and
@@ -152,10 +147,8 @@
 			})
 			e.ownReuseHistory().add(c.idleBeforeCall, false)
 			e.ownCloseHistory().add(c.idleBeforeCall, false)
-			e.longestRecentGoodIdle(p.clock)
-			e.recentGoodIdle[0] = max(e.recentGoodIdle[0], c.idleBeforeCall)
-			e.longestProvenIdle(p.clock)
-			e.provenIdle[0] = max(e.provenIdle[0], c.idleBeforeCall)
+			e.recentGoodIdle.add(c.idleBeforeCall, p.clock, recentGoodPeriod)
+			e.provenIdle.add(c.idleBeforeCall, p.clock, provenPeriod)
 			if e.quarantinedIdle > 0 && c.idleBeforeCall >= e.quarantinedIdle { // connections now survive the quarantined idle time
 				e.quarantinedIdle, e.quarantinedUntil, e.quarantineLength = 0, 0, 0
 			}
@@ -176,7 +169,7 @@
 		lossesNeeded = lossesNeededIfNoisy
 	}
 	// A longer idle time went well recently: the server has changed, or idling is not the reason.
-	if e.longestRecentGoodIdle(p.clock) > c.idleBeforeCall {
+	if e.recentGoodIdle.at(p.clock, recentGoodPeriod) > c.idleBeforeCall {
 		lossesNeeded = lossesNeededIfContradicted
 	}
 	if e.suspectedIdles = append(e.suspectedIdles, c.idleBeforeCall); len(e.suspectedIdles) < lossesNeeded {
@@ -185,10 +178,9 @@
 	e.quarantineLength = min(max(e.quarantineLength*2, minQuarantine), maxQuarantine)
 	e.idleLossAt = p.clock
 	for _, idle := range e.suspectedIdles {
-		for i := range e.provenIdle {
-			e.provenIdle[i] = min(e.provenIdle[i], time.Duration(refutedIdleShare*float64(idle)))
-			e.recentGoodIdle[i] = min(e.recentGoodIdle[i], time.Duration(refutedIdleShare*float64(idle)))
-		}
+		stillProven := time.Duration(refutedIdleShare * float64(idle))
+		e.provenIdle.limit(stillProven)
+		e.recentGoodIdle.limit(stillProven)
 		e.ownReuseHistory().add(idle, true)
 		if e.quarantinedIdle == 0 || idle < e.quarantinedIdle {
 			e.quarantinedIdle = idle
@@ -199,16 +191,6 @@
 	p.counters.Quarantines++
 }
 
-// longestRecentGoodIdle returns the longest idle time of a good reuse in the current or the previous period of recentGoodPeriod.
-func (e *endpoint) longestRecentGoodIdle(now time.Duration) time.Duration {
-	if age := now - e.recentGoodFrom; age >= 2*recentGoodPeriod {
-		e.recentGoodIdle, e.recentGoodFrom = [2]time.Duration{}, now
-	} else if age >= recentGoodPeriod {
-		e.recentGoodIdle, e.recentGoodFrom = [2]time.Duration{0, e.recentGoodIdle[0]}, now
-	}
-	return max(e.recentGoodIdle[0], e.recentGoodIdle[1])
-}
-
 // recordClosing records that the server visibly closed a connection after the given idle time.
 func (p *Pool) recordClosing(c *conn, idle time.Duration) {
 	p.counters.Closed++
--- a/internal/flow/connections.go
+++ b/internal/flow/connections.go
@@ -207,7 +207,7 @@
 func (m *Manager) replaceConn(r *activeFlow, c *conn) lease {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.noteUnsolicited(c)
+	m.reportUnsolicited(c)
 	m.conns.ClosedBeforeUse(m.now(), c.id)
 	m.closeEvicted([]conns.Eviction{{ID: c.id, Reason: conns.ReasonServerClosed}})
 	return m.requestConn(r.Member, m.conns.RetryCall)
@@ -363,7 +363,7 @@
 func (m *Manager) finishCall(c *conn, end conns.CallEnd, duration time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.noteUnsolicited(c)
+	m.reportUnsolicited(c)
 	if idle, reason := m.conns.CallEnded(m.now(), c.id, end, duration); idle {
 		m.becameIdle(c, time.Now())
 	} else {
@@ -379,7 +379,7 @@
 	defer m.mu.Unlock()
 	reason := conns.ReasonServerClosed
 	if !usable {
-		m.noteUnsolicited(c)
+		m.reportUnsolicited(c)
 		m.conns.ClosedBeforeUse(m.now(), c.id)
 	} else {
 		var idle bool
@@ -404,8 +404,8 @@
 	}
 }
 
-// noteUnsolicited reports unsolicited bytes on a connection that has carried a call to conns.Pool. The caller holds m.mu.
-func (m *Manager) noteUnsolicited(c *conn) {
+// reportUnsolicited reports unsolicited bytes on a connection that has carried a call to conns.Pool. The caller holds m.mu.
+func (m *Manager) reportUnsolicited(c *conn) {
 	if c.hasUnsolicited() {
 		m.conns.Unsolicited(m.now(), c.id)
 	}
@@ -418,7 +418,7 @@
 	if m.connsByID[c.id] != c || c.inUse {
 		return
 	}
-	m.noteUnsolicited(c)
+	m.reportUnsolicited(c)
 	slog.Debug("connection ended by the pool member", "member", c.host, "conn", c.id, "calls", c.callCount())
 	m.conns.Closed(m.now(), c.id)
 	delete(m.connsByID, c.id)
--- a/internal/journal/clock_test.go
+++ b/internal/journal/clock_test.go
@@ -27,20 +27,22 @@
 		mustCommit(t, j, traffic.TransactionAccepted{Transaction: tr}, traffic.FlowStarted{ID: "a", At: sent})
 		j.Close()
 		for _, state := range []string{"after the changes", "after a compaction"} {
-			next, err := openClocked(dir, megabyte, "stepped", createFile, steppedAnchor(step), machineclock.BootID())
+			owner := thisProcess()
+			owner.id, owner.anchor = "stepped", steppedAnchor(step)
+			next, err := open(dir, megabyte, owner)
 			if err != nil {
 				t.Fatal(err)
 			}
-			open, _ := next.Pending()
+			pending, _ := next.Pending()
 			next.Close()
-			if len(open) != 1 {
-				t.Fatalf("step %v, %s: %d open transactions", step, state, len(open))
+			if len(pending) != 1 {
+				t.Fatalf("step %v, %s: %d open transactions", step, state, len(pending))
 			}
 			// The later process has the same monotonic clock, and its wall clock shows step more.
-			if got := open[0].Deadline.Sub(tr.Deadline) - step; got.Abs() > time.Microsecond {
+			if got := pending[0].Deadline.Sub(tr.Deadline) - step; got.Abs() > time.Microsecond {
 				t.Errorf("step %v, %s: the deadline moved by %v", step, state, got)
 			}
-			if got := open[0].FirstSent.Sub(sent) - step; got.Abs() > time.Microsecond {
+			if got := pending[0].FirstSent.Sub(sent) - step; got.Abs() > time.Microsecond {
 				t.Errorf("step %v, %s: the first call moved by %v", step, state, got)
 			}
 		}
@@ -55,15 +57,15 @@
 	tr.Deadline = time.Now().Add(5 * time.Second)
 	mustCommit(t, j, traffic.TransactionAccepted{Transaction: tr})
 	j.Close()
-	rebooted := machineclock.Process
-	rebooted.Machine = time.Minute
-	next, err := openClocked(dir, megabyte, "next", createFile, rebooted, "another run")
+	rebooted := thisProcess()
+	rebooted.id, rebooted.anchor.Machine, rebooted.boot = "next", time.Minute, "another run"
+	next, err := open(dir, megabyte, rebooted)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer next.Close()
-	open, _ := next.Pending()
-	if len(open) != 1 || open[0].Deadline.Sub(tr.Deadline).Abs() > time.Microsecond {
-		t.Errorf("%+v, want the deadline %v", open, tr.Deadline)
+	pending, _ := next.Pending()
+	if len(pending) != 1 || pending[0].Deadline.Sub(tr.Deadline).Abs() > time.Microsecond {
+		t.Errorf("%+v, want the deadline %v", pending, tr.Deadline)
 	}
 }
--- a/internal/journal/faults_test.go
+++ b/internal/journal/faults_test.go
@@ -59,7 +59,9 @@
 
 func openOnDisk(t *testing.T, dir, id string, limit int64, disk *faultyDisk) *Journal {
 	t.Helper()
-	j, err := openWith(dir, limit, id, disk.create)
+	owner := thisProcess()
+	owner.id, owner.create = id, disk.create
+	j, err := open(dir, limit, owner)
 	if err != nil {
 		t.Fatalf("the journal did not open: %v", err)
 	}
--- a/internal/journal/handover_test.go
+++ b/internal/journal/handover_test.go
@@ -8,6 +8,13 @@
 	"slatemux/internal/traffic"
 )
 
+// openAs opens the journal of a process with the given id.
+func openAs(dir string, limitBytes int64, id string) (*Journal, error) {
+	owner := thisProcess()
+	owner.id = id
+	return open(dir, limitBytes, owner)
+}
+
 func mustOpenAs(t *testing.T, dir, id string) *Journal {
 	t.Helper()
 	j, err := openAs(dir, megabyte, id)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -39,15 +38,13 @@
 // Journal is the open journal file of this process together with its pending entries. Only Limit and Stats are safe for
 // concurrent use.
 type Journal struct {
+	process
 	dir             string
 	name            string   // of this process's file, which stays locked while the process runs
 	orphans         []orphan // files of ended processes whose entries are not in this process's file yet
 	otherFilesBytes int64    // size, in whole blocks, of the files of other running processes when the folder was last read
 	limitBytes      atomic.Int64
-	anchor          machineclock.Anchor
-	boot            string // the run of the machine
 	file            file
-	create          func(path string) (file, error)
 	fileBytes       int64
 	torn            bool  // a failed write has left bytes behind fileBytes
 	liveBytes       int64 // upper bound of the size of a compacted file
@@ -84,22 +81,25 @@
 // Open opens the journal in dir, which may hold limit bytes. It replays the files of processes that have ended, writes their
 // pending entries to a new file of this process and removes the old files. It does not touch the files of running processes.
 func Open(dir string, limit int64) (*Journal, error) {
-	return openAs(dir, limit, strconv.Itoa(os.Getpid()))
+	return open(dir, limit, thisProcess())
 }
 
-// openAs is Open for a given process id. The ids of processes that run at the same time must differ.
-func openAs(dir string, limitBytes int64, id string) (*Journal, error) {
-	return openWith(dir, limitBytes, id, createFile)
+// process is what a journal needs of the process that it belongs to.
+type process struct {
+	id     string // differs among the processes that run at the same time
+	create func(path string) (file, error)
+	anchor machineclock.Anchor
+	boot   string // the run of the machine
 }
 
-// openWith is openAs with a function that creates this process's files.
-func openWith(dir string, limitBytes int64, id string, create func(path string) (file, error)) (*Journal, error) {
-	return openClocked(dir, limitBytes, id, create, machineclock.Process, machineclock.BootID())
+// thisProcess returns the running process.
+func thisProcess() process {
+	return process{id: strconv.Itoa(os.Getpid()), create: createFile, anchor: machineclock.Process, boot: machineclock.BootID()}
 }
 
-// openClocked is openWith with the clocks of this process.
-func openClocked(dir string, limitBytes int64, id string, create func(path string) (file, error), anchor machineclock.Anchor, boot string) (*Journal, error) {
-	j := &Journal{dir: dir, name: filePrefix + "." + id, create: create, anchor: anchor, boot: boot, open: map[string]*entry{}, notices: map[string]*entry{}}
+// open is Open for a given process.
+func open(dir string, limitBytes int64, owner process) (*Journal, error) {
+	j := &Journal{dir: dir, name: filePrefix + "." + owner.id, process: owner, open: map[string]*entry{}, notices: map[string]*entry{}}
 	j.SetLimit(limitBytes)
 	if j.limitBytes.Load() < 8*blockBytes {
 		return nil, fmt.Errorf("journal: a limit of %d bytes is too small", limitBytes)
@@ -117,112 +117,6 @@
 	return j, nil
 }
 
-// Recover recovers the pending entries of processes that have ended since the folder was last read, and returns them in the order in which
-// they were recorded. Entries that this process already has are not returned. If the entries cannot be written to this process's file, the
-// files of the ended processes stay until a later write succeeds. If they do not fit into the folder, a later call returns them.
-func (j *Journal) Recover() ([]traffic.Open, []traffic.Notice, error) {
-	replayed, orphans, err := j.replayOrphans()
-	if err != nil {
-		return nil, nil, err
-	}
-	oldBytes := j.fileBytes + orphansBytes(j.orphans) + orphansBytes(orphans)
-	if size := j.liveBytes + replayed.liveBytes; len(orphans) > 0 && roundUpToBlocks(size)+roundUpToBlocks(oldBytes) > j.ownLimitBytes() {
-		closeAll(orphans) // unlocks the files
-		return nil, nil, fmt.Errorf("journal: no space to take over: new file %d, old files %d, limit %d bytes", size, oldBytes, j.ownLimitBytes())
-	}
-	open, notices := j.takeOver(replayed, orphans).Pending()
-	return open, notices, j.adoptOrphans()
-}
-
-// orphan is the file of a process that has ended. This process holds the file's lock.
-type orphan struct {
-	name  string
-	file  *os.File
-	bytes int64
-}
-
-// replayOrphans replays and locks the files in the folder that no running process has locked. If an ended process had the same id as this
-// process, the file with this process's own name is one of them.
-func (j *Journal) replayOrphans() (replayed *Journal, orphans []orphan, err error) {
-	names, err := filepath.Glob(filepath.Join(j.dir, filePrefix+"*"))
-	if err != nil {
-		return nil, nil, fmt.Errorf("journal: %w", err)
-	}
-	replayed = &Journal{anchor: j.anchor, boot: j.boot, open: map[string]*entry{}, notices: map[string]*entry{}}
-	j.otherFilesBytes = 0
-	for _, path := range names {
-		base := filepath.Base(path)
-		if base == j.name+compactionSuffix || base == j.name && j.file != nil || j.holdsOrphan(base) {
-			continue
-		}
-		if strings.HasSuffix(base, compactionSuffix) { // compaction file of another process, in progress or left over
-			if info, err := os.Stat(path); err == nil {
-				j.otherFilesBytes += roundUpToBlocks(info.Size())
-			}
-			continue
-		}
-		f, ok := lockIfOrphan(path)
-		if !ok { // locked by a running process
-			if info, err := os.Stat(path); err == nil {
-				j.otherFilesBytes += roundUpToBlocks(info.Size())
-			}
-			continue
-		}
-		raw, err := io.ReadAll(f)
-		if err != nil {
-			f.Close()
-			slog.Warn("journal of an ended process not read", "file", base, "err", err)
-			continue
-		}
-		replayed.replay(base, raw)
-		orphans = append(orphans, orphan{base, f, int64(len(raw))})
-	}
-	return replayed, orphans, nil
-}
-
-// holdsOrphan reports whether this process has replayed a file whose entries are not in its own file yet.
-func (j *Journal) holdsOrphan(name string) bool {
-	return slices.ContainsFunc(j.orphans, func(o orphan) bool { return o.name == name })
-}
-
-// takeOver adds the pending entries of ended processes, and returns those that this process did not have.
-func (j *Journal) takeOver(replayed *Journal, orphans []orphan) *Journal {
-	j.orphans = append(j.orphans, orphans...)
-	added := &Journal{open: map[string]*entry{}, notices: map[string]*entry{}}
-	for _, e := range sortedBySeq(replayed.open) {
-		if e.inFlight { // the flow was in progress when the process ended: it may have run
-			e.setMayHaveRun()
-		}
-		if own := j.open[e.open.ID]; own != nil {
-			if own.open.FirstSent.IsZero() {
-				own.open.FirstSent = e.open.FirstSent
-			}
-			continue
-		}
-		j.add(j.open, e.open.ID, e)
-		added.open[e.open.ID] = e
-	}
-	for _, e := range sortedBySeq(replayed.notices) {
-		if j.notices[e.notice.ID] == nil {
-			j.add(j.notices, e.notice.ID, e)
-			added.notices[e.notice.ID] = e
-		}
-	}
-	return added
-}
-
-// adoptOrphans writes the entries of ended processes to this process's file and removes the files of these processes.
-func (j *Journal) adoptOrphans() error {
-	if len(j.orphans) == 0 && j.file != nil {
-		return nil
-	}
-	if err := j.compact(); err != nil {
-		return err
-	}
-	j.removeRecovered()
-	return nil
-}
-
 // prepareWrite makes the file ready for the next record.
 func (j *Journal) prepareWrite() error {
 	if err := j.adoptOrphans(); err != nil {
@@ -231,51 +125,6 @@
 	return j.undoPartialWrite()
 }
 
-// replay applies the records of a file. It stops at the first invalid record.
-func (j *Journal) replay(file string, raw []byte) {
-	rest, clock := raw, clockReader{anchor: j.anchor, boot: j.boot}
-	for len(rest) > 0 {
-		ch, n, err := decode(rest)
-		if err != nil {
-			// A process that ends during a write leaves a truncated record; all records before it are complete.
-			slog.Warn("journal tail dropped", "file", file, "bytes", len(rest), "at", len(raw)-len(rest), "err", err)
-			break
-		}
-		if converted, ok := clock.change(ch); ok {
-			j.apply(converted)
-		}
-		rest = rest[n:]
-	}
-}
-
-// removeRecovered removes and unlocks the replayed files once this process's own file holds their pending entries.
-func (j *Journal) removeRecovered() {
-	for _, o := range j.orphans {
-		if o.name != j.name {
-			os.Remove(j.path(o.name))
-		}
-		os.Remove(j.path(o.name + compactionSuffix))
-		o.file.Close()
-		slog.Info("journal taken over", "file", o.name)
-	}
-	j.orphans = nil
-}
-
-// orphansBytes returns the size of replayed files, which exist beside this process's file until they are removed.
-func orphansBytes(orphans []orphan) (sum int64) {
-	for _, o := range orphans {
-		sum += o.bytes
-	}
-	return sum
-}
-
-// closeAll closes the files and thereby releases their locks.
-func closeAll(orphans []orphan) {
-	for _, o := range orphans {
-		o.file.Close()
-	}
-}
-
 // ownLimitBytes returns the part of the folder's limit that is left for this process's file. During a handover the files of both
 // processes count against the same limit.
 func (j *Journal) ownLimitBytes() int64 { return j.limitBytes.Load() - j.otherFilesBytes }
