--- a/internal/journal/handover_test.go
+++ b/internal/journal/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"slatemux/internal/traffic"
@@ -92,3 +93,31 @@
 		t.Fatalf("%d bytes of other processes after the handover", successor.otherFilesBytes)
 	}
 }
+
+// A failure of the lock call does not show that a process has ended. Its file must be left alone, and be read once the call works again.
+func TestFailedLockCallTakesNothingOver(t *testing.T) {
+	for _, fault := range []error{syscall.EINTR, syscall.ENOLCK} {
+		dir := t.TempDir()
+		predecessor := mustOpenAs(t, dir, "1")
+		mustCommit(t, predecessor, traffic.TransactionAccepted{Transaction: transaction("a", 3)})
+		successor := mustOpenAs(t, dir, "2")
+		system, failures := flock, 3
+		flock = func(fd, how int) error {
+			if failures--; failures >= 0 {
+				return fault
+			}
+			return system(fd, how)
+		}
+		for range 3 {
+			if pending, _, err := successor.Recover(); err != nil || len(pending) > 0 {
+				t.Errorf("%v: the successor took over %d transactions of a running process: %v", fault, len(pending), err)
+			}
+		}
+		flock = system
+		predecessor.Close()
+		if pending, _, err := successor.Recover(); err != nil || len(pending) != 1 {
+			t.Errorf("%v: after the end of the process %d transactions, %v", fault, len(pending), err)
+		}
+		successor.Close()
+	}
+}
--- a/internal/journal/lock.go
+++ b/internal/journal/lock.go
@@ -5,12 +5,14 @@
 	"log/slog"
 	"os"
 	"syscall"
+
+	"slatemux/internal/syserror"
 )
 
 // lock takes the exclusive lock of a file that this process has just created. No other process has opened the file yet.
 func lock(f file) error {
-	err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
-	if err != nil && !lockedByOther(err) {
+	err := tryLock(f)
+	if err != nil && !lockedByOther(err) && !syserror.IsTemporary(err) {
 		// Without file locks the journal still works, if only one process at a time uses the folder.
 		slog.Warn("journal not locked: no locks of files here", "err", err)
 		return nil
@@ -18,6 +20,17 @@
 	return err
 }
 
+// flock is the system call, which tests replace.
+var flock = syscall.Flock
+
+// tryLock takes the lock of a file, or returns an error at once.
+func tryLock(f interface{ Fd() uintptr }) (err error) {
+	for err = flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); errors.Is(err, syscall.EINTR); {
+		err = flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	}
+	return err
+}
+
 // lockedByOther reports whether locking failed because another process holds the lock. Any other error means that the system
 // does not support file locks.
 func lockedByOther(err error) bool {
@@ -31,8 +44,8 @@
 	if err != nil {
 		return nil, false
 	}
-	if err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil && lockedByOther(err) {
-		f.Close() // its process is running
+	if err = tryLock(f); err != nil && (lockedByOther(err) || syserror.IsTemporary(err)) {
+		f.Close() // its process is running, or that is not known yet
 		return nil, false
 	}
 	opened, err1 := f.Stat()
--- a/internal/syserror/syserror.go
+++ b/internal/syserror/syserror.go
@@ -7,8 +7,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// temporary holds the errors of files, sockets and memory that Linux documents for a lack of resources, an interruption or a disk fault.
-var temporary = []error{unix.ENOSPC, unix.EDQUOT, unix.EIO, unix.EINTR, unix.EAGAIN, unix.EMFILE, unix.ENFILE, unix.ENOMEM, unix.ENOBUFS}
+// temporary holds the errors of files, locks, sockets and memory that Linux documents for a lack of resources, an interruption or a disk fault.
+var temporary = []error{unix.ENOSPC, unix.EDQUOT, unix.EIO, unix.EINTR, unix.EAGAIN, unix.EMFILE, unix.ENFILE, unix.ENOMEM, unix.ENOBUFS, unix.ENOLCK}
 
 // IsTemporary reports whether the same operation may succeed later without any change to the configuration.
 func IsTemporary(err error) bool {
