--- a/internal/flow/connections.go
+++ b/internal/flow/connections.go
@@ -336,7 +336,7 @@
 			m.mu.Unlock()
 		}()
 		if m.cfg.TLS == nil || !m.cfg.TLS.UsesTLS(&target.Member) {
-			if nc, err := m.dial(ctx, target.Address, deadline); err != nil {
+			if nc, err := m.dialPlain(ctx, target.Address, deadline); err != nil {
 				_ = m.openingFailed(ctx, id, err) // the next call that opens a connection reports the failure
 			} else {
 				m.addConn(id, &target, nc, nil, false)
--- a/internal/flow/dial.go
+++ b/internal/flow/dial.go
@@ -11,7 +11,10 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"slatemux/internal/conns"
+	"slatemux/internal/syserror"
 )
 
 // Resolver resolves host names. net.Resolver implements it.
@@ -53,6 +56,30 @@
 	return d.race(ctx, addrs, func(to netip.AddrPort) (net.Conn, error) { return netDialer.DialContext(ctx, "tcp", to.String()) })
 }
 
+// localRetryPause is the pause before an opening that failed on this machine is tried again.
+const localRetryPause = 20 * time.Millisecond
+
+// failedLocally reports whether an opening failed for a lack of resources or of a route on this machine, which says nothing about the member
+// and may pass at once.
+func failedLocally(err error) bool {
+	return syserror.IsTemporary(err) || errors.Is(err, unix.EADDRNOTAVAIL) || errors.Is(err, unix.ENETUNREACH)
+}
+
+// dialPlain opens a connection without TLS, and tries again until the deadline while the opening fails on this machine.
+func (m *Manager) dialPlain(ctx context.Context, address string, deadline time.Time) (net.Conn, error) {
+	for {
+		nc, err := m.dial(ctx, address, deadline)
+		if err == nil || !failedLocally(err) || time.Until(deadline) < localRetryPause {
+			return nc, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(localRetryPause):
+		}
+	}
+}
+
 // resolve returns the addresses of all parts of the endpoint. A name that cannot be resolved does not invalidate the other parts.
 func (d *dialer) resolve(ctx context.Context, endpoint string) (addrs []netip.AddrPort, err error) {
 	for part := range strings.SplitSeq(endpoint, ",") {
--- a/internal/flow/dial_test.go
+++ b/internal/flow/dial_test.go
@@ -3,10 +3,16 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
+
+	"slatemux/internal/traffic"
 )
 
 type fakeResolver map[string][]netip.Addr
@@ -86,3 +92,26 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// An opening that fails for a moment on this machine says nothing about the member: the call waits and is made.
+func TestLocalDialErrorsAreRetried(t *testing.T) {
+	for _, fault := range []error{unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENOBUFS, unix.ENFILE, unix.EMFILE, unix.EINTR} {
+		h := newHarness(t)
+		dial, failures := h.manager.dial, 3
+		h.manager.dial = func(ctx context.Context, address string, deadline time.Time) (net.Conn, error) {
+			if failures--; failures >= 0 {
+				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", fault)}
+			}
+			return dial(ctx, address, deadline)
+		}
+		h.startFlow("a")
+		select {
+		case nc := <-h.conns:
+			h.readCall(nc)
+			_, _ = io.WriteString(nc, okAnswer)
+			h.expectEnd("a", traffic.Delivered)
+		case end := <-h.ends:
+			t.Errorf("%v: the flow ended as %v", fault, end.Status)
+		}
+	}
+}
--- a/internal/flow/slow_opening.go
+++ b/internal/flow/slow_opening.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o := opening{id: id, cancel: cancel, result: make(chan openingResult, 1)}
 	go func() {
-		nc, err := m.dial(ctx, address, deadline)
+		nc, err := m.dialPlain(ctx, address, deadline)
 		o.result <- openingResult{nc, err}
 	}()
 	return o
