--- a/cmd/slatelab/answers.go
+++ b/cmd/slatelab/answers.go
@@ -25,8 +25,8 @@
 	answersServers = 4
 	// answersCallTimeout is the time from the start of a call to its deadline.
 	answersCallTimeout = 5 * time.Second
-	// refusedShare is the share of the calls that the servers answer 500, so that wrong answers can be recognized.
-	refusedShare = 0.3
+	// errorShare is the share of the calls that the servers answer 500, so that wrong answers can be recognized.
+	errorShare = 0.3
 )
 
 // answersFlags holds the flags of the answers command.
@@ -125,7 +125,7 @@
 	defer closeServers()
 	for n := range answersServers {
 		s, err := partner.Start(partner.Config{Name: fmt.Sprint("s", n), Addr: "127.0.0.1:0", Ledger: book, Seed: f.seed + uint64(n), Copies: copies, LoadReport: "x0=0.5,x1=90",
-			ConnectDelay: 30 * time.Millisecond, Phases: []partner.Phase{{ErrorRate: refusedShare, Latency: partner.Latency{Mean: 60 * time.Millisecond, CV: 0.5}}}})
+			ConnectDelay: 30 * time.Millisecond, Phases: []partner.Phase{{ErrorRate: errorShare, Latency: partner.Latency{Mean: 60 * time.Millisecond, CV: 0.5}}}})
 		if err != nil {
 			return answersResult{}, err
 		}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -9,7 +9,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -200,6 +199,3 @@
 		}
 	}
 }
-
-// Folder returns the folder of a day below dir.
-func Folder(dir string, day Day) string { return filepath.Join(dir, fmt.Sprint("seed-", day.Seed)) }
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -19,11 +18,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			day := Plan(seed, 2*time.Second)
-			dir := Folder(t.TempDir(), day)
-			if err := os.MkdirAll(dir, 0o700); err != nil {
-				t.Fatal(err)
-			}
-			result, err := Run(t.Context(), binary, dir, day)
+			result, err := Run(t.Context(), binary, t.TempDir(), day)
 			if err != nil {
 				t.Fatal(err)
 			}
