--- a/internal/flow/connections.go
+++ b/internal/flow/connections.go
@@ -161,6 +161,9 @@
 		m.closeEvicted([]conns.Eviction{{ID: c.id, Reason: conns.ReasonTrust}})
 		return
 	}
+	if rest := m.cfg.Conns.MinRest; c.underTLS != nil && rest > 0 { // no flow that waits for a handshake looks at idle connections itself
+		time.AfterFunc(rest, func() { m.offerRested(c.host) })
+	}
 	tlsWaiters := c.underTLS != nil && m.handshakes.hasWaiters(c.host)
 	if !tlsWaiters && len(m.waiters[c.host]) == 0 {
 		return
@@ -181,6 +184,42 @@
 	m.conns.ReturnUnused(m.now(), c.id)
 }
 
+// claimIdle assigns a usable idle connection to a flow, or returns nil if there is none. The caller holds m.mu.
+func (m *Manager) claimIdle(host string) *conn {
+	for {
+		id, evicted, ok := m.conns.UseIdle(m.now(), host)
+		m.closeEvicted(evicted)
+		if !ok {
+			return nil
+		}
+		c := m.connsByID[id]
+		if m.mayReuse(c) {
+			c.inUse, c.reused = true, true
+			return c
+		}
+		m.conns.ReturnUnused(m.now(), id)
+		m.conns.EvictIdle(m.now(), id, conns.ReasonTrust)
+		m.closeEvicted([]conns.Eviction{{ID: id, Reason: conns.ReasonTrust}})
+	}
+}
+
+// offerRested gives idle connections to flows that wait for the permission to make a handshake with a member.
+func (m *Manager) offerRested(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for m.handshakes.hasWaiters(host) {
+		c := m.claimIdle(host)
+		if c == nil {
+			return
+		}
+		if !m.handshakes.offerIdle(host, c) { // the flow has just stopped waiting
+			c.inUse = false
+			m.conns.ReturnUnused(m.now(), c.id)
+			return
+		}
+	}
+}
+
 // acquire returns a connection that is ready for the call of the flow. It takes g.mu itself, as the methods below do unless their comments
 // say otherwise.
 func (m *Manager) acquire(ctx context.Context, r *activeFlow, l lease) (c *conn, err error) {
--- a/internal/flow/slow_opening.go
+++ b/internal/flow/slow_opening.go
@@ -77,14 +77,7 @@
 func (m *Manager) takeIdle(host string) *conn {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	id, evicted, ok := m.conns.UseIdle(m.now(), host)
-	m.closeEvicted(evicted)
-	if !ok {
-		return nil
-	}
-	c := m.connsByID[id]
-	c.inUse, c.reused = true, true
-	return c
+	return m.claimIdle(host)
 }
 
 // keepOpening leaves an opening to later calls, because its flow has another connection.
--- a/internal/flow/tls_test.go
+++ b/internal/flow/tls_test.go
@@ -256,3 +256,15 @@
 		t.Errorf("left behind: %d connections, %d flows", n, len(r.manager.flows))
 	}
 }
+
+// A call that waits for the permission to make a handshake gets a connection that finishes its rest meanwhile.
+func TestRestedConnectionEndsWaitForHandshake(t *testing.T) {
+	s := newTLSHarness(t, Config{MaxCalls: 10, Conns: restConfig(100 * time.Millisecond), HandshakeGate: tlspolicy.HandshakeConfig{CoreShare: 1e-9, MinPerSecond: 1e-9, MaxPerEndpoint: 1, InitialCost: time.Second, Burst: time.Second}}, 0)
+	for i := range 3 { // the first uses the initial handshake budget
+		s.manager.Start(traffic.Flow{ID: fmt.Sprint(i), Member: "m", StartedAt: time.Now(), Deadline: time.Now().Add(5 * time.Second)})
+		s.expectEnd(t, traffic.Delivered)
+	}
+	if n := s.handshakes.Load(); n != 1 {
+		t.Errorf("%d handshakes for three calls", n)
+	}
+}
