--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -100,6 +100,12 @@
 		return Result{}, err
 	}
 	defer d.Close()
+	if d.Listen, err = lab.FreePortOn(day.relayIP()); err != nil {
+		return Result{}, err
+	}
+	if err := d.WriteConfiguration(d.RelayNode, d.Platform.Known()); err != nil {
+		return Result{}, err
+	}
 	env, began := []string{"TMPDIR=" + dir}, time.Now()
 	relay, err := d.StartRelayWithEnv(binary, nil, env, "")
 	if err != nil {
@@ -137,6 +143,12 @@
 	return Result{Verdict: d.Ledger.Judge(ledger.DefaultRules(d.Classes), time.Now().Add(time.Hour)), Calls: calls, Began: began, Log: relay.Log()}, nil
 }
 
+// relayIP returns the address on which clients reach the relay. No connection is opened from it, so none takes the relay's port while the
+// relay is down.
+func (day *Day) relayIP() string {
+	return fmt.Sprintf("127.77.%d.%d", 1+day.Seed>>7&0x7f, 1+day.Seed&0x7f)
+}
+
 // load returns the load of the day.
 func (day *Day) load() load.Config {
 	stream := func(class int, share float64, deadline time.Duration) load.Stream {
