--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -82,14 +83,15 @@
 	_ = r.record.Close()
 }
 
-// FreeAddress returns a loopback address with a free port.
+// FreeAddress returns a loopback address whose port is free, below the ports that the system gives to outgoing connections.
 func FreeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		ln, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(10000+rand.IntN(20000)))
+		if err == nil {
+			_ = ln.Close()
+			return ln.Addr().String()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
 }
 
 // Relay is a relay process.
