--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -373,3 +373,18 @@
 	}
 	return false
 }
+
+// MemoryBytes returns the memory of the process that counts in any case: its anonymous and shared pages, without those of its program file.
+func (p *Relay) MemoryBytes() (sum int64) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(raw)) {
+		if f := strings.Fields(line); len(f) == 3 && (f[0] == "RssAnon:" || f[0] == "RssShmem:") {
+			kb, _ := strconv.ParseInt(f[1], 10, 64)
+			sum += kb << 10
+		}
+	}
+	return sum
+}
