--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -49,6 +50,13 @@
 		return nil, err
 	}
 	r.Log("trouble %v", r.Trouble)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		r.Close()
+		os.Exit(2)
+	}()
 	return r, nil
 }
 
