Client input and answers have bounds taken from the memory limit

Cause: the Reader doubles its buffer whenever it is full and ends in an unfinished command, and never moves the rest to the front, so that it grows with all that a client has sent without a pause. It then copies all commands at once, and their answers are written after the last. The budget counted only commands over 4 KiB. A transaction kept the whole text of its command, of which only the body was counted.

Change: the front reads into a buffer of fixed size for each connection, at most 4 KiB and less where many connections share little memory, and handles one command after the other; the guard finds their ends. More input waits in the kernel. Answers are written once 2 KiB wait. A command that does not fit takes a buffer from a pool, with its memory reserved from the budget over all connections until it is answered. A transaction copies what it needs. A submission without memory is refused with BUSY and no longer ends its connection. A client that sends without a pause yields to the others after each full buffer of answers. redcon still splits the arguments of each command.

--- a/cmd/slatemux/config.go
+++ b/cmd/slatemux/config.go
@@ -163,7 +163,8 @@
 // requests. Once the connections that have sent a command take a quarter of the descriptors, idle ones are closed to make room, because
 // new requests would otherwise find no descriptor.
 //
-// Open transactions may take an eighth of the memory. Large commands of clients, with the parser's buffers, may take another eighth.
+// Open transactions may take an eighth of the memory. Large commands of clients may take another eighth, and the buffers of their connections a
+// sixteenth.
 func (c *config) resourceLimits() resourceLimits {
 	n := c.sockets - reservedDescriptors
 	learned := min(c.diskBytes/16, maxLearnedBytes)
@@ -171,7 +172,7 @@
 	const fileCopies = 2 // compaction writes a second file beside the old one
 	return resourceLimits{heapBytes: c.memoryBytes / 2, openBytes: c.memoryBytes / 8, journalBytes: c.diskBytes - learned - fileCopies*configuration, learnedBytes: learned, configurationBytes: configuration, flows: min(c.settings.MaxCalls, n/4),
 		memberConns: n / 4,
-		clients:     front.Limits{MaxConns: n / 2, MaxUsedConns: n / 4, MaxBufferedBytes: c.memoryBytes / 8}}
+		clients:     front.Limits{MaxConns: n / 2, MaxUsedConns: n / 4, MaxBufferedBytes: c.memoryBytes / 8, MaxConnBytes: c.memoryBytes / 16}}
 }
 
 // configurationFileBytes returns the bound of the file that stores the fleet configuration: the size of the maximum number of entries,
--- a/internal/front/admission_test.go
+++ b/internal/front/admission_test.go
@@ -132,7 +132,7 @@
 func startLimitedServer(t *testing.T, g *sizeLimiter) (*Server, *acceptingRelay, net.Conn) {
 	t.Helper()
 	relay := &acceptingRelay{}
-	s, err := Listen("127.0.0.1:0", Limits{10, 10, 1 << 20}, []dispatch.Class{{Name: "pay", Effect: dispatch.Keyed}}, relay, g)
+	s, err := Listen("127.0.0.1:0", Limits{10, 10, 1 << 20, 1 << 20}, []dispatch.Class{{Name: "pay", Effect: dispatch.Keyed}}, relay, g)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -2,14 +2,17 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/tidwall/redcon"
 	"golang.org/x/sys/unix"
 
 	"slatemux/internal/overload"
@@ -31,10 +34,8 @@
 	// lingerTimeout bounds how long input is discarded before a connection is closed. Without this, unread input would reset the
 	// connection before the client has read the last reply.
 	lingerTimeout = 2 * time.Second
-	// commandMemoryFactor is the ratio of the memory that a large command takes to its size, including the parser's buffers.
-	commandMemoryFactor = 4
-	// smallCommandBytes bounds the commands that fit in the buffers that each connection has anyway.
-	smallCommandBytes = 4096
+	// noCapacityRetryIn is the retry time sent to a client if there is no connection or no memory for its command.
+	noCapacityRetryIn = time.Second
 )
 
 var (
@@ -46,9 +47,10 @@
 
 // refusals holds the reply that a client reads, by the reason for which its connection is closed.
 var refusals = map[error]string{errBadFrame: "-ERR Protocol error: " + errBadFrame.Error() + "\r\n",
-	errCommandTimeout: "-ERR Protocol error: " + errCommandTimeout.Error() + "\r\n", errNoCapacity: "-BUSY 1000\r\n", errShutdown: "-BUSY\r\n", errUnused: "-BUSY\r\n"}
+	errCommandTimeout: "-ERR Protocol error: " + errCommandTimeout.Error() + "\r\n", errNoCapacity: fmt.Sprintf("-BUSY %d\r\n", noCapacityRetryIn.Milliseconds()), errShutdown: "-BUSY\r\n", errUnused: "-BUSY\r\n"}
 
-// client is a connection whose framing is checked before redcon reads it.
+// client is a connection of a client. One goroutine reads its commands, handles them one at a time and writes the answers. What waits in
+// the connection's buffers is bounded: further input waits in the client's and the kernel's buffers.
 //
 // Only its reading goroutine ends it, and only between two reads. So the connection is never closed between the read of a command
 // and its answer. Other goroutines request the end and wake the reader. The reader checks once more for input, shuts the sending
@@ -56,18 +58,23 @@
 // again. A close with unread input could reset the connection, and the client would lose earlier answers.
 type client struct {
 	net.Conn
-	server    *Server
-	created   time.Time
-	closeOnce sync.Once
-	removed   chan struct{} // closed once the server no longer counts this connection
+	server  *Server
+	created time.Time
+
+	bufferBytes int // size of each buffer of the connection
+	closeOnce   sync.Once
+	removed     chan struct{} // closed once the server no longer counts this connection
 
 	// Used by the reading goroutine alone, which also handles commands and writes answers.
 	guard     guard
-	answered  int // number of commands
-	frameErr  error
-	decisions []commandDecision // on submissions that are not handled yet, oldest first
-	readPause time.Duration     // pause before the next read, after a refusal
-
+	input     inputBuffer
+	replies   replyBuffer
+	answered  int                // number of commands
+	decision  *overload.Decision // on the current submission; nil if admission has not decided yet
+	readPause time.Duration      // pause before the next read, after a refusal
+	writeErr  error              // of the first write that failed
+
+	hasReserved   bool  // reservedBytes is not 0; used by the reading goroutine alone
 	reservedBytes int64 // taken from the server's budget; guarded by the server's lock
 
 	mu            sync.Mutex
@@ -109,36 +116,76 @@
 	c.usage = submissionSeen
 }
 
-// Read returns input that has passed the guard. It also ends the connection, after invalid input or if the end was requested.
-func (c *client) Read(b []byte) (int, error) {
+// serve answers commands until the connection ends.
+func (c *client) serve() {
+	defer c.Close()
+	defer c.input.free()
+	c.input = newInputBuffer(c.bufferBytes, &c.server.largeBuffers)
 	for {
-		if c.frameErr != nil {
-			c.server.badFrames.Add(1)
-			slog.Warn("bad frame", "client", c.RemoteAddr(), "err", c.frameErr)
-			c.refuse(c.frameErr)
-			return 0, c.frameErr
+		inputErr := c.answerInput()
+		if c.flush(); c.writeErr != nil {
+			return
+		}
+		if inputErr != nil {
+			c.endWithError(inputErr)
+			return
+		}
+		c.pauseReading()
+		space := c.input.space(c.guard.missingBytes())
+		n, err := c.receive(space)
+		if c.input.added(n); n == 0 && err != nil {
+			return
+		}
+		if n == len(space) { // probably more waits: other clients come first
+			runtime.Gosched()
+		}
+	}
+}
+
+// answerInput handles the complete commands of the input. It returns an error if the input cannot be read on.
+func (c *client) answerInput() error {
+	for c.writeErr == nil {
+		result, err := c.input.scan(&c.guard)
+		if err == nil && !c.server.reserve(c, int64(c.guard.commandBytes)) {
+			err = errNoCapacity
 		}
-		if c.readPause > 0 { // meanwhile, further input stays in the client's and the kernel's buffers
-			c.setReadPaused(true)
-			time.Sleep(c.readPause)
-			c.setReadPaused(false)
-			c.readPause = 0
+		c.updateState(result, time.Now())
+		if err != nil || result == unfinished {
+			return err
 		}
-		n, err := c.receive(b)
-		if err == errConnectionEnded {
-			return 0, net.ErrClosed
+		if result == blankLine {
+			continue
 		}
-		passed, frameErr := c.guard.Feed(b[:n])
-		if n > 0 {
-			c.updateState(time.Now())
+		if err := c.server.handle(c, c.input.command()); err != nil {
+			return err
 		}
-		if frameErr == nil && !c.server.reserve(c, int64(c.guard.commandBytes)) {
-			frameErr = errNoCapacity
+		c.input.discardCommand()
+		c.server.release(c)
+		if c.replies.isFull() {
+			c.flush()
+			runtime.Gosched() // a client that sends without a pause must not keep the others waiting
 		}
-		if c.frameErr = frameErr; passed > 0 || frameErr == nil && err != nil {
-			return passed, err
-		} // otherwise loop: to report the error, or because all bytes belonged to a body that is discarded
 	}
+	return nil
+}
+
+// endWithError answers input that cannot be read, or a command that there is no memory for, and ends the connection.
+func (c *client) endWithError(err error) {
+	c.server.badFrames.Add(1)
+	slog.Warn("bad frame", "client", c.RemoteAddr(), "err", err)
+	c.refuse(err)
+}
+
+// pauseReading pauses before the next read if a refusal asks for that. Meanwhile, further input stays in the client's and the kernel's
+// buffers.
+func (c *client) pauseReading() {
+	if c.readPause <= 0 {
+		return
+	}
+	c.setReadPaused(true)
+	time.Sleep(c.readPause)
+	c.setReadPaused(false)
+	c.readPause = 0
 }
 
 func (c *client) setReadPaused(on bool) {
@@ -237,63 +284,88 @@
 	return 0, err
 }
 
-// commandDecision is the decision on a submission, with the number of its command on the connection.
-type commandDecision struct {
-	command int
-	overload.Decision
-}
-
-// decide asks admission about a submission of which everything but the body has arrived. If its fields cannot be read, the decision
-// is made when the command is parsed.
+// decide reserves the memory for a submission of which everything but the body has arrived, and asks admission about it. If its fields
+// cannot be read, both happen once the command is parsed or buffered further.
 func (c *client) decide(fields []byte, size int) bool {
-	h, ok := c.server.parseFields(fields, size)
+	submission, ok := c.server.parseFields(fields, size)
 	if !ok {
 		return false
 	}
-	r := c.server.admission.Admit(h)
-	c.decisions = append(c.decisions, commandDecision{c.guard.completed, r})
-	return r.Refused
+	if !c.server.reserve(c, int64(c.guard.commandBytes)) {
+		c.decision = &overload.Decision{Refused: true, RetryIn: noCapacityRetryIn}
+		return true
+	}
+	if c.server.admission == nil {
+		return false
+	}
+	decision := c.server.admission.Admit(submission)
+	c.decision = &decision
+	if decision.Refused {
+		c.server.release(c)
+	}
+	return decision.Refused
 }
 
-// takeDecision returns the decision on the given command and removes it from the list, if there is one.
-func (c *client) takeDecision(command int) (overload.Decision, bool) {
-	for len(c.decisions) > 0 && c.decisions[0].command < command {
-		c.decisions = c.decisions[1:]
-	}
-	if len(c.decisions) == 0 || c.decisions[0].command != command {
+// takeDecision returns the decision on the current command and removes it, if there is one.
+func (c *client) takeDecision() (overload.Decision, bool) {
+	if c.decision == nil {
 		return overload.Decision{}, false
 	}
-	r := c.decisions[0].Decision
-	if c.decisions = c.decisions[1:]; len(c.decisions) == 0 {
-		c.decisions = nil
-	}
-	return r, true
+	decision := *c.decision
+	c.decision = nil
+	return decision, true
 }
 
-// updateState copies the guard's progress to the fields that other goroutines read.
-func (c *client) updateState(now time.Time) {
+// updateState copies the progress of the reading goroutine to the fields that other goroutines read.
+func (c *client) updateState(result scanResult, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.guard.newlyCompleted {
-		c.guard.newlyCompleted, c.usage, c.commandStart = false, max(c.usage, commandSeen), time.Time{}
+	if result == commandComplete {
+		c.usage, c.commandStart = max(c.usage, commandSeen), time.Time{}
 	}
 	if c.guard.state == atStart {
 		c.commandStart = time.Time{}
 	} else if c.commandStart.IsZero() {
 		c.commandStart = now
 	}
-	c.answerPending, c.lastReceived, c.commandLate = c.answered < c.guard.completed, now, c.commandLate && !c.commandStart.IsZero()
+	c.answerPending, c.lastReceived, c.commandLate = c.hasAnswerPending(), now, c.commandLate && !c.commandStart.IsZero()
 	c.endRequested = c.endRequested && !c.answerPending // a command that arrived cancels the request; an unfinished one is refused
 }
 
-// Write writes answers to the client.
-func (c *client) Write(b []byte) (int, error) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // on timeout, Write fails and ends the connection
-	n, err := c.Conn.Write(b)
+// hasAnswerPending reports whether a command that was read is not answered, or its answer not written.
+func (c *client) hasAnswerPending() bool {
+	return c.answered < c.guard.completed || !c.replies.isEmpty()
+}
+
+// flush writes the answers that wait.
+func (c *client) flush() {
+	if c.replies.isEmpty() {
+		return
+	}
+	c.write(c.replies.take())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answerPending = c.answered < c.guard.completed
-	return n, err
+	c.answerPending = c.hasAnswerPending()
+}
+
+// write writes to the client. A client that leaves its answers unread for too long is cut off.
+func (c *client) write(b []byte) {
+	if c.writeErr == nil {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_, c.writeErr = c.Conn.Write(b)
+	}
+}
+
+// replyText answers with a text of any length. A long text is written directly.
+func (c *client) replyText(text []byte) {
+	if len(text) <= c.replies.fullBytes {
+		c.replies.bulk(text)
+		return
+	}
+	c.replies.bulkHeader(len(text))
+	c.flush()
+	c.write(text)
+	c.replies.lineEnd()
 }
 
 // wakeReader interrupts a blocked read, so that the reading goroutine checks whether the connection is to end.
@@ -333,8 +405,11 @@
 
 // refuse writes the reply for the reason and then discards what the client still sends.
 func (c *client) refuse(reason error) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, _ = c.Conn.Write([]byte(refusals[reason]))
+	reply, ok := refusals[reason]
+	if !ok { // the parser's error
+		reply = string(redcon.AppendError(nil, "ERR "+reason.Error()))
+	}
+	c.write([]byte(reply))
 	c.linger(time.Now().Add(lingerTimeout))
 }
 
@@ -344,13 +419,16 @@
 func (c *client) linger(until time.Time) {
 	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
 	if n := c.server.lingering.Add(1); ok && (n <= int64(c.server.currentLimits().MaxConns/4) || c.server.draining.Load()) {
+		buffer := c.input.small
+		if c.input.free(); buffer == nil { // refused before it was served
+			buffer = make([]byte, c.bufferBytes)
+		}
+		c.replies, c.guard = replyBuffer{}, guard{}
 		c.server.remove(c)
 		_ = halfCloser.CloseWrite()
 		_ = c.Conn.SetReadDeadline(until)
-		for b := make([]byte, 16<<10); ; {
-			if _, err := c.Conn.Read(b); err != nil {
-				break
-			}
+		for err := error(nil); err == nil; {
+			_, err = c.Conn.Read(buffer)
 		}
 	}
 	_ = c.Close() // before the lingering count drops
--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -5,9 +5,10 @@
 	"errors"
 	"fmt"
 	"strconv"
-	"strings"
 	"time"
 
+	"github.com/tidwall/redcon"
+
 	"slatemux/internal/dispatch"
 	"slatemux/internal/overload"
 	"slatemux/internal/traffic"
@@ -32,13 +33,30 @@
 func (Submit) command()  {}
 func (Unknown) command() {}
 
-// Parse decodes a command that was received at the given time. The result shares memory with args.
+// splitArgs returns the arguments of one complete command, which the guard has checked. They share memory with text and are appended to buffer.
+func splitArgs(text []byte, buffer [][]byte) ([][]byte, error) {
+	if text[0] == '$' { // an inline command here, but a form of its own to ReadNextCommand
+		command, err := redcon.Parse(text)
+		return command.Args, err
+	}
+	complete, args, _, rest, err := redcon.ReadNextCommand(text, buffer)
+	if err != nil {
+		return nil, err
+	}
+	if !complete || len(rest) > 0 {
+		return nil, errBadFrame
+	}
+	return args, nil
+}
+
+// Parse decodes a command that was received at the given time. A transaction shares no memory with args, so that it holds no more than its
+// Size while it is open; the text of a Ping does.
 func Parse(args [][]byte, classes map[string]dispatch.Effect, received time.Time) (Command, error) {
 	if len(args) == 0 {
 		return nil, errors.New("empty command")
 	}
-	switch name := strings.ToUpper(string(args[0])); name {
-	case "PING":
+	switch name := args[0]; {
+	case bytes.EqualFold(name, []byte("PING")):
 		if len(args) > 2 {
 			return nil, errors.New("PING takes one argument at most")
 		}
@@ -46,11 +64,11 @@
 			return Ping{args[1]}, nil
 		}
 		return Ping{}, nil
-	case "MSG.PUT":
+	case bytes.EqualFold(name, []byte("MSG.PUT")):
 		t, err := parseSubmit(args, classes, received)
 		return Submit{t}, err
 	default:
-		return Unknown{fmt.Sprintf("%.40q", args[0])}, nil
+		return Unknown{fmt.Sprintf("%.40q", name)}, nil
 	}
 }
 
@@ -60,52 +78,56 @@
 	if len(args) != 5 {
 		return t, fmt.Errorf("MSG.PUT takes 4 arguments, not %d", len(args)-1)
 	}
-	t.ID, t.Body = string(args[2]), args[4]
-	if strings.Trim(string(args[1]), "0") != "" { // the key is all zeros in classes without ordering
-		t.OrderKey = string(args[1])
+	if !isPrintable(args[2]) {
+		return t, fmt.Errorf("not an id: %.40q", args[2])
 	}
-	if !isPrintable(t.ID) {
-		return t, fmt.Errorf("not an id: %.40q", t.ID)
+	if len(args[4]) > traffic.MaxBody {
+		return t, fmt.Errorf("body of %d bytes is over %d", len(args[4]), traffic.MaxBody)
 	}
-	if len(t.Body) > traffic.MaxBody {
-		return t, fmt.Errorf("body of %d bytes is over %d", len(t.Body), traffic.MaxBody)
+	orderKey := args[1]
+	if len(bytes.Trim(orderKey, "0")) == 0 { // the key is all zeros in classes without ordering
+		orderKey = nil
 	}
 	leftMillis, dest := int64(0), -1
+	var class, tenant, idempotencyKey []byte
 	var err error
-	for _, pair := range strings.Split(string(args[3]), ",") {
-		name, value, _ := strings.Cut(pair, "=")
-		switch name {
+	for pair := range bytes.SplitSeq(args[3], []byte(",")) {
+		name, value, _ := bytes.Cut(pair, []byte("="))
+		switch string(name) {
 		case "c":
-			t.Class = value
+			class = value
 		case "t":
-			t.Tenant = value
+			tenant = value
 		case "k":
-			if t.IdempotencyKey = value; !isPrintable(value) {
+			if idempotencyKey = value; !isPrintable(value) {
 				return t, fmt.Errorf("not a key: %.40q", value)
 			}
 		case "d":
-			if leftMillis, err = strconv.ParseInt(value, 10, 64); err != nil || leftMillis <= 0 || leftMillis > maxTimeLeft.Milliseconds() {
+			if leftMillis, err = strconv.ParseInt(string(value), 10, 64); err != nil || leftMillis <= 0 || leftMillis > maxTimeLeft.Milliseconds() {
 				return t, fmt.Errorf("not a time: d=%.40q", value)
 			}
 		case "dest":
-			if dest, err = strconv.Atoi(value); err != nil || dest < 0 {
+			if dest, err = strconv.Atoi(string(value)); err != nil || dest < 0 {
 				return t, fmt.Errorf("not a destination: dest=%.40q", value)
 			}
 		}
 	}
-	effect, known := classes[t.Class]
+	effect, known := classes[string(class)]
 	switch {
 	case !known:
-		return t, fmt.Errorf("unknown class %.40q", t.Class)
+		return t, fmt.Errorf("unknown class %.40q", class)
 	case leftMillis == 0 || dest < 0:
 		return t, errors.New("d or dest is missing")
-	case effect == dispatch.Keyed && t.IdempotencyKey == "":
-		return t, fmt.Errorf("class %q needs k", t.Class)
-	case len(t.OrderKey) > 64:
+	case effect == dispatch.Keyed && len(idempotencyKey) == 0:
+		return t, fmt.Errorf("class %q needs k", class)
+	case len(orderKey) > 64:
 		return t, errors.New("key is too long")
-	case len(t.Tenant) > 64:
+	case len(tenant) > 64:
 		return t, errors.New("tenant is too long")
 	}
+	t.ID, t.Class, t.Tenant = string(args[2]), string(class), string(tenant)
+	t.IdempotencyKey, t.OrderKey = string(idempotencyKey), string(orderKey)
+	t.Body = bytes.Clone(args[4])
 	t.Destination, t.Deadline = dest, received.Add(time.Duration(leftMillis)*time.Millisecond)
 	return t, nil
 }
@@ -140,7 +162,7 @@
 }
 
 // isPrintable reports whether s can be used in a header and a log line unchanged: 1 to 128 visible ASCII characters.
-func isPrintable(s string) bool {
+func isPrintable(s []byte) bool {
 	for i := 0; i < len(s); i++ {
 		if s[i] <= ' ' || s[i] > '~' {
 			return false
--- a/internal/front/connection_end_test.go
+++ b/internal/front/connection_end_test.go
@@ -66,7 +66,7 @@
 
 func startHookedServer(t *testing.T, hook *readHook) (*Server, *countingRelay) {
 	r := &countingRelay{}
-	s, err := Listen("127.0.0.1:0", Limits{10, 10, 1 << 20}, []dispatch.Class{{Name: "pay", Effect: dispatch.Keyed}}, r, nil)
+	s, err := Listen("127.0.0.1:0", Limits{10, 10, 1 << 20, 1 << 20}, []dispatch.Class{{Name: "pay", Effect: dispatch.Keyed}}, r, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,4 +1,6 @@
-// Package front is the virtual server: it reads commands from clients, with redcon as the protocol's parser, and answers them.
+// Package front is the virtual server: it reads commands from clients, with redcon as the protocol's parser, and answers them. All memory that
+// clients can make it take has a bound: a connection has a buffer of a fixed size, from which its commands are handled one at a time, and
+// larger commands reserve their memory from a budget over all connections.
 package front
 
 import (
@@ -9,13 +11,11 @@
 	"maps"
 	"net"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/tidwall/redcon"
 	"golang.org/x/sys/unix"
 
 	"slatemux/internal/dispatch"
@@ -58,6 +58,7 @@
 	limits        Limits
 	reservedBytes int64 // by large commands; bounded by Limits.MaxBufferedBytes
 	conns         map[*client]bool
+	largeBuffers  bufferPool
 	shedBy        map[string]*atomic.Int64 // by class: submissions that overload control refused after their command was read
 
 	draining         atomic.Bool
@@ -74,7 +75,25 @@
 type Limits struct {
 	MaxConns         int   // maximum number of connections
 	MaxUsedConns     int   // connections that have sent a command; above this number, idle ones are closed to make room for new ones
-	MaxBufferedBytes int64 // bytes of memory for commands over smallCommandBytes, over all connections
+	MaxBufferedBytes int64 // bytes of memory for commands that do not fit into the buffer of a connection, over all connections
+	MaxConnBytes     int64 // bytes of memory for the buffers of all connections
+}
+
+const (
+	// maxConnBufferBytes and minConnBufferBytes bound the buffer of a connection. Most commands fit into the largest one.
+	maxConnBufferBytes = 4096
+	minConnBufferBytes = maxInlineBytes + maxFramingBytes
+	// connBuffers is the number of buffers of each connection: for its input and for its answers.
+	connBuffers = 2
+	// commandMemoryFactor is the ratio of the memory that a large command may take to its size: its buffer of up to twice the size, the copy
+	// of its body, and a copy that is not collected yet.
+	commandMemoryFactor = 4
+)
+
+// connBufferBytes returns the size of each buffer of a connection.
+func (l Limits) connBufferBytes() int {
+	share := l.MaxConnBytes / int64(connBuffers*max(l.MaxConns, 1))
+	return int(min(max(share, minConnBufferBytes), maxConnBufferBytes))
 }
 
 // Listen opens a virtual server with the given limits. Admission may be nil.
@@ -114,13 +133,18 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() net.Addr { return s.listener.Addr() }
 
+// maxServeAfterDrain bounds how long Serve waits after Drain until the clients are served.
+const maxServeAfterDrain = time.Hour
+
 // Serve accepts and serves connections until Drain. It returns once the connections have ended, or an hour after Drain.
 func (s *Server) Serve() error {
 	ended := make(chan struct{})
 	defer close(ended)
 	go s.sweep(ended)
-	if err := redcon.Serve(limitedListener{s.listener, s}, s.handle, nil, nil); err != nil {
-		return fmt.Errorf("front: %w", err)
+	s.acceptClients()
+	s.WaitDrained(time.Now().Add(maxServeAfterDrain))
+	for _, c := range s.clients() {
+		c.Close()
 	}
 	return nil
 }
@@ -175,82 +199,80 @@
 	return len(s.conns)
 }
 
-// refuse answers a submission that is not admitted. Reading from its connection then pauses if admission asks for that.
-func (s *Server) refuse(conn redcon.Conn, c *client, decision overload.Decision) {
+// refuse answers a submission that is not admitted, or that there is no memory for. Reading from its connection then pauses if admission asks
+// for that.
+func (s *Server) refuse(c *client, decision overload.Decision) {
 	s.shed.Add(1)
-	writeAnswer(conn, traffic.Answer{Verdict: traffic.Busy, RetryIn: decision.RetryIn})
-	if c != nil {
-		if c.readPause = s.admission.ReadPause(); c.readPause > 0 {
-			s.pausedReads.Add(1)
-		}
+	c.replies.answer(traffic.Answer{Verdict: traffic.Busy, RetryIn: decision.RetryIn})
+	if s.admission == nil {
+		return
+	}
+	if c.readPause = s.admission.ReadPause(); c.readPause > 0 {
+		s.pausedReads.Add(1)
 	}
 }
 
-func (s *Server) handle(conn redcon.Conn, cmd redcon.Command) {
+// handle answers one command, whose framing the guard has checked. After an error the connection has to end.
+func (s *Server) handle(c *client, text []byte) error {
 	received := time.Now()
-	s.commands.Add(1)
-	c, ok := conn.NetConn().(*client)
-	if ok {
-		c.answered++ // here, in the reading goroutine, before the answer is written
+	decision, decided := c.takeDecision()
+	if decision.Refused { // the guard removed its body
+		s.commands.Add(1)
+		c.answered++
+		s.shedUnread.Add(1)
+		c.markSubmission()
+		s.refuse(c, decision)
+		return nil
 	}
-	decision, decided := overload.Decision{}, false
-	if ok && s.admission != nil {
-		if decision, decided = c.takeDecision(c.answered - 1); decision.Refused { // the guard removed its body
-			s.shedUnread.Add(1)
-			c.markSubmission()
-			s.refuse(conn, c, decision)
-			return
-		}
+	var buffer [maxArgs][]byte
+	args, err := splitArgs(text, buffer[:0])
+	if err != nil {
+		return err
 	}
-	parsed, err := Parse(cmd.Args, s.classes, received)
+	s.commands.Add(1)
+	c.answered++ // here, in the reading goroutine, before the answer is written
+	parsed, err := Parse(args, s.classes, received)
 	if err != nil {
 		s.badCommands.Add(1)
-		slog.Warn("bad command", "client", conn.RemoteAddr(), "err", err)
-		conn.WriteError("ERR " + err.Error())
-		return
+		slog.Warn("bad command", "client", c.RemoteAddr(), "err", err)
+		c.replies.error("ERR " + err.Error())
+		return nil
 	}
-	switch cmd := parsed.(type) {
+	switch command := parsed.(type) {
 	case Ping:
-		if cmd.Text != nil {
-			conn.WriteBulk(cmd.Text)
+		if command.Text != nil {
+			c.replyText(command.Text)
 		} else {
-			conn.WriteString("PONG")
+			c.replies.text("PONG")
 		}
 	case Submit:
-		if ok {
-			c.markSubmission()
-		}
-		if transaction := &cmd.Transaction; s.admission != nil && !decided {
-			if decision = s.admission.Admit(overload.Submission{Class: transaction.Class, Tenant: transaction.Tenant, BodyBytes: len(transaction.Body),
-				TimeLeft: transaction.Deadline.Sub(received)}); decision.Refused {
-				if n := s.shedBy[transaction.Class]; n != nil { // Parse accepts only the classes of the settings
-					n.Add(1)
-				}
-				s.refuse(conn, c, decision)
-				return
-			}
+		c.markSubmission()
+		if s.admission != nil && !decided && s.refuseAfterReading(c, &command.Transaction, received) {
+			return nil
 		}
-		writeAnswer(conn, <-s.relay.Submit(cmd.Transaction, received))
+		answer := s.relay.Submit(command.Transaction, received)
+		c.input.discardCommand() // a large command must not be held twice while its answer is awaited
+		c.replies.answer(<-answer)
 	case Unknown:
 		s.badCommands.Add(1)
-		slog.Warn("bad command", "client", conn.RemoteAddr(), "err", "unknown command", "name", cmd.Name)
-		conn.WriteError("ERR unknown command " + cmd.Name)
+		slog.Warn("bad command", "client", c.RemoteAddr(), "err", "unknown command", "name", command.Name)
+		c.replies.error("ERR unknown command " + command.Name)
 	}
+	return nil
 }
 
-func writeAnswer(conn redcon.Conn, a traffic.Answer) {
-	switch a.Verdict {
-	case traffic.Accepted:
-		conn.WriteString("OK")
-	case traffic.Busy:
-		reply := "BUSY"
-		if a.RetryIn > 0 {
-			reply += " " + strconv.FormatInt(max(a.RetryIn.Milliseconds(), 1), 10)
-		}
-		conn.WriteError(reply)
-	default:
-		conn.WriteError("ERR failed")
+// refuseAfterReading asks admission about a submission whose body was read. It answers the submission and returns true if it is refused.
+func (s *Server) refuseAfterReading(c *client, transaction *traffic.Transaction, received time.Time) bool {
+	decision := s.admission.Admit(overload.Submission{Class: transaction.Class, Tenant: transaction.Tenant, BodyBytes: len(transaction.Body),
+		TimeLeft: transaction.Deadline.Sub(received)})
+	if !decision.Refused {
+		return false
+	}
+	if n := s.shedBy[transaction.Class]; n != nil { // Parse accepts only the classes of the settings
+		n.Add(1)
 	}
+	s.refuse(c, decision)
+	return true
 }
 
 const (
@@ -271,36 +293,28 @@
 	}
 }
 
-// limitedListener gives redcon guarded connections, at most as many as the limits allow.
-type limitedListener struct {
-	net.Listener
-	server *Server
-}
+// acceptRetryPause is the pause after a failed accept, for example while no descriptor is free.
+const acceptRetryPause = 10 * time.Millisecond
 
-// Accept returns the next connection for which there is room, wrapped as a client. After Drain has closed the listener, Accept returns
-// its error only once the clients are served, or after an hour.
-func (l limitedListener) Accept() (net.Conn, error) {
+// acceptClients serves clients until Drain closes the listener.
+func (s *Server) acceptClients() {
 	for {
-		nc, err := l.Listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				l.server.WaitDrained(time.Now().Add(time.Hour)) // redcon closes all connections once Accept fails
-			} else {
-				slog.Error("accept failed", "err", err) // e.g. no file descriptors left; redcon would retry in a busy loop
-				time.Sleep(10 * time.Millisecond)
-			}
-			return nil, err
+		nc, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
 		}
-		now := time.Now()
-		c := &client{Conn: nc, server: l.server, created: now, lastReceived: now, removed: make(chan struct{})}
-		if l.server.admission != nil {
-			c.guard.decide = c.decide
+		if err != nil {
+			slog.Error("accept failed", "err", err)
+			time.Sleep(acceptRetryPause)
+			continue
 		}
-		if l.server.add(c) {
-			l.server.accepted.Add(1)
-			return c, nil
+		c := s.newClient(nc)
+		if s.add(c) {
+			s.accepted.Add(1)
+			go c.serve()
+			continue
 		}
-		l.server.refused.Add(1)
+		s.refused.Add(1)
 		slog.Warn("client turned away: too many connections", "client", nc.RemoteAddr())
 		go func() {
 			c.refuse(errNoCapacity)
@@ -309,6 +323,15 @@
 	}
 }
 
+// newClient returns a client for a new connection.
+func (s *Server) newClient(nc net.Conn) *client {
+	now, bufferBytes := time.Now(), s.currentLimits().connBufferBytes()
+	c := &client{Conn: nc, server: s, created: now, lastReceived: now, removed: make(chan struct{}), bufferBytes: bufferBytes,
+		replies: replyBuffer{fullBytes: bufferBytes / 2}}
+	c.guard.decide = c.decide
+	return c
+}
+
 // maxEvictionWait bounds how long a new connection waits for the close of the connection that makes room for it. The evicted
 // connection is idle and its reading goroutine has nothing else to do, so the close is quick.
 const maxEvictionWait = 50 * time.Millisecond
@@ -373,10 +396,10 @@
 	return candidate, usedCandidate, usedCount
 }
 
-// reserve takes the memory for a command of the given size from the budget before the command is buffered. The parser keeps its
-// buffers, so the memory is returned only when the connection ends.
+// reserve takes the memory for a command of the given size from the budget before the command is buffered, unless the command fits into
+// the buffer that each connection has.
 func (s *Server) reserve(c *client, bytes int64) bool {
-	if bytes <= smallCommandBytes {
+	if bytes+maxFramingBytes <= int64(c.bufferBytes) {
 		return true
 	}
 	s.mu.Lock()
@@ -387,10 +410,22 @@
 	}
 	if extra > 0 && s.conns[c] {
 		c.reservedBytes, s.reservedBytes = c.reservedBytes+extra, s.reservedBytes+extra
+		c.hasReserved = true
 	}
 	return true
 }
 
+// release returns the memory that was reserved for a command, once the command is answered.
+func (s *Server) release(c *client) {
+	if !c.hasReserved {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reservedBytes -= c.reservedBytes
+	c.reservedBytes, c.hasReserved = 0, false
+}
+
 // remove unregisters a connection and returns its memory to the budget.
 func (s *Server) remove(c *client) {
 	s.mu.Lock()
@@ -418,6 +453,7 @@
 		case <-ended:
 			return
 		case now := <-tick.C:
+			s.largeBuffers.clear(s.currentLimits().MaxBufferedBytes / commandMemoryFactor)
 			for _, c := range s.clients() {
 				c.sweep(now)
 			}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -118,7 +118,7 @@
 
 // startServer serves until the test ends. Its relay gives every submission the same answer.
 func startServer(t *testing.T, maxClients int, a traffic.Answer) *Server {
-	s, err := Listen("127.0.0.1:0", Limits{maxClients, maxClients, 1 << 20}, []dispatch.Class{{Name: "pay", Effect: dispatch.Keyed}}, fixedRelay(a), nil)
+	s, err := Listen("127.0.0.1:0", Limits{maxClients, maxClients, 1 << 20, 1 << 20}, []dispatch.Class{{Name: "pay", Effect: dispatch.Keyed}}, fixedRelay(a), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -173,7 +173,7 @@
 // as lost.
 func TestDrainAnswersReadCommands(t *testing.T) {
 	relay := make(controlledRelay)
-	s, err := Listen("127.0.0.1:0", Limits{10, 10, 1 << 20}, []dispatch.Class{{Name: "pay", Effect: dispatch.Keyed}}, relay, nil)
+	s, err := Listen("127.0.0.1:0", Limits{10, 10, 1 << 20, 1 << 20}, []dispatch.Class{{Name: "pay", Effect: dispatch.Keyed}}, relay, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -239,7 +239,7 @@
 // submission may idle for longer. A connection with an answer pending is never closed.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	relay := make(controlledRelay)
-	s, err := Listen("127.0.0.1:0", Limits{10, 10, 1 << 20}, []dispatch.Class{{Name: "pay", Effect: dispatch.Keyed}}, relay, nil)
+	s, err := Listen("127.0.0.1:0", Limits{10, 10, 1 << 20, 1 << 20}, []dispatch.Class{{Name: "pay", Effect: dispatch.Keyed}}, relay, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -302,7 +302,7 @@
 // connection that has only sent PING is evicted first, then the one that has been idle longest.
 func TestIdleClientsAreEvictedAboveUsedLimit(t *testing.T) {
 	s := startServer(t, 100, traffic.Answer{})
-	s.SetLimits(Limits{100, 4, 1 << 20})
+	s.SetLimits(Limits{100, 4, 1 << 20, 1 << 20})
 	var kept []*bufio.Reader
 	for i, text := range []string{string(submitCommand), string(submitCommand), "PING\r\n", string(submitCommand), string(submitCommand), string(submitCommand)} {
 		_, rd := dialAndSend(t, s, text)
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -30,9 +30,9 @@
 	afterArgument
 )
 
-// guard checks the framing of commands before redcon's parser sees them. The parser does not bound its input: it buffers a command
-// of any announced size, loops over any announced count, and indexes out of range on a size near the largest integer. The guard
-// passes on only what stays within the bounds.
+// guard checks the framing of commands before redcon's parser sees them, and finds their ends. The parser does not bound its input: it
+// loops over any announced count, indexes out of range on a size near the largest integer, and copies all commands of its input at once.
+// The guard passes on only what stays within the bounds, one command at a time.
 type guard struct {
 	state        parseState
 	partBytes    int // digits or bytes read of the current part; -1 after the carriage return of a number
@@ -41,28 +41,38 @@
 	commandBytes int  // bytes in the arguments of the command
 	notBlank     bool // the inline command is not blank; the parser ignores blank ones
 
-	completed      int  // number of complete commands
-	newlyCompleted bool // a command was completed since this was last cleared
+	completed int // number of complete commands
 
 	// For a submission: the parts before its body, and the decision made on them.
 	argIndex  int    // index of the current argument; 0 is the command's name
 	name      []byte // the command's name
 	fields    []byte // the submission's fields
-	sizeStart int    // start of the body's size line among the bytes that this Feed passes on; -1 if it began in an earlier call
+	sizeStart int    // start of the body's size line among the bytes that this call of next passes on; -1 if it began in an earlier call
 	decide    func(fields []byte, size int) (refused bool)
 	dropBody  bool // the submission is refused: its body is not passed on
-	passed    int  // bytes of the current Feed that are passed on so far
+	passed    int  // bytes of the current call of next that are passed on so far
 }
 
+// scanResult is what a call of next has found.
+type scanResult int
+
+const (
+	unfinished      scanResult = iota // all input was read, and the command has not ended
+	commandComplete                   // a command has ended
+	blankLine                         // an empty command has ended, which has no answer
+)
+
 // endCommand records the end of a command.
 func (g *guard) endCommand() {
-	g.state, g.commandBytes, g.completed, g.newlyCompleted = atStart, 0, g.completed+1, true
+	g.state, g.commandBytes, g.completed = atStart, 0, g.completed+1
 }
 
-// Feed returns how many of the bytes may be passed on. After an error, no later bytes may be passed on. If decide refuses a
-// submission before its body, Feed removes the body from b in place and leaves an empty one.
-func (g *guard) Feed(b []byte) (int, error) {
+// next reads input up to the end of a command. It returns how many bytes it has read and how many of them, moved to the start of b, may be
+// passed on. After an error, no later bytes may be passed on. If decide refuses a submission before its body, next removes the body from
+// b in place and leaves an empty one.
+func (g *guard) next(b []byte) (consumed, passed int, result scanResult, err error) {
 	g.passed, g.sizeStart = 0, -1
+	completedBefore := g.completed
 	for i := 0; i < len(b); i++ {
 		if g.state == inArgument && g.value > 0 { // consume the argument's bytes in one step
 			step := min(g.value, len(b)-i)
@@ -77,17 +87,29 @@
 		if g.state == beforeSize {
 			g.sizeStart = g.passed
 		}
-		err := g.consume(b[i])
-		if err != nil {
-			return g.passed, err
+		if err := g.consume(b[i]); err != nil {
+			return i, g.passed, unfinished, err
 		}
 		g.passed += g.passOn(b, i, 1)
 		if g.state == inArgument && g.partBytes == -1 { // a size line has just ended
 			g.partBytes = 0
 			g.checkBody(b)
 		}
+		if g.state == atStart && g.completed > completedBefore {
+			return i + 1, g.passed, commandComplete, nil
+		} else if g.state == atStart {
+			return i + 1, g.passed, blankLine, nil
+		}
+	}
+	return len(b), g.passed, unfinished, nil
+}
+
+// missingBytes returns how many bytes the current command is known to need before its current argument ends, and that are to be kept.
+func (g *guard) missingBytes() int {
+	if g.state != inArgument || g.dropBody {
+		return 0
 	}
-	return g.passed, nil
+	return g.value + len("\r\n")
 }
 
 // passOn moves bytes to the end of those already passed. They are in place unless earlier bytes were removed.
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -211,6 +211,7 @@
 		p.Kill()
 		return nil, err
 	}
+	p.recordFilePages()
 	return p, nil
 }
 
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -26,6 +26,8 @@
 	done    chan struct{}
 	err     error
 	stats   procfs.Proc
+
+	filePages int64 // bytes
 }
 
 // logBuffer keeps the first 8 MB of a program's output and signals each write on written.
@@ -178,6 +180,32 @@
 	return u
 }
 
+// PeakMemory returns an upper bound of the largest memory that the program has had so far, in bytes, without the pages of its program file;
+// zero once it has ended. The kernel keeps the peak, so that no moment is missed.
+func (p *Process) PeakMemory() int64 {
+	status, err := p.stats.NewStatus()
+	if err != nil {
+		return 0
+	}
+	return int64(status.VmHWM) - p.filePages
+}
+
+// AnonymousMemory returns the current memory of the program in bytes without the pages of files; zero once it has ended.
+func (p *Process) AnonymousMemory() int64 {
+	status, err := p.stats.NewStatus()
+	if err != nil {
+		return 0
+	}
+	return int64(status.RssAnon)
+}
+
+// recordFilePages records the memory of the program's file. The system may map more of it later, which PeakMemory then counts.
+func (p *Process) recordFilePages() {
+	if status, err := p.stats.NewStatus(); err == nil {
+		p.filePages = int64(status.RssFile)
+	}
+}
+
 // LastLogLine decodes the newest JSON log line with a message. It returns false if there is none.
 func (p *Process) LastLogLine(message string) (map[string]any, bool) {
 	var found map[string]any
