slatelab pipeline measures clients that send 1, 30 or 300 commands at once

What was missing: nothing measured the price of a change of the front for pipelines, with two builds side by side.

--- a/cmd/slatelab/main.go
+++ b/cmd/slatelab/main.go
@@ -42,7 +42,7 @@
 		idleCommand(),
 		caCommand(),
 		tlsCommand(),
-		connectionsCommand(), answersCommand(), soakCommand(),
+		connectionsCommand(), answersCommand(), soakCommand(), pipelineCommand(),
 		fleetCommand(),
 		faultsCommand(),
 		scaleCommand(),
