Records of open transactions and notices have a bound taken from the memory limit

Where max-open is large, tiny submissions took a relay of 32 MB to 44.7 MB (36,363 open messages).

Evidence: the limit for open transactions counts their texts and 64 bytes each, 4.0 MB in that run; the process held 36 MB more than at rest, about 1 KB a message. Beside it, notices without an answer had a bound from the disk limit only.

Change: the relay also refuses, with BUSY and a time, what would take the records of open transactions (1 KiB each) and of pending notices (512 bytes each) over an eighth of the memory.

--- a/internal/lab/flood/flood.go
+++ b/internal/lab/flood/flood.go
@@ -53,6 +53,7 @@
 	LargeSubmission               // valid submissions with the largest body
 	MediumSubmission              // valid submissions with a body larger than a read buffer
 	SmallSubmission               // valid submissions
+	TinySubmission                // valid submissions with a body of one byte
 	LongFields                    // valid submissions with a small body and many kilobytes of unknown fields
 	WrongArguments                // submissions with too many large arguments
 	ManyFields                    // submissions with a long list of empty fields
@@ -61,7 +62,7 @@
 )
 
 var shapeNames = [ShapeCount]string{"unknown class", "inline unknown", "inline ping", "large ping", "large submission", "medium submission", "small submission",
-	"long fields", "wrong arguments", "many fields", "unfinished body"}
+	"tiny submission", "long fields", "wrong arguments", "many fields", "unfinished body"}
 
 // String returns the name of the shape.
 func (s Shape) String() string { return shapeNames[s] }
@@ -242,6 +243,8 @@
 		submission(c.Class, "", mediumBody)
 	case SmallSubmission:
 		submission(c.Class, "", smallBody)
+	case TinySubmission:
+		submission(c.Class, "", 1)
 	case LongFields:
 		submission(c.Class, ",junk="+strings.Repeat("y", longPart), 1)
 	case WrongArguments:
--- a/internal/lab/flood_test.go
+++ b/internal/lab/flood_test.go
@@ -8,6 +8,23 @@
 	"slatemux/internal/lab/flood"
 )
 
+// Tiny messages must not take a relay over its memory limit where max-open allows far more of them than its memory.
+func TestMemoryLimitHoldsWithManyOpenMessages(t *testing.T) {
+	t.Parallel()
+	const memoryMB = 32
+	d := startDeployment(t, 5*time.Second, memoryMB)
+	d.Config.Sockets, d.Config.MaxOpen = 1024, 50_000
+	if err := d.WriteConfiguration(d.RelayNode, d.Platform.Known()); err != nil {
+		t.Fatal(err)
+	}
+	p := d.startRelay(t, "")
+	o := flood.Config{Addr: d.Listen, Shape: flood.TinySubmission, Clients: 256, Commands: 500, Linger: 5 * time.Second, Class: "order-payment", Tenant: "acme",
+		Deadline: 25 * time.Second, IDPrefix: "aa"}.Run(t.Context())
+	if peak := p.PeakMemory(); peak == 0 || peak > memoryMB*1e6 || o.Accepted == 0 {
+		t.Errorf("the process had %d bytes, its limit is %d MB: %+v", peak, memoryMB, o)
+	}
+}
+
 // Clients that send many commands at once must not take a relay over its memory limit, for which the platform kills it, whatever they send and
 // however they read.
 func TestMemoryLimitHoldsUnderFloods(t *testing.T) {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -1,5 +1,6 @@
 // Package soak plays random days against the real program: restarts by SIGTERM and SIGKILL, signals in series, partners that write answers
-// twice, refuse, hang or reset, and crowds of clients. A seed gives the day. The rules of package ledger are checked on every message.
+// twice, refuse, hang or reset, crowds of clients, and clients that send many commands at once. A seed gives the day. The rules of package
+// ledger are checked on every message, and the memory limit on every process.
 package soak
 
 import (
@@ -9,11 +10,13 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"slatemux/internal/lab"
+	"slatemux/internal/lab/flood"
 	"slatemux/internal/lab/ledger"
 	"slatemux/internal/lab/load"
 	"slatemux/internal/lab/partner"
@@ -28,6 +31,24 @@
 	settleTimeout = 60 * time.Second
 	// crowdClients is the number of idle clients of a crowded day: more than the relay may have connections.
 	crowdClients = 300
+	// floodClientTime is how long a client of a flood stays. The platform owes it an error or a close in this time.
+	floodClientTime = 3 * time.Second
+	// maxFloodBytes is the approximate number of bytes that a client of a flood sends at most.
+	maxFloodBytes = 2 << 20
+	// unknownDest is a destination that no list names. The relay refuses submissions for it.
+	unknownDest = 99
+	// peakInterval is the time between two readings of the peak memory of a process. The kernel keeps the peak in between.
+	peakInterval = 20 * time.Millisecond
+)
+
+// The rules that are checked here, beside those of package ledger.
+const (
+	// MemoryRule is broken if a process goes over its memory limit.
+	MemoryRule = "memory"
+	// FloodAnswerRule is broken if a client of a flood that reads at full speed has neither an answer nor a close when its time is over.
+	FloodAnswerRule = "flood-answer"
+	// FloodAcceptedRule is broken if a submission for an unknown destination is accepted.
+	FloodAcceptedRule = "flood-accepted"
 )
 
 // Day is what happens to one relay. Plan draws it from a seed.
@@ -39,6 +60,18 @@
 	Crowd    int // clients that connect and send nothing, or half a command
 	Restarts []Restart
 	Partners []partner.Config
+	MemoryMB float64
+	Sockets  int
+	Floods   []Flood
+}
+
+// Flood is a number of clients that send many commands at once.
+type Flood struct {
+	After    time.Duration // since the first process was ready
+	Shape    flood.Shape
+	Reading  flood.Reading
+	Clients  int
+	Commands int // of each client
 }
 
 // Restart is one restart of the relay, with signals in series before it.
@@ -54,6 +87,8 @@
 	Calls   []ledger.Call // in order of arrival
 	Began   time.Time
 	Log     string // of the last process
+
+	PeakMemory int64 // bytes, over all processes
 }
 
 // Plan draws the day of a seed. length is the time without the restarts.
@@ -87,15 +122,27 @@
 		}
 		day.Partners = append(day.Partners, config)
 	}
+	day.planFloods(rand.New(rand.NewPCG(seed, 12)))
 	return day
 }
 
+// planFloods draws the limits and the floods of the day.
+func (day *Day) planFloods(rng *rand.Rand) {
+	day.MemoryMB = []float64{32, 64, 128, 192}[rng.IntN(4)]
+	day.Sockets = []int{256, 512, 1024}[rng.IntN(3)]
+	for range rng.IntN(5) {
+		shape := flood.Shape(rng.IntN(int(flood.ShapeCount)))
+		day.Floods = append(day.Floods, Flood{After: time.Duration(4 * rng.Float64() * float64(time.Second)), Shape: shape,
+			Reading: flood.Reading(rng.IntN(int(flood.ReadingCount))), Clients: 1 + rng.IntN(60), Commands: shape.Commands(1 + rng.IntN(maxFloodBytes))})
+	}
+}
+
 // Run plays a day with the given program in an empty folder. It returns an error if the day could not be played, or if the relay did not
 // become ready or ended by itself.
 func Run(ctx context.Context, binary, dir string, day Day) (Result, error) {
 	classes := append(lab.DefaultClasses(), lab.Class{Name: "alarm", Repeat: "unsafe", Worth: 3, Aim: time.Second, Deadline: 5 * time.Second})
-	d, err := lab.Start(dir, lab.DeploymentConfig{Classes: classes, Tenants: []lab.Tenant{{Name: "acme", Share: 1}}, Partners: day.Partners, MemoryMB: 64, DiskMB: 64,
-		Sockets: 256, MaxOpen: 2000, MaxCalls: 100, KeepAlive: 5 * time.Second, Seed: day.Seed})
+	d, err := lab.Start(dir, lab.DeploymentConfig{Classes: classes, Tenants: []lab.Tenant{{Name: "acme", Share: 1}}, Partners: day.Partners, MemoryMB: day.MemoryMB, DiskMB: 64,
+		Sockets: day.Sockets, MaxOpen: 2000, MaxCalls: 100, KeepAlive: 5 * time.Second, Seed: day.Seed})
 	if err != nil {
 		return Result{}, err
 	}
@@ -112,6 +159,9 @@
 		return Result{}, err
 	}
 	defer func() { relay.Kill() }()
+	memory := newMemoryWatch(day.MemoryMB)
+	memory.watch(relay)
+	floods := day.startFloods(ctx, d.Listen)
 	crowdCtx, endCrowd := context.WithCancel(ctx)
 	defer endCrowd()
 	var crowd sync.WaitGroup
@@ -126,6 +176,7 @@
 		if relay, err = restart(d, binary, env, relay, r); err != nil {
 			return Result{}, errors.Join(err, fmt.Errorf("log: %s", relay.Log()))
 		}
+		memory.watch(relay)
 	}
 	time.Sleep(day.Length)
 	endLoad()
@@ -134,13 +185,17 @@
 		return Result{}, err
 	}
 	crowd.Wait()
+	floodViolations := floods()
 	if err := relay.AwaitSettled(time.Now().Add(settleTimeout)); err != nil {
 		return Result{}, fmt.Errorf("%w\n%s", err, relay.Log())
 	}
 	relay.Kill()
 	d.Close()
 	calls, _ := d.Ledger.Calls()
-	return Result{Verdict: d.Ledger.Judge(ledger.DefaultRules(d.Classes), time.Now().Add(time.Hour)), Calls: calls, Began: began, Log: relay.Log()}, nil
+	verdict := d.Ledger.Judge(ledger.DefaultRules(d.Classes), time.Now().Add(time.Hour))
+	peak, memoryViolations := memory.judge()
+	verdict.Violations = slices.Concat(verdict.Violations, memoryViolations, floodViolations)
+	return Result{Verdict: verdict, Calls: calls, Began: began, Log: relay.Log(), PeakMemory: peak}, nil
 }
 
 // relayIP returns the address on which clients reach the relay. No connection is opened from it, so none takes the relay's port while the
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -92,7 +92,7 @@
 	Meters        Meters // nil: no measurement
 	Settings      dispatch.Settings
 	Seed          int64
-	MaxOpenBytes  int64 // upper limit for open transactions in memory
+	MaxOpenBytes  int64 // upper limit for the texts of open transactions in memory, and as much again for the records of them and of notices
 	Store         Store
 	Flows         Flows
 	Notices       Notices
@@ -149,6 +149,7 @@
 	wakes            []time.Time
 	openLimits       openLimits
 	awaitingTurn     []*openTransaction        // transactions that wait for another process to finish earlier ones of their key, by ticket
+	pendingNotices   int                       // notices without an answer
 	noticePending    map[string]string         // ids of transactions of an ordered class whose notice has no answer yet, and their keys
 	blockedFlows     map[string][]traffic.Flow // by key: flows that wait for the answers to such notices
 	waiting          map[int]int               // transactions without a flow, by destination; the next notification removes an entry of 0
@@ -262,6 +263,7 @@
 		r.counters.Recovered++
 		events = r.offer(h, now, events)
 	}
+	r.pendingNotices += len(notices)
 	for _, n := range notices {
 		if n.OrderKey != "" { // later transactions of the key wait for the answer in this process, too
 			r.noticePending[n.ID] = n.OrderKey
@@ -545,6 +547,7 @@
 			events = append(events, in...)
 		case answeredNotices:
 			r.counters.NoticesAnswered += int64(len(in))
+			r.pendingNotices -= len(in)
 			defer r.startUnblocked(in) // later flows of the key start once the journal has the answer
 			changes = append(changes, answeredChanges(in)...)
 		}
@@ -581,7 +584,7 @@
 		}
 	case now.Sub(in.received) > maxSubmissionAge:
 		r.counters.TooOld++
-	case len(r.open) >= r.openLimits.messages, r.bytes+size > r.maxBytes(), !r.cfg.Store.HasRoom(r.uncommittedBytes + size):
+	case len(r.open) >= r.openLimits.messages, r.recordBytes() > r.maxBytes(), r.bytes+size > r.maxBytes(), !r.cfg.Store.HasRoom(r.uncommittedBytes + size):
 		r.counters.Full++
 	default:
 		r.demands.record(&in.transaction, 1, 0)
@@ -597,6 +600,18 @@
 	return nil
 }
 
+const (
+	// openTransactionBytes is the memory that an open transaction takes beside its texts: in this package, the decision module and the journal.
+	openTransactionBytes = 1024
+	// pendingNoticeBytes is the memory that a notice takes until the platform has answered it.
+	pendingNoticeBytes = 512
+)
+
+// recordBytes returns the memory of the records of open transactions and pending notices, with one more transaction.
+func (r *Relay) recordBytes() int64 {
+	return int64(len(r.open)+1)*openTransactionBytes + int64(r.pendingNotices)*pendingNoticeBytes
+}
+
 // maxBytes returns the current limit for the bytes of open transactions.
 func (r *Relay) maxBytes() int64 { return int64(float64(r.cfg.MaxOpenBytes) * r.openLimits.byteScale) }
 
@@ -802,6 +817,7 @@
 		n.OrderKey = h.OrderKey
 		r.noticePending[n.ID] = h.OrderKey
 	}
+	r.pendingNotices++
 	*deferred = append(*deferred, deferredAction{run: func() { r.cfg.Notices.Send(n) }})
 	return append(changes, traffic.Ended{ID: n.ID, Notice: &n})
 }
