--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -3,18 +3,12 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
-	"os"
 	"runtime"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/tidwall/redcon"
-	"golang.org/x/sys/unix"
-
 	"slatemux/internal/overload"
 )
 
@@ -89,26 +83,6 @@
 	rank evictionRank // usage and lastReceived when evictionCandidates last looked; guarded by the server's lock
 }
 
-// usage ranks connections by what they have sent.
-type usage int
-
-const (
-	noCommand   usage = iota // no complete command yet
-	commandSeen              // a command, but no submission
-	submissionSeen
-)
-
-// evictionRank orders connections for eviction: the least useful first.
-type evictionRank struct {
-	usage        usage
-	lastReceived time.Time
-}
-
-// before reports whether a connection of this rank is evicted before one of the other rank.
-func (r evictionRank) before(other evictionRank) bool {
-	return r.usage < other.usage || r.usage == other.usage && r.lastReceived.Before(other.lastReceived)
-}
-
 // markSubmission records that the client submits transactions on this connection.
 func (c *client) markSubmission() {
 	c.mu.Lock()
@@ -194,96 +168,6 @@
 	c.readPaused = on
 }
 
-// errConnectionEnded reports that this side has ended the connection.
-var errConnectionEnded = errors.New("ended")
-
-// receive waits for input. If the end of the connection was requested and nothing has arrived, it ends the connection.
-func (c *client) receive(b []byte) (int, error) {
-	for {
-		end, reason := c.shouldEnd()
-		if !end {
-			n, err := c.Conn.Read(b)
-			if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-				return n, err
-			}
-			_ = c.Conn.SetReadDeadline(time.Time{}) // wakeReader set a deadline in the past
-			continue
-		}
-		if reason != errCommandTimeout { // a client that exceeded maxCommandTime gains no time by sending more bytes
-			if n, err := c.receiveAvailable(b); n > 0 || !errors.Is(err, unix.EAGAIN) {
-				return n, err
-			}
-		}
-		switch reason {
-		case nil:
-			if c.isUnused() { // a first command may be on its way, and its client could not tell that it was not handled
-				c.refuse(errUnused)
-			} else {
-				c.linger(time.Now().Add(lingerTimeout))
-			}
-		case errCommandTimeout:
-			c.server.badFrames.Add(1)
-			slog.Warn("bad frame", "client", c.RemoteAddr(), "err", reason)
-			fallthrough
-		default:
-			c.refuse(reason)
-		}
-		return 0, errConnectionEnded
-	}
-}
-
-// isUnused reports whether no complete command has arrived on the connection.
-func (c *client) isUnused() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.usage == noCommand
-}
-
-// shouldEnd reports whether the connection is to end. If a command is unfinished, reason selects the reply to its client.
-func (c *client) shouldEnd() (end bool, reason error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	unfinished := !c.commandStart.IsZero()
-	switch {
-	case c.commandLate:
-		return true, errCommandTimeout
-	case unfinished && (c.endRequested || c.server.refuseUnfinished.Load()):
-		return true, errShutdown
-	case unfinished: // the rest may still arrive
-		return false, nil
-	}
-	return c.endRequested || c.server.draining.Load(), nil
-}
-
-// receiveAvailable reads what has already arrived, without blocking. It returns EAGAIN if nothing has.
-func (c *client) receiveAvailable(b []byte) (n int, err error) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, unix.EAGAIN
-	}
-	rawConn, err := sc.SyscallConn()
-	for attempted := false; err == nil && !attempted; {
-		_ = c.Conn.SetReadDeadline(time.Time{}) // set by wakeReader, which may set it again before the attempt: hence the loop
-		readErr := rawConn.Read(func(fd uintptr) bool {
-			attempted = true
-			for n, err = unix.Read(int(fd), b); err == unix.EINTR; {
-				n, err = unix.Read(int(fd), b)
-			}
-			return true
-		})
-		if readErr != nil && !errors.Is(readErr, os.ErrDeadlineExceeded) {
-			return 0, readErr
-		}
-	}
-	switch {
-	case n > 0:
-		return n, nil
-	case err == nil:
-		return 0, io.EOF
-	}
-	return 0, err
-}
-
 // decide reserves the memory for a submission of which everything but the body has arrived, and asks admission about it. If its fields
 // cannot be read, both happen once the command is parsed or buffered further.
 func (c *client) decide(fields []byte, size int) bool {
@@ -403,38 +287,6 @@
 	})
 }
 
-// refuse writes the reply for the reason and then discards what the client still sends.
-func (c *client) refuse(reason error) {
-	reply, ok := refusals[reason]
-	if !ok { // the parser's error
-		reply = string(redcon.AppendError(nil, "ERR "+reason.Error()))
-	}
-	c.write([]byte(reply))
-	c.linger(time.Now().Add(lingerTimeout))
-}
-
-// linger shuts the sending side and discards input until the client closes, unless too many connections are in that state. Closing
-// with unread input would reset the connection, and the client might never read the answers already written. A lingering connection
-// no longer counts as one of the server's connections.
-func (c *client) linger(until time.Time) {
-	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
-	if n := c.server.lingering.Add(1); ok && (n <= int64(c.server.currentLimits().MaxConns/4) || c.server.draining.Load()) {
-		buffer := c.input.small
-		if c.input.free(); buffer == nil { // refused before it was served
-			buffer = make([]byte, c.bufferBytes)
-		}
-		c.replies, c.guard = replyBuffer{}, guard{}
-		c.server.remove(c)
-		_ = halfCloser.CloseWrite()
-		_ = c.Conn.SetReadDeadline(until)
-		for err := error(nil); err == nil; {
-			_, err = c.Conn.Read(buffer)
-		}
-	}
-	_ = c.Close() // before the lingering count drops
-	c.server.lingering.Add(-1)
-}
-
 // Close closes the connection, once.
 func (c *client) Close() (err error) {
 	c.closeOnce.Do(func() {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -13,14 +12,10 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"slatemux/internal/dispatch"
 	"slatemux/internal/overload"
-	"slatemux/internal/syserror"
 	"slatemux/internal/traffic"
 )
 
@@ -79,23 +74,6 @@
 	MaxConnBytes     int64 // bytes of memory for the buffers of all connections
 }
 
-const (
-	// maxConnBufferBytes and minConnBufferBytes bound the buffer of a connection. Most commands fit into the largest one.
-	maxConnBufferBytes = 4096
-	minConnBufferBytes = maxInlineBytes + maxFramingBytes
-	// connBuffers is the number of buffers of each connection: for its input and for its answers.
-	connBuffers = 2
-	// commandMemoryFactor is the ratio of the memory that a large command may take to its size: its buffer of up to twice the size, the copy
-	// of its body, and a copy that is not collected yet.
-	commandMemoryFactor = 4
-)
-
-// connBufferBytes returns the size of each buffer of a connection.
-func (l Limits) connBufferBytes() int {
-	share := l.MaxConnBytes / int64(connBuffers*max(l.MaxConns, 1))
-	return int(min(max(share, minConnBufferBytes), maxConnBufferBytes))
-}
-
 // Listen opens a virtual server with the given limits. Admission may be nil.
 func Listen(addr string, limits Limits, classes []dispatch.Class, relay Relay, admission Admission) (*Server, error) {
 	// During a handover a successor process listens on the same address. The kernel distributes new connections over both.
@@ -275,157 +253,6 @@
 	return true
 }
 
-const (
-	// listenTimeout bounds how long a start waits while the system cannot open the listener.
-	listenTimeout = 5 * time.Second
-	// listenRetryPause is the pause before the next try.
-	listenRetryPause = 20 * time.Millisecond
-)
-
-// listenWithRetry opens the listener. A lack of descriptors or buffers passes, and a start that fails for it would lose the relay.
-func listenWithRetry(listen func() (net.Listener, error)) (net.Listener, error) {
-	for deadline := time.Now().Add(listenTimeout); ; time.Sleep(listenRetryPause) {
-		ln, err := listen()
-		if err == nil || !syserror.IsTemporary(err) || time.Now().After(deadline) {
-			return ln, err
-		}
-		slog.Warn("client address not opened yet", "err", err)
-	}
-}
-
-// acceptRetryPause is the pause after a failed accept, for example while no descriptor is free.
-const acceptRetryPause = 10 * time.Millisecond
-
-// acceptClients serves clients until Drain closes the listener.
-func (s *Server) acceptClients() {
-	for {
-		nc, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			slog.Error("accept failed", "err", err)
-			time.Sleep(acceptRetryPause)
-			continue
-		}
-		c := s.newClient(nc)
-		if s.add(c) {
-			s.accepted.Add(1)
-			go c.serve()
-			continue
-		}
-		s.refused.Add(1)
-		slog.Warn("client turned away: too many connections", "client", nc.RemoteAddr())
-		go func() {
-			c.refuse(errNoCapacity)
-			c.Close()
-		}()
-	}
-}
-
-// newClient returns a client for a new connection.
-func (s *Server) newClient(nc net.Conn) *client {
-	now, bufferBytes := time.Now(), s.currentLimits().connBufferBytes()
-	c := &client{Conn: nc, server: s, created: now, lastReceived: now, removed: make(chan struct{}), bufferBytes: bufferBytes,
-		replies: replyBuffer{fullBytes: bufferBytes / 2}}
-	c.guard.decide = c.decide
-	return c
-}
-
-// maxEvictionWait bounds how long a new connection waits for the close of the connection that makes room for it. The evicted
-// connection is idle and its reading goroutine has nothing else to do, so the close is quick.
-const maxEvictionWait = 50 * time.Millisecond
-
-// add registers a connection if there is room or an idle connection can be evicted. It returns false otherwise.
-func (s *Server) add(c *client) bool {
-	for {
-		s.mu.Lock()
-		full := len(s.conns) >= s.limits.MaxConns
-		var victim *client
-		if full || len(s.conns) >= s.limits.MaxUsedConns {
-			candidate, usedCandidate, usedCount := s.evictionCandidates()
-			if victim = usedCandidate; full {
-				victim = candidate
-			} else if usedCount < s.limits.MaxUsedConns {
-				victim = nil
-			}
-		}
-		if !full {
-			s.conns[c] = true
-		}
-		s.mu.Unlock()
-		if victim != nil {
-			victim.requestEnd(func() bool { return !victim.answerPending })
-			s.evicted.Add(1)
-		}
-		if !full {
-			return true
-		} else if victim == nil {
-			return false
-		}
-		// Wait for the close, so that the number of file descriptors stays within the limit. If a command has just arrived on the
-		// victim, the next pass may choose another one.
-		select {
-		case <-victim.removed:
-		case <-time.After(maxEvictionWait):
-		}
-	}
-}
-
-// evictionCandidates finds the connections to close first to make room. The order is: no command received, then no submission
-// received, then longest idle. A flood of connections that send nothing or only PING thus evicts itself and not the clients in use.
-// candidate is the first in this order, usedCandidate the first that has sent a command, and usedCount the number of connections
-// that have sent one. The caller holds the lock.
-func (s *Server) evictionCandidates() (candidate, usedCandidate *client, usedCount int) {
-	for c := range s.conns {
-		c.mu.Lock()
-		c.rank = evictionRank{c.usage, c.lastReceived}
-		evictable := !c.answerPending && !c.endRequested && !c.readPaused && (c.usage == noCommand || c.commandStart.IsZero())
-		ending := c.endRequested
-		c.mu.Unlock()
-		if c.rank.usage > noCommand && !ending {
-			usedCount++
-		}
-		if evictable && (candidate == nil || c.rank.before(candidate.rank)) {
-			candidate = c
-		}
-		if evictable && c.rank.usage > noCommand && (usedCandidate == nil || c.rank.before(usedCandidate.rank)) {
-			usedCandidate = c
-		}
-	}
-	return candidate, usedCandidate, usedCount
-}
-
-// reserve takes the memory for a command of the given size from the budget before the command is buffered, unless the command fits into
-// the buffer that each connection has.
-func (s *Server) reserve(c *client, bytes int64) bool {
-	if bytes+maxFramingBytes <= int64(c.bufferBytes) {
-		return true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	extra := commandMemoryFactor*bytes - c.reservedBytes
-	if extra > 0 && s.reservedBytes+extra > s.limits.MaxBufferedBytes {
-		return false
-	}
-	if extra > 0 && s.conns[c] {
-		c.reservedBytes, s.reservedBytes = c.reservedBytes+extra, s.reservedBytes+extra
-		c.hasReserved = true
-	}
-	return true
-}
-
-// release returns the memory that was reserved for a command, once the command is answered.
-func (s *Server) release(c *client) {
-	if !c.hasReserved {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.reservedBytes -= c.reservedBytes
-	c.reservedBytes, c.hasReserved = 0, false
-}
-
 // remove unregisters a connection and returns its memory to the budget.
 func (s *Server) remove(c *client) {
 	s.mu.Lock()
@@ -460,17 +287,3 @@
 		}
 	}
 }
-
-// reusePort lets a successor process listen on the same address.
-func reusePort(_, _ string, c syscall.RawConn) error {
-	var err error
-	if cerr := c.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, unix.SO_REUSEPORT, 1)
-	}); cerr != nil {
-		return cerr
-	}
-	if err != nil { // this process can still serve the address, but no successor can start beside it
-		slog.Warn("client address not shared with a successor", "err", err)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/front/memory.go
@@ -0,0 +1,48 @@
+package front
+
+const (
+	// maxConnBufferBytes and minConnBufferBytes bound the buffer of a connection. Most commands fit into the largest one.
+	maxConnBufferBytes = 4096
+	minConnBufferBytes = maxInlineBytes + maxFramingBytes
+	// connBuffers is the number of buffers of each connection: for its input and for its answers.
+	connBuffers = 2
+	// commandMemoryFactor is the ratio of the memory that a large command may take to its size: its buffer of up to twice the size, the copy
+	// of its body, and a copy that is not collected yet.
+	commandMemoryFactor = 4
+)
+
+// connBufferBytes returns the size of each buffer of a connection.
+func (l Limits) connBufferBytes() int {
+	share := l.MaxConnBytes / int64(connBuffers*max(l.MaxConns, 1))
+	return int(min(max(share, minConnBufferBytes), maxConnBufferBytes))
+}
+
+// reserve takes the memory for a command of the given size from the budget before the command is buffered, unless the command fits into
+// the buffer that each connection has.
+func (s *Server) reserve(c *client, bytes int64) bool {
+	if bytes+maxFramingBytes <= int64(c.bufferBytes) {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	extra := commandMemoryFactor*bytes - c.reservedBytes
+	if extra > 0 && s.reservedBytes+extra > s.limits.MaxBufferedBytes {
+		return false
+	}
+	if extra > 0 && s.conns[c] {
+		c.reservedBytes, s.reservedBytes = c.reservedBytes+extra, s.reservedBytes+extra
+		c.hasReserved = true
+	}
+	return true
+}
+
+// release returns the memory that was reserved for a command, once the command is answered.
+func (s *Server) release(c *client) {
+	if !c.hasReserved {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reservedBytes -= c.reservedBytes
+	c.reservedBytes, c.hasReserved = 0, false
+}
