--- a/cmd/slatelab/pipeline.go
+++ b/cmd/slatelab/pipeline.go
@@ -27,6 +27,7 @@
 	rounds              int
 	cpu                 int
 	floodClients        int
+	bodyBytes           int
 }
 
 // pipelineCommand measures clients that send commands in pipelines, alternating between two builds.
@@ -40,8 +41,8 @@
 alone. With --flood, other clients send unknown commands without a pause meanwhile.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if f.clients < 1 || f.rounds < 1 || f.length <= 0 || f.length > time.Minute {
-				return errors.New("pipeline: --clients and --rounds must be above 0, and --for at most 1m")
+			if f.clients < 1 || f.rounds < 1 || f.length <= 0 || f.length > time.Minute || f.bodyBytes < 0 || f.bodyBytes > 64<<10 {
+				return errors.New("pipeline: --clients and --rounds must be above 0, --for at most 1m, and --body at most 65536")
 			}
 			return f.run(cmd.Context(), cmd.OutOrStdout())
 		},
@@ -52,6 +53,7 @@
 	c.Flags().DurationVar(&f.length, "for", 2*time.Second, "length of each measurement")
 	c.Flags().IntVar(&f.rounds, "rounds", 3, "number of measurements of each kind and build")
 	c.Flags().IntVar(&f.cpu, "cpu", 0, "processor of the relay")
+	c.Flags().IntVar(&f.bodyBytes, "body", 212, "bytes of the body of a submission")
 	c.Flags().IntVar(&f.floodClients, "flood", 0, "number of clients that send unknown commands without a pause")
 	return c
 }
@@ -168,7 +170,7 @@
 	began := time.Now()
 	for n := range f.clients {
 		clients.Go(func() {
-			r, err := runPipelines(d.Listen, command, depth, n, began.Add(f.length))
+			r, err := f.runPipelines(d.Listen, command, depth, n, began.Add(f.length))
 			mu.Lock()
 			defer mu.Unlock()
 			total.latencies = append(total.latencies, r.latencies...)
@@ -182,7 +184,7 @@
 }
 
 // runPipelines is one client. It sends pipelines until the given time.
-func runPipelines(addr, command string, depth, client int, until time.Time) (r pipelineResult, err error) {
+func (f *pipelineFlags) runPipelines(addr, command string, depth, client int, until time.Time) (r pipelineResult, err error) {
 	nc, err := net.Dial("tcp", addr)
 	if err != nil {
 		return r, err
@@ -195,7 +197,7 @@
 	for time.Now().Before(until) {
 		var b strings.Builder
 		for range depth {
-			writePipelined(&b, command, client, sent)
+			f.writePipelined(&b, command, client, sent)
 			sent++
 		}
 		start := time.Now()
@@ -217,11 +219,11 @@
 }
 
 // writePipelined writes one command of a pipeline.
-func writePipelined(b *strings.Builder, command string, client, n int) {
+func (f *pipelineFlags) writePipelined(b *strings.Builder, command string, client, n int) {
 	args := []string{command}
 	if command != "PING" {
 		id := fmt.Sprintf("%06x%010x", client, n)
-		args = append(args, "0000000000000000", id, fmt.Sprintf("c=slot-status,t=saburtalo,d=5000,dest=0,k=%s", id), strings.Repeat("b", 212))
+		args = append(args, "0000000000000000", id, fmt.Sprintf("c=slot-status,t=saburtalo,d=5000,dest=0,k=%s", id), strings.Repeat("b", f.bodyBytes))
 	}
 	fmt.Fprintf(b, "*%d\r\n", len(args))
 	for _, a := range args {
