The guard only finds ends; a refused body is dropped however it is split

What callers saw: a submission that there was no memory for ended its connection after all if the line with its body's size came in pieces. Cause: the guard cut bodies out of the bytes in place, which it could do only for a size line that began in the same read. For that it kept copies of a command's name and fields on each connection, up to 1 KiB that no bound counted. Change: the guard stops at the announced body, the front decides from the text that its buffer holds anyway, and the body is not kept. The share of a connection's buffers also counts connections that linger. The tests of the guard now go through the connection's buffer. They are stricter: every refused body has to be dropped, wherever it is split (before, it was allowed to pass if its size line came in pieces), and all commands have to come out byte for byte.

--- a/cmd/slatelab/pipeline.go
+++ b/cmd/slatelab/pipeline.go
@@ -17,6 +17,7 @@
 
 	"slatemux/internal/lab"
 	"slatemux/internal/lab/flood"
+	"slatemux/internal/lab/resp"
 )
 
 // pipelineFlags holds the values of the command's flags.
@@ -38,7 +39,7 @@
 		Short: "Measure throughput and latency of clients that send 1, 30 or 300 commands at once, and memory at rest, side by side with another build",
 		Long: `Each client sends as many commands at once as its pipeline holds, reads the answers in order, and sends the next. Latency is the time from
 the sending of a pipeline to each of its answers. Submissions wait for a step of the relay each; PING shows the cost of reading and answering
-alone. With --flood, other clients send unknown commands without a pause meanwhile.`,
+alone, with 0 at once the same on a new connection each time. With --flood, other clients send unknown commands without a pause meanwhile.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if f.clients < 1 || f.rounds < 1 || f.length <= 0 || f.length > time.Minute || f.bodyBytes < 0 || f.bodyBytes > 64<<10 {
@@ -58,9 +59,13 @@
 	return c
 }
 
+// newConnections stands for pipelines of one command on a new connection each.
+const newConnections = 0
+
 // pipelineResult is the result of one measurement.
 type pipelineResult struct {
-	perSecond  float64 // answers
+	perSecond  float64       // answers
+	cpu        time.Duration // of the relay, an answer
 	latencies  []time.Duration
 	unexpected int // answers other than the usual one
 }
@@ -86,15 +91,15 @@
 		}
 	}
 	for _, command := range []string{"PING", "MSG.PUT"} {
-		for _, depth := range []int{1, 30, 300} {
+		for _, depth := range []int{newConnections, 1, 30, 300} {
 			for round := range f.rounds {
 				for _, binary := range builds {
 					r, err := f.measure(ctx, binary, command, depth)
 					if err != nil {
 						return err
 					}
-					fmt.Fprintf(out, "%-8s pipeline %3d round %d %-24s %9.0f answers/s, latency p50 %8v p99 %8v, %d unexpected answers\n", command, depth, round, binary,
-						r.perSecond, r.quantile(0.5).Round(time.Microsecond), r.quantile(0.99).Round(time.Microsecond), r.unexpected)
+					fmt.Fprintf(out, "%-8s pipeline %3d round %d %-24s %9.0f answers/s, %7.2f µs of processor each, latency p50 %8v p99 %8v, %d unexpected answers\n", command, depth, round, binary,
+						r.perSecond, float64(r.cpu)/float64(time.Microsecond), r.quantile(0.5).Round(time.Microsecond), r.quantile(0.99).Round(time.Microsecond), r.unexpected)
 				}
 			}
 		}
@@ -149,7 +154,7 @@
 
 // measure runs the clients of one measurement.
 func (f *pipelineFlags) measure(ctx context.Context, binary, command string, depth int) (pipelineResult, error) {
-	d, _, stop, err := f.startRelay(binary)
+	d, relay, stop, err := f.startRelay(binary)
 	if err != nil {
 		return pipelineResult{}, err
 	}
@@ -167,7 +172,7 @@
 	var clients sync.WaitGroup
 	var total pipelineResult
 	var failed error
-	began := time.Now()
+	began, usedBefore := time.Now(), relay.Usage().CPU
 	for n := range f.clients {
 		clients.Go(func() {
 			r, err := f.runPipelines(d.Listen, command, depth, n, began.Add(f.length))
@@ -180,28 +185,42 @@
 	}
 	clients.Wait()
 	total.perSecond = float64(len(total.latencies)) / time.Since(began).Seconds()
+	total.cpu = (relay.Usage().CPU - usedBefore) / time.Duration(max(len(total.latencies), 1))
 	return total, failed
 }
 
 // runPipelines is one client. It sends pipelines until the given time.
 func (f *pipelineFlags) runPipelines(addr, command string, depth, client int, until time.Time) (r pipelineResult, err error) {
-	nc, err := net.Dial("tcp", addr)
-	if err != nil {
-		return r, err
-	}
-	defer nc.Close()
-	reader, sent, want := bufio.NewReader(nc), 0, "+PONG\r\n"
+	var nc net.Conn
+	defer func() {
+		if nc != nil {
+			nc.Close()
+		}
+	}()
+	reader, sent, want := bufio.NewReader(nil), 0, "+PONG\r\n"
 	if command != "PING" {
 		want = "+OK\r\n"
 	}
+	renew := depth == newConnections
+	depth = max(depth, 1)
+	var b []byte
 	for time.Now().Before(until) {
-		var b strings.Builder
+		if renew && nc != nil {
+			nc.Close()
+		}
+		if renew || nc == nil {
+			if nc, err = net.Dial("tcp", addr); err != nil {
+				return r, err
+			}
+			reader.Reset(nc)
+		}
+		b = b[:0]
 		for range depth {
-			f.writePipelined(&b, command, client, sent)
+			b = f.appendPipelined(b, command, client, sent)
 			sent++
 		}
 		start := time.Now()
-		if _, err := io.WriteString(nc, b.String()); err != nil {
+		if _, err := nc.Write(b); err != nil {
 			return r, err
 		}
 		for range depth {
@@ -218,15 +237,11 @@
 	return r, nil
 }
 
-// writePipelined writes one command of a pipeline.
-func (f *pipelineFlags) writePipelined(b *strings.Builder, command string, client, n int) {
-	args := []string{command}
-	if command != "PING" {
-		id := fmt.Sprintf("%06x%010x", client, n)
-		args = append(args, "0000000000000000", id, fmt.Sprintf("c=slot-status,t=saburtalo,d=5000,dest=0,k=%s", id), strings.Repeat("b", f.bodyBytes))
-	}
-	fmt.Fprintf(b, "*%d\r\n", len(args))
-	for _, a := range args {
-		fmt.Fprintf(b, "$%d\r\n%s\r\n", len(a), a)
+// appendPipelined appends the n-th command of a client.
+func (f *pipelineFlags) appendPipelined(b []byte, command string, client, n int) []byte {
+	if command == "PING" {
+		return resp.AppendCommand(b, command)
 	}
+	id := fmt.Sprintf("%06x%010x", client, n)
+	return resp.AppendCommand(b, command, "0000000000000000", id, fmt.Sprintf("c=slot-status,t=saburtalo,d=5000,dest=0,k=%s", id), strings.Repeat("b", f.bodyBytes))
 }
--- a/cmd/slatelab/toy.go
+++ b/cmd/slatelab/toy.go
@@ -14,6 +14,7 @@
 	"slatemux/internal/lab/ledger"
 	"slatemux/internal/lab/partner"
 	"slatemux/internal/lab/platform"
+	"slatemux/internal/lab/resp"
 )
 
 // toyCommand serves the stand-ins that one relay needs, so that a user can try the relay by hand as example/README.md describes.
@@ -73,11 +74,8 @@
 			idBytes := make([]byte, 8)
 			_, _ = rand.Read(idBytes) // crypto/rand.Read never fails
 			id := hex.EncodeToString(idBytes)
-			request := "*5\r\n"
-			for _, arg := range []string{"MSG.PUT", "0", id, fmt.Sprintf("c=%s,t=%s,d=%d,k=%s,dest=%d", class, tenant, timeLeft.Milliseconds(), id, destination), args[0]} {
-				request += fmt.Sprintf("$%d\r\n%s\r\n", len(arg), arg)
-			}
-			if _, err := conn.Write([]byte(request)); err != nil {
+			fields := fmt.Sprintf("c=%s,t=%s,d=%d,k=%s,dest=%d", class, tenant, timeLeft.Milliseconds(), id, destination)
+			if _, err := conn.Write(resp.AppendCommand(nil, "MSG.PUT", "0", id, fields, args[0])); err != nil {
 				return err
 			}
 			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
--- a/cmd/slatemux/long_list_test.go
+++ b/cmd/slatemux/long_list_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,6 +13,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"slatemux/internal/lab/resp"
 )
 
 // largePool simulates a pool of many members at one address, and a discovery agent that lists them. The first two hundred members share
@@ -221,13 +222,8 @@
 		if n%2 == 0 {
 			dest = 0 // the destination of many members, of which half leave
 		}
-		var b bytes.Buffer
-		args := []string{"MSG.PUT", "0", id, fmt.Sprintf("c=order-payment,t=acme,d=28000,k=%s,dest=%d", id, dest), "body"}
-		fmt.Fprintf(&b, "*%d\r\n", len(args))
-		for _, a := range args {
-			fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(a), a)
-		}
-		if _, err := nc.Write(b.Bytes()); err != nil {
+		fields := fmt.Sprintf("c=order-payment,t=acme,d=28000,k=%s,dest=%d", id, dest)
+		if _, err := nc.Write(resp.AppendCommand(nil, "MSG.PUT", "0", id, fields, "body")); err != nil {
 			t.Error(err)
 			return
 		}
--- a/cmd/slatemux/main_test.go
+++ b/cmd/slatemux/main_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"slatemux/internal/lab/resp"
 	"slatemux/internal/limitstore"
 )
 
@@ -110,11 +111,7 @@
 		t.Fatal(err)
 	}
 	defer nc.Close()
-	text := fmt.Sprintf("*%d\r\n", len(args))
-	for _, arg := range args {
-		text += fmt.Sprintf("$%d\r\n%s\r\n", len(arg), arg)
-	}
-	if _, err := io.WriteString(nc, text); err != nil {
+	if _, err := nc.Write(resp.AppendCommand(nil, args...)); err != nil {
 		t.Fatal(err)
 	}
 	line, err := bufio.NewReader(nc).ReadString('\n')
--- a/internal/front/admission_test.go
+++ b/internal/front/admission_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/tidwall/redcon"
 	"pgregory.net/rapid"
 
 	"slatemux/internal/dispatch"
@@ -19,9 +18,7 @@
 	"slatemux/internal/traffic"
 )
 
-// A refused body is removed wherever the input is split, the command stays complete, and no other byte changes. redcon reads each
-// admitted command unchanged. It reads each refused one with an empty body, or unchanged if the body's size line came in pieces;
-// admission then decides later.
+// A refused body is not kept, wherever the input is split. No other byte changes, and redcon reads each admitted command unchanged.
 func TestRefusedBodiesAreRemoved(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
 		var text []byte
@@ -35,37 +32,39 @@
 				text = append(text, "PING\r\n"...)
 			}
 		}
-		g := guard{}
-		refused := map[int]bool{}
-		n := 0
-		g.decide = func(fields []byte, size int) bool {
+		n, largest := 0, 0
+		s := newCommandScanner(func(fields []byte, size int) bool {
 			if !bytes.HasPrefix(fields, []byte("c=pay,t=")) || !bytes.HasSuffix(fields, []byte(",d=5")) {
-				t.Fatalf("decide was called with fields %q", fields)
+				t.Fatalf("admission was asked about fields %q", fields)
 			}
 			return bytes.Contains(fields, []byte("t=out"))
-		}
-		var passed []byte
+		})
 		for _, piece := range proptest.Split(t, text) {
-			count, err := g.Feed(piece)
+			commands, err := s.feed(piece)
 			if err != nil {
 				t.Fatal(err)
 			}
-			passed = append(passed, piece[:count]...)
-		}
-		rd := redcon.NewReader(bytes.NewReader(passed))
-		for cmd, err := rd.ReadCommand(); err == nil; cmd, err = rd.ReadCommand() {
-			if len(cmd.Args) == 1 {
-				continue
-			}
-			body, out := string(cmd.Args[4]), bytes.Contains(cmd.Args[3], []byte("t=out"))
-			if body != sent[n] && (!out || body != "") {
-				t.Fatalf("command %d (out %v) arrived with %d bytes of body, sent with %d", n, out, len(body), len(sent[n]))
+			for _, command := range commands {
+				if string(command.text) == "PING\r\n" {
+					continue
+				}
+				out := bytes.Contains(command.text, []byte("t=out"))
+				if command.refused != out {
+					t.Fatalf("command %d (out %v): refused %v", n, out, command.refused)
+				}
+				if out {
+					largest = max(largest, len(command.text))
+				} else if args, err := splitArgs(command.text, nil); err != nil || len(args) != 5 || string(args[4]) != sent[n] {
+					t.Fatalf("command %d arrived as %q, %v, sent with a body of %d bytes", n, command.text, err, len(sent[n]))
+				}
+				n++
 			}
-			refused[n] = out && body == ""
-			n++
 		}
-		if n != len(sent) || g.state != atStart {
-			t.Fatalf("%d commands of %d arrived, state %d", n, len(sent), g.state)
+		if n != len(sent) || s.guard.state != atStart {
+			t.Fatalf("%d commands of %d arrived, state %d", n, len(sent), s.guard.state)
+		}
+		if largest > 100 {
+			t.Fatalf("%d bytes of a refused command were kept", largest)
 		}
 	})
 }
@@ -73,11 +72,15 @@
 // Garbage is survived also when every submission is refused.
 func TestGuardSurvivesGarbageWhenRefusing(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
-		g := guard{decide: func([]byte, int) bool { return true }}
+		s, sent, kept := newCommandScanner(func([]byte, int) bool { return true }), 0, 0
 		for _, piece := range proptest.Split(t, proptest.Malformed(t, bytes.Repeat(submitCommand, 3))) {
-			passed, err := g.Feed(piece)
-			if passed > len(piece) {
-				t.Fatalf("%d bytes of %d passed on", passed, len(piece))
+			commands, err := s.feed(piece)
+			sent += len(piece)
+			for _, command := range commands {
+				kept += len(command.text)
+			}
+			if kept > sent {
+				t.Fatalf("%d bytes of %d passed on", kept, sent)
 			}
 			if err != nil {
 				break
@@ -90,12 +93,16 @@
 	f.Add(submitCommand, 7)
 	f.Add([]byte("*1\r\n$4\r\nPING\r\n"), 3)
 	f.Fuzz(func(t *testing.T, text []byte, cut int) {
-		g := guard{decide: func(fields []byte, size int) bool { return size%2 == 0 }}
+		s, sent, kept := newCommandScanner(func(fields []byte, size int) bool { return size%2 == 0 }), 0, 0
 		for len(text) > 0 {
 			n := min(max(cut, 1), len(text))
-			passed, err := g.Feed(text[:n])
-			if passed > n {
-				t.Fatalf("%d bytes of %d passed on", passed, n)
+			commands, err := s.feed(text[:n])
+			sent += n
+			for _, command := range commands {
+				kept += len(command.text)
+			}
+			if kept > sent {
+				t.Fatalf("%d bytes of %d passed on", kept, sent)
 			}
 			if err != nil {
 				return
@@ -204,21 +211,23 @@
 	text := encodeCommand("MSG.PUT", "0", "9b1f03aa5c7e2d41", "c=pay,t=acme,d=8000,k=5c0f6e1a2b3d4c59,dest=7", strings.Repeat("b", 2000))
 	for _, refused := range []bool{false, true} {
 		b.Run(map[bool]string{false: "admitted", true: "refused"}[refused], func(b *testing.B) {
-			g := guard{decide: func([]byte, int) bool { return refused }}
+			s := newCommandScanner(func([]byte, int) bool { return refused })
 			classes := map[string]dispatch.Effect{"pay": dispatch.Keyed}
-			buf := make([]byte, len(text))
 			b.ReportAllocs()
 			for b.Loop() {
-				copy(buf, text)
-				n, err := g.Feed(buf)
+				commands, err := s.feed(text)
+				if err != nil || len(commands) != 1 {
+					b.Fatal(commands, err)
+				}
+				if refused {
+					continue
+				}
+				args, err := splitArgs(commands[0].text, nil)
 				if err != nil {
 					b.Fatal(err)
 				}
-				cmd, _ := redcon.Parse(buf[:n])
-				if !refused {
-					if _, err := Parse(cmd.Args, classes, time.Now()); err != nil {
-						b.Fatal(err)
-					}
+				if _, err := Parse(args, classes, time.Now()); err != nil {
+					b.Fatal(err)
 				}
 			}
 		})
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -120,6 +120,9 @@
 func (c *client) answerInput() error {
 	for c.writeErr == nil {
 		result, err := c.input.scan(&c.guard)
+		if result == bodyAnnounced {
+			c.decide()
+		}
 		if err == nil && !c.server.reserve(c, int64(c.guard.commandBytes)) {
 			err = errNoCapacity
 		}
@@ -127,7 +130,7 @@
 		if err != nil || result == unfinished {
 			return err
 		}
-		if result == blankLine {
+		if result != commandComplete {
 			continue
 		}
 		if err := c.server.handle(c, c.input.command()); err != nil {
@@ -168,26 +171,23 @@
 	c.readPaused = on
 }
 
-// decide reserves the memory for a submission of which everything but the body has arrived, and asks admission about it. If its fields
-// cannot be read, both happen once the command is parsed or buffered further.
-func (c *client) decide(fields []byte, size int) bool {
-	submission, ok := c.server.parseFields(fields, size)
+// decide reserves the memory for a submission of which everything but the body has arrived, and asks admission about it. The body of a
+// refused submission is not kept. If the fields cannot be read, the complete command is answered with an error.
+func (c *client) decide() {
+	fields := c.guard.submissionFields(c.input.command())
+	submission, ok := c.server.parseFields(fields, c.guard.value)
 	if !ok {
-		return false
-	}
-	if !c.server.reserve(c, int64(c.guard.commandBytes)) {
-		c.decision = &overload.Decision{Refused: true, RetryIn: noCapacityRetryIn}
-		return true
+		return
 	}
-	if c.server.admission == nil {
-		return false
+	decision := overload.Decision{Refused: true, RetryIn: noCapacityRetryIn}
+	if c.server.reserve(c, int64(c.guard.commandBytes)) {
+		decision = c.server.admit(submission)
 	}
-	decision := c.server.admission.Admit(submission)
 	c.decision = &decision
 	if decision.Refused {
+		c.guard.refuseBody()
 		c.server.release(c)
 	}
-	return decision.Refused
 }
 
 // takeDecision returns the decision on the current command and removes it, if there is one.
--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -17,6 +17,9 @@
 // maxTimeLeft is the longest time to its deadline that a client may give a transaction.
 const maxTimeLeft = 24 * time.Hour
 
+// submitName is the name of the command that submits a transaction, in any case.
+var submitName = []byte("MSG.PUT")
+
 // Command is one decoded command: Ping, Submit or Unknown.
 type Command interface{ command() }
 
@@ -64,7 +67,7 @@
 			return Ping{args[1]}, nil
 		}
 		return Ping{}, nil
-	case bytes.EqualFold(name, []byte("MSG.PUT")):
+	case bytes.EqualFold(name, submitName):
 		t, err := parseSubmit(args, classes, received)
 		return Submit{t}, err
 	default:
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -194,7 +194,7 @@
 func (s *Server) handle(c *client, text []byte) error {
 	received := time.Now()
 	decision, decided := c.takeDecision()
-	if decision.Refused { // the guard removed its body
+	if decision.Refused { // its body was not kept
 		s.commands.Add(1)
 		c.answered++
 		s.shedUnread.Add(1)
@@ -225,7 +225,7 @@
 		}
 	case Submit:
 		c.markSubmission()
-		if s.admission != nil && !decided && s.refuseAfterReading(c, &command.Transaction, received) {
+		if !decided && s.refuseInline(c, &command.Transaction, received) {
 			return nil
 		}
 		answer := s.relay.Submit(command.Transaction, received)
@@ -239,9 +239,18 @@
 	return nil
 }
 
-// refuseAfterReading asks admission about a submission whose body was read. It answers the submission and returns true if it is refused.
-func (s *Server) refuseAfterReading(c *client, transaction *traffic.Transaction, received time.Time) bool {
-	decision := s.admission.Admit(overload.Submission{Class: transaction.Class, Tenant: transaction.Tenant, BodyBytes: len(transaction.Body),
+// admit asks admission about a submission.
+func (s *Server) admit(submission overload.Submission) overload.Decision {
+	if s.admission == nil {
+		return overload.Decision{}
+	}
+	return s.admission.Admit(submission)
+}
+
+// refuseInline asks admission about a submission in the inline form, whose body was not announced. It answers the submission and returns true
+// if it is refused.
+func (s *Server) refuseInline(c *client, transaction *traffic.Transaction, received time.Time) bool {
+	decision := s.admit(overload.Submission{Class: transaction.Class, Tenant: transaction.Tenant, BodyBytes: len(transaction.Body),
 		TimeLeft: transaction.Deadline.Sub(received)})
 	if !decision.Refused {
 		return false
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -32,19 +33,24 @@
 var submitCommand = encodeCommand("MSG.PUT", "7f3a", "9b1f", "c=pay,t=acme,d=8000,k=5c0f,dest=7,r=1,new=x", "a\r\nbody")
 
 func TestGuardPassesSplitCommands(t *testing.T) {
-	text := bytes.Join([][]byte{submitCommand, []byte("PING\r\n"), encodeCommand("PING", ""), submitCommand}, nil)
+	want := [][]byte{submitCommand, []byte("PING\r\n"), encodeCommand("PING", ""), submitCommand}
 	proptest.Check(t, func(t *rapid.T) {
-		var g guard
-		for _, piece := range proptest.Split(t, text) {
-			if n, err := g.Feed(piece); err != nil || n != len(piece) {
-				t.Fatalf("Feed(%q) = %d, %v", piece, n, err)
+		s := newCommandScanner(nil)
+		var got [][]byte
+		for _, piece := range proptest.Split(t, bytes.Join(want, nil)) {
+			commands, err := s.feed(piece)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, command := range commands {
+				got = append(got, command.text)
 			}
 		}
-		if g.state != atStart {
-			t.Fatalf("the guard is in state %d after complete commands", g.state)
+		if s.guard.state != atStart {
+			t.Fatalf("the guard is in state %d after complete commands", s.guard.state)
 		}
-		if g.completed != 4 {
-			t.Fatalf("the guard counted %d commands", g.completed)
+		if s.guard.completed != 4 || !slices.EqualFunc(got, want, bytes.Equal) {
+			t.Fatalf("the guard counted %d commands and passed on %q", s.guard.completed, got)
 		}
 	})
 }
@@ -53,27 +59,28 @@
 func TestGuardedGarbageIsParsedSafely(t *testing.T) {
 	classes := map[string]dispatch.Effect{"pay": dispatch.Keyed}
 	proptest.Check(t, func(t *rapid.T) {
-		var g guard
-		text := proptest.Malformed(t, submitCommand)
-		n, _ := g.Feed(text)
-		rd, handled := redcon.NewReader(bytes.NewReader(text[:n])), 0
-		for cmd, err := rd.ReadCommand(); err == nil; cmd, err = rd.ReadCommand() {
-			if c, err := Parse(cmd.Args, classes, time.Now()); err == nil && c == nil {
-				t.Fatalf("no error and no command from %q", cmd.Raw)
+		s := newCommandScanner(nil)
+		commands, _ := s.feed(proptest.Malformed(t, submitCommand))
+		for _, command := range commands {
+			args, err := splitArgs(command.text, nil)
+			if err != nil {
+				continue
 			}
-			if handled++; handled > g.completed {
-				t.Fatalf("%d commands read, but the guard counted %d", handled, g.completed)
+			if c, err := Parse(args, classes, time.Now()); err == nil && c == nil {
+				t.Fatalf("no error and no command from %q", command.text)
 			}
 		}
+		if len(commands) != s.guard.completed {
+			t.Fatalf("%d commands read, but the guard counted %d", len(commands), s.guard.completed)
+		}
 	})
 }
 
-// The first three texts make redcon index out of range, loop without end, and buffer without bound.
+// redcon indexes out of range on the first text and loops without end on the second. The others break the protocol or its bounds.
 func TestGuardRejectsUnsafeFraming(t *testing.T) {
 	for _, text := range []string{"*1\r\n$9223372036854775807\r\n", "*999999999\r\n", "*1\r\n$70000\r\n",
 		"*-1\r\n", "*1\r\n:5\r\n", strings.Repeat("a", maxInlineBytes+2)} {
-		var g guard
-		if _, err := g.Feed([]byte(text)); err == nil {
+		if _, err := newCommandScanner(nil).feed([]byte(text)); err == nil {
 			t.Errorf("%.40q was passed on", text)
 		}
 	}
--- a/internal/front/guard.go
+++ b/internal/front/guard.go
@@ -1,8 +1,8 @@
 package front
 
 import (
+	"bytes"
 	"errors"
-	"strings"
 
 	"slatemux/internal/traffic"
 )
@@ -31,33 +31,38 @@
 )
 
 // guard checks the framing of commands before redcon's parser sees them, and finds their ends. The parser does not bound its input: it
-// loops over any announced count, indexes out of range on a size near the largest integer, and copies all commands of its input at once.
-// The guard passes on only what stays within the bounds, one command at a time.
+// loops over any announced count, and indexes out of range on a size near the largest integer.
 type guard struct {
 	state        parseState
 	partBytes    int // digits or bytes read of the current part; -1 after the carriage return of a number
 	value        int
 	argsLeft     int  // still to come
-	commandBytes int  // bytes in the arguments of the command
+	commandBytes int  // bytes in the arguments of the command that are to be kept
 	notBlank     bool // the inline command is not blank; the parser ignores blank ones
+	completed    int  // number of complete commands
 
-	completed int // number of complete commands
-
-	// For a submission: the parts before its body, and the decision made on them.
-	argIndex  int    // index of the current argument; 0 is the command's name
-	name      []byte // the command's name
-	fields    []byte // the submission's fields
-	sizeStart int    // start of the body's size line among the bytes that this call of next passes on; -1 if it began in an earlier call
-	decide    func(fields []byte, size int) (refused bool)
-	dropBody  bool // the submission is refused: its body is not passed on
-	passed    int  // bytes of the current call of next that are passed on so far
+	argIndex int                // index of the current argument; 0 is the command's name
+	offset   int                // bytes of the command so far
+	args     [bodyArgIndex]span // of the command, before a submission's body
+	dropBody bool               // the submission is refused: its body is not kept
 }
 
+// span is a part of a command.
+type span struct{ start, end int }
+
+// Indexes of a submission's name, fields and body among the arguments of the command.
+const (
+	nameArgIndex   = 0
+	fieldsArgIndex = 3
+	bodyArgIndex   = 4
+)
+
 // scanResult is what a call of next has found.
 type scanResult int
 
 const (
 	unfinished      scanResult = iota // all input was read, and the command has not ended
+	bodyAnnounced                     // the size of the last of five arguments, the body if the command is a submission
 	commandComplete                   // a command has ended
 	blankLine                         // an empty command has ended, which has no answer
 )
@@ -67,86 +72,60 @@
 	g.state, g.commandBytes, g.completed = atStart, 0, g.completed+1
 }
 
-// next reads input up to the end of a command. It returns how many bytes it has read and how many of them, moved to the start of b, may be
-// passed on. After an error, no later bytes may be passed on. If decide refuses a submission before its body, next removes the body from
-// b in place and leaves an empty one.
-func (g *guard) next(b []byte) (consumed, passed int, result scanResult, err error) {
-	g.passed, g.sizeStart = 0, -1
+// next reads input up to the next result and returns how many bytes it has read. After an error, no later bytes may be used.
+func (g *guard) next(b []byte) (consumed int, result scanResult, err error) {
 	completedBefore := g.completed
 	for i := 0; i < len(b); i++ {
 		if g.state == inArgument && g.value > 0 { // consume the argument's bytes in one step
 			step := min(g.value, len(b)-i)
 			g.value -= step
-			g.collect(b[i : i+step])
-			if !g.dropBody {
-				g.passed += g.passOn(b, i, step)
-			}
+			g.offset += step
 			i += step - 1
 			continue
 		}
-		if g.state == beforeSize {
-			g.sizeStart = g.passed
-		}
 		if err := g.consume(b[i]); err != nil {
-			return i, g.passed, unfinished, err
+			return i, unfinished, err
 		}
-		g.passed += g.passOn(b, i, 1)
-		if g.state == inArgument && g.partBytes == -1 { // a size line has just ended
+		g.offset++
+		switch {
+		case g.state == inArgument && g.partBytes == -1: // a size line has just ended
 			g.partBytes = 0
-			g.checkBody(b)
-		}
-		if g.state == atStart && g.completed > completedBefore {
-			return i + 1, g.passed, commandComplete, nil
-		} else if g.state == atStart {
-			return i + 1, g.passed, blankLine, nil
+			if g.argIndex < bodyArgIndex {
+				g.args[g.argIndex] = span{g.offset, g.offset + g.value}
+			} else if g.argIndex == bodyArgIndex && g.argsLeft == 1 {
+				return i + 1, bodyAnnounced, nil
+			}
+		case g.state == atStart && g.completed > completedBefore:
+			return i + 1, commandComplete, nil
+		case g.state == atStart:
+			return i + 1, blankLine, nil
 		}
 	}
-	return len(b), g.passed, unfinished, nil
-}
-
-// missingBytes returns how many bytes the current command is known to need before its current argument ends, and that are to be kept.
-func (g *guard) missingBytes() int {
-	if g.state != inArgument || g.dropBody {
-		return 0
-	}
-	return g.value + len("\r\n")
+	return len(b), unfinished, nil
 }
 
-// passOn moves bytes to the end of those already passed. They are in place unless earlier bytes were removed.
-func (g *guard) passOn(b []byte, from, n int) int {
-	if g.passed != from {
-		copy(b[g.passed:], b[from:from+n])
+// submissionFields returns the fields of a submission whose body was announced, or nothing if the command is none. command holds its bytes
+// so far.
+func (g *guard) submissionFields(command []byte) []byte {
+	name, fields := g.args[nameArgIndex], g.args[fieldsArgIndex]
+	if !bytes.EqualFold(command[name.start:name.end], submitName) {
+		return nil
 	}
-	return n
+	return command[fields.start:fields.end]
 }
 
-// Indexes of a submission's body and fields among the arguments of the command, counted from the command's name.
-const (
-	bodyArgIndex   = 4
-	fieldsArgIndex = 3
-)
-
-// collect keeps the parts of the command that decide needs.
-func (g *guard) collect(b []byte) {
-	switch {
-	case g.decide == nil:
-	case g.argIndex == 0 && len(g.name)+len(b) <= 16:
-		g.name = append(g.name, b...)
-	case g.argIndex == fieldsArgIndex && len(g.fields)+len(b) <= maxInlineBytes:
-		g.fields = append(g.fields, b...)
-	}
+// refuseBody makes the guard drop the body that was announced.
+func (g *guard) refuseBody() {
+	g.dropBody = true
+	g.commandBytes -= g.value
 }
 
-// checkBody calls decide if the size just read is that of a submission's body and its size line can still be changed. Otherwise
-// admission decides once the command is complete.
-func (g *guard) checkBody(b []byte) {
-	if g.decide == nil || g.argIndex != bodyArgIndex || g.argsLeft != 1 || g.sizeStart < 0 || len(g.fields) == 0 ||
-		!strings.EqualFold(string(g.name), "MSG.PUT") || !g.decide(g.fields, g.value) {
-		return
+// missingBytes returns how many bytes the current command is known to need before its current argument ends, and that are to be kept.
+func (g *guard) missingBytes() int {
+	if g.state != inArgument || g.dropBody {
+		return 0
 	}
-	g.dropBody = true
-	g.commandBytes -= g.value
-	g.passed = g.sizeStart + copy(b[g.sizeStart:], "$0\r\n")
+	return g.value + len("\r\n")
 }
 
 // consume advances the state by one byte.
@@ -154,7 +133,7 @@
 	switch g.state {
 	case atStart:
 		g.partBytes, g.value, g.commandBytes, g.notBlank = 0, 0, 0, c != ' ' && c != '\r'
-		g.argIndex, g.dropBody, g.name, g.fields = 0, false, g.name[:0], g.fields[:0]
+		g.argIndex, g.offset, g.dropBody = 0, 0, false
 		if c == '*' {
 			g.state = inCount
 		} else if c != '\n' {
--- a/internal/front/input.go
+++ b/internal/front/input.go
@@ -11,7 +11,7 @@
 	small     []byte      // the buffer of the connection
 	pool      *bufferPool // of larger buffers
 	begin     int         // start of the current command
-	checked   int         // end of the part of the current command that the guard has passed on
+	checked   int         // end of the part of the current command that is kept: all that the guard has read, without a refused body
 	unchecked int         // start of the input that the guard has not read
 	end       int         // end of the input
 }
@@ -55,20 +55,21 @@
 // added records that n bytes were written to the space.
 func (in *inputBuffer) added(n int) { in.end += n }
 
-// scan passes unchecked input to the guard, up to the end of a command.
+// scan passes unchecked input to the guard, up to its next result.
 func (in *inputBuffer) scan(g *guard) (scanResult, error) {
-	input := in.bytes[in.unchecked:in.end]
-	consumed, kept, result, err := g.next(input)
-	copy(in.bytes[in.checked:], input[:kept]) // in place unless a refused body was removed
-	in.checked += kept
+	dropped := g.dropBody && g.state != atStart // of the current command, and not of the one before
+	consumed, result, err := g.next(in.bytes[in.unchecked:in.end])
 	in.unchecked += consumed
+	if !dropped {
+		in.checked = in.unchecked
+	}
 	if result == blankLine {
 		in.discardCommand()
 	}
 	return result, err
 }
 
-// command returns the current command. It is valid until discardCommand or space is called.
+// command returns the current command, up to a refused body. It is valid until discardCommand or space is called.
 func (in *inputBuffer) command() []byte { return in.bytes[in.begin:in.checked] }
 
 // discardCommand removes the current command. A larger buffer goes back to the pool: space lets in at most maxFramingBytes behind its command.
--- a/internal/front/input_test.go
+++ b/internal/front/input_test.go
@@ -21,7 +21,6 @@
 // The buffer of a connection must not grow with the number of commands that arrive at once: it holds no more than its usual size, or one
 // command. Each command comes out once, unchanged and in order, wherever the input is split.
 func TestInputBufferIsBounded(t *testing.T) {
-	const size = 512
 	proptest.Check(t, func(t *rapid.T) {
 		var text []byte
 		var sent [][]byte
@@ -33,32 +32,23 @@
 			text = append(text, rapid.SampledFrom([]string{"", "\r\n", "  \n"}).Draw(t, "blank line")...)
 			text = append(text, command...)
 		}
-		in, g, largestBuffer := newInputBuffer(size, &bufferPool{maxFreeBytes: 1 << 20}), guard{}, 0
+		scanner, largestBuffer := newCommandScanner(nil), 0
 		var got [][]byte
-		for len(text) > 0 {
-			space := in.space(g.missingBytes())
-			n := copy(space, text[:rapid.IntRange(1, len(text)).Draw(t, "read")])
-			in.added(n)
-			text = text[n:]
-			largestBuffer = max(largestBuffer, len(in.bytes))
-			for result := blankLine; result != unfinished; {
-				var err error
-				if result, err = in.scan(&g); err != nil {
-					t.Fatal(err)
-				}
-				if result == commandComplete {
-					got = append(got, bytes.Clone(in.command()))
-					if in.discardCommand(); in.isLarge() {
-						t.Fatal("a large buffer is in use behind its command")
-					}
-				}
+		for _, piece := range proptest.Split(t, text) {
+			commands, err := scanner.feed(piece)
+			if err != nil {
+				t.Fatal(err)
+			}
+			largestBuffer = max(largestBuffer, len(scanner.input.bytes))
+			for _, command := range commands {
+				got = append(got, command.text)
 			}
 		}
 		if !slices.EqualFunc(got, sent, bytes.Equal) {
 			t.Fatalf("sent %q, got %q", sent, got)
 		}
-		if largestBuffer > max(largeBufferBytes[0], 2*largest) || largest <= size && largestBuffer > size || in.isLarge() {
-			t.Fatalf("a buffer of %d bytes for commands of at most %d; %d at the end", largestBuffer, largest, len(in.bytes))
+		if largestBuffer > max(largeBufferBytes[0], 2*largest) || largest <= minConnBufferBytes && largestBuffer > minConnBufferBytes || scanner.input.isLarge() {
+			t.Fatalf("a buffer of %d bytes for commands of at most %d; %d at the end", largestBuffer, largest, len(scanner.input.bytes))
 		}
 	})
 }
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -77,8 +77,6 @@
 // newClient returns a client for a new connection.
 func (s *Server) newClient(nc net.Conn) *client {
 	now, bufferBytes := time.Now(), s.currentLimits().connBufferBytes()
-	c := &client{Conn: nc, server: s, created: now, lastReceived: now, removed: make(chan struct{}), bufferBytes: bufferBytes,
+	return &client{Conn: nc, server: s, created: now, lastReceived: now, removed: make(chan struct{}), bufferBytes: bufferBytes,
 		replies: replyBuffer{fullBytes: bufferBytes / 2}}
-	c.guard.decide = c.decide
-	return c
 }
--- a/internal/front/memory.go
+++ b/internal/front/memory.go
@@ -6,6 +6,8 @@
 	minConnBufferBytes = maxInlineBytes + maxFramingBytes
 	// connBuffers is the number of buffers of each connection: for its input and for its answers.
 	connBuffers = 2
+	// lingeringShare is the reciprocal of the connections that may linger, of those that may be open. Each has one buffer.
+	lingeringShare = 4
 	// commandMemoryFactor is the ratio of the memory that a large command may take to its size: its buffer of up to twice the size, the copy
 	// of its body, and a copy that is not collected yet.
 	commandMemoryFactor = 4
@@ -13,7 +15,8 @@
 
 // connBufferBytes returns the size of each buffer of a connection.
 func (l Limits) connBufferBytes() int {
-	share := l.MaxConnBytes / int64(connBuffers*max(l.MaxConns, 1))
+	buffers := connBuffers*l.MaxConns + l.MaxConns/lingeringShare
+	share := l.MaxConnBytes / int64(max(buffers, 1))
 	return int(min(max(share, minConnBufferBytes), maxConnBufferBytes))
 }
 
--- a/internal/front/receive.go
+++ b/internal/front/receive.go
@@ -117,7 +117,7 @@
 // no longer counts as one of the server's connections.
 func (c *client) linger(until time.Time) {
 	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
-	if n := c.server.lingering.Add(1); ok && (n <= int64(c.server.currentLimits().MaxConns/4) || c.server.draining.Load()) {
+	if n := c.server.lingering.Add(1); ok && (n <= int64(c.server.currentLimits().MaxConns/lingeringShare) || c.server.draining.Load()) {
 		buffer := c.input.small
 		if c.input.free(); buffer == nil { // refused before it was served
 			buffer = make([]byte, c.bufferBytes)
--- a/internal/lab/flood/flood.go
+++ b/internal/lab/flood/flood.go
@@ -7,11 +7,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"slatemux/internal/lab/resp"
 )
 
 const (
@@ -163,18 +165,18 @@
 
 // send writes the commands of a client and returns the number of bytes written.
 func (c Config) send(nc net.Conn, client int) (sent int64) {
-	var buf bytes.Buffer
+	var buf []byte
 	for n := range c.Commands {
-		c.appendCommand(&buf, client, n)
-		if buf.Len() < writeBytes && n < c.Commands-1 {
+		buf = c.appendCommand(buf, client, n)
+		if len(buf) < writeBytes && n < c.Commands-1 {
 			continue
 		}
-		written, err := nc.Write(buf.Bytes())
+		written, err := nc.Write(buf)
 		sent += int64(written)
 		if err != nil {
 			return sent
 		}
-		buf.Reset()
+		buf = buf[:0]
 	}
 	return sent
 }
@@ -209,6 +211,8 @@
 	largeBody   = 64 << 10 // the largest that the protocol allows
 	longPart    = 60 << 10 // of a command whose body is not its largest part
 	argumentLen = 4 << 10
+	// wrongArguments is the number of arguments of such a command: the most that the relay reads, and too many for a submission.
+	wrongArguments = 15
 )
 
 // maxCommands bounds the commands of a client.
@@ -216,68 +220,45 @@
 
 // Commands returns how many commands of the shape take about the given number of bytes, at least 2 and at most 100,000.
 func (s Shape) Commands(totalBytes int) int {
-	var b bytes.Buffer
-	Config{Shape: s, Commands: 2}.appendCommand(&b, 0, 0)
-	return min(max(totalBytes/b.Len(), 2), maxCommands)
+	command := Config{Shape: s, Commands: 2}.appendCommand(nil, 0, 0)
+	return min(max(totalBytes/len(command), 2), maxCommands)
 }
 
 // appendCommand appends the n-th command of a client.
-func (c Config) appendCommand(b *bytes.Buffer, client, n int) {
-	submission := func(class string, extraFields string, body int) {
-		id := fmt.Sprintf("%s%06x%06x", c.IDPrefix, client, n)
+func (c Config) appendCommand(b []byte, client, n int) []byte {
+	id := fmt.Sprintf("%s%06x%06x", c.IDPrefix, client, n)
+	submission := func(class, extraFields string, body int) []byte {
 		fields := fmt.Sprintf("c=%s,t=%s,d=%d,k=%s,dest=%d%s", class, c.Tenant, c.Deadline.Milliseconds(), id, c.Dest, extraFields)
-		appendArray(b, "MSG.PUT", "0000000000000000", id, fields, strings.Repeat("x", body))
+		return resp.AppendCommand(b, "MSG.PUT", "0000000000000000", id, fields, strings.Repeat("x", body))
 	}
 	switch c.Shape {
 	case UnknownClass:
-		submission("no-such-class", "", readBody)
+		return submission("no-such-class", "", readBody)
 	case InlineUnknown:
-		b.WriteString("x\n")
+		return append(b, "x\n"...)
 	case InlinePing:
-		b.WriteString("PING\r\n")
+		return append(b, "PING\r\n"...)
 	case LargePing:
-		appendArray(b, "PING", strings.Repeat("x", longPart))
+		return resp.AppendCommand(b, "PING", strings.Repeat("x", longPart))
 	case LargeSubmission:
-		submission(c.Class, "", largeBody)
+		return submission(c.Class, "", largeBody)
 	case MediumSubmission:
-		submission(c.Class, "", mediumBody)
+		return submission(c.Class, "", mediumBody)
 	case SmallSubmission:
-		submission(c.Class, "", smallBody)
+		return submission(c.Class, "", smallBody)
 	case TinySubmission:
-		submission(c.Class, "", 1)
+		return submission(c.Class, "", 1)
 	case LongFields:
-		submission(c.Class, ",junk="+strings.Repeat("y", longPart), 1)
+		return submission(c.Class, ",junk="+strings.Repeat("y", longPart), 1)
 	case WrongArguments:
-		arguments := []string{"MSG.PUT"}
-		for range 15 {
-			arguments = append(arguments, strings.Repeat("z", argumentLen))
-		}
-		appendArray(b, arguments...)
+		return resp.AppendCommand(b, append([]string{"MSG.PUT"}, slices.Repeat([]string{strings.Repeat("z", argumentLen)}, wrongArguments)...)...)
 	case ManyFields:
-		submission(c.Class, strings.Repeat(",", longPart), 1)
-	case UnfinishedBody:
-		if n < c.Commands-1 {
-			submission(c.Class, "", readBody)
-			return
-		}
-		fmt.Fprintf(b, "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$2\r\nid\r\n$3\r\nc=x\r\n$%d\r\n", largeBody)
-		_, _ = io.CopyN(b, zeros{}, largeBody-1)
+		return submission(c.Class, strings.Repeat(",", longPart), 1)
 	}
-}
-
-// appendArray appends a command as an array of bulk strings.
-func appendArray(b *bytes.Buffer, arguments ...string) {
-	fmt.Fprintf(b, "*%d\r\n", len(arguments))
-	for _, a := range arguments {
-		fmt.Fprintf(b, "$%d\r\n%s\r\n", len(a), a)
+	// UnfinishedBody: the last command stops within its body.
+	if n < c.Commands-1 {
+		return submission(c.Class, "", readBody)
 	}
-}
-
-// zeros is a source of zero bytes without end.
-type zeros struct{}
-
-// Read fills b with zero bytes.
-func (zeros) Read(b []byte) (int, error) {
-	clear(b)
-	return len(b), nil
+	whole := submission(c.Class, "", largeBody)
+	return whole[:len(whole)-len("x\r\n")]
 }
--- a/internal/lab/idleclients_test.go
+++ b/internal/lab/idleclients_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"slatemux/internal/lab/platform"
+	"slatemux/internal/lab/resp"
 )
 
 // Idle clients use up their share of the descriptors while discovery is down. With the smallest number of descriptors that a relay can
@@ -78,11 +79,8 @@
 	}
 	defer nc.Close()
 	id := fmt.Sprintf("%08x", n)
-	command := "*5\r\n"
-	for _, a := range []string{"MSG.PUT", "0", id, "c=order-payment,t=acme,d=28000,k=" + id + ",dest=0", "body"} {
-		command += fmt.Sprintf("$%d\r\n%s\r\n", len(a), a)
-	}
-	if _, err := io.WriteString(nc, command); err != nil {
+	command := resp.AppendCommand(nil, "MSG.PUT", "0", id, "c=order-payment,t=acme,d=28000,k="+id+",dest=0", "body")
+	if _, err := nc.Write(command); err != nil {
 		t.Fatal(err)
 	}
 	line, err := bufio.NewReader(nc).ReadString('\n')
--- a/internal/lab/manyservers_test.go
+++ b/internal/lab/manyservers_test.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"slatemux/internal/lab/resp"
 )
 
 // A pool of 24 to 5,000 members, each a separate destination, on the smallest machine that settings have named (32 MB, 384
@@ -153,11 +155,8 @@
 				}
 				for attempt := range 200 {
 					id := fmt.Sprintf("%x%04x", dest+16, attempt)
-					command := "*5\r\n"
-					for _, a := range []string{"MSG.PUT", "0", id, fmt.Sprintf("c=order-payment,t=acme,d=28000,k=%s,dest=%d", id, dest), "body"} {
-						command += fmt.Sprintf("$%d\r\n%s\r\n", len(a), a)
-					}
-					if _, err := io.WriteString(nc, command); err != nil {
+					fields := fmt.Sprintf("c=order-payment,t=acme,d=28000,k=%s,dest=%d", id, dest)
+					if _, err := nc.Write(resp.AppendCommand(nil, "MSG.PUT", "0", id, fields, "body")); err != nil {
 						t.Error(err)
 						return
 					}
