The flood test plays all shapes at once, with a max-open far above the memory

What was missing: each shape was played alone, although the bounds add up to nine sixteenths of the memory and the collector's limit is a half. Change: a case for each limit plays all shapes and ways of reading together.

--- a/cmd/slatemux/config.go
+++ b/cmd/slatemux/config.go
@@ -163,8 +163,8 @@
 // requests. Once the connections that have sent a command take a quarter of the descriptors, idle ones are closed to make room, because
 // new requests would otherwise find no descriptor.
 //
-// Open transactions may take an eighth of the memory. Large commands of clients may take another eighth, and the buffers of their connections a
-// sixteenth.
+// The texts of open transactions may take an eighth of the memory, and their records as much. Large commands of clients may take another eighth,
+// and the buffers of their connections a sixteenth.
 func (c *config) resourceLimits() resourceLimits {
 	n := c.sockets - reservedDescriptors
 	learned := min(c.diskBytes/16, maxLearnedBytes)
--- a/internal/lab/flood_test.go
+++ b/internal/lab/flood_test.go
@@ -25,40 +25,54 @@
 	}
 }
 
+// floodTime is how long each client of a flood stays.
+const floodTime = 2 * time.Second
+
 // Clients that send many commands at once must not take a relay over its memory limit, for which the platform kills it, whatever they send and
-// however they read.
+// however they read. All shapes together meet a max-open that is far above what the memory allows.
 func TestMemoryLimitHoldsUnderFloods(t *testing.T) {
-	const clientTime = 2 * time.Second
 	for _, limits := range []struct {
 		memoryMB float64
 		sockets  int
 	}{{32, 1024}, {64, 384}, {192, 256}} {
+		name := fmt.Sprintf("%v MB, %d sockets, ", limits.memoryMB, limits.sockets)
+		var all []flood.Config
 		for shape := range flood.ShapeCount {
-			t.Run(fmt.Sprintf("%v MB, %d sockets, %v", limits.memoryMB, limits.sockets, shape), func(t *testing.T) {
-				t.Parallel()
-				d := startDeployment(t, 20*time.Millisecond, limits.memoryMB)
-				d.Config.Sockets = limits.sockets
-				if err := d.WriteConfiguration(d.RelayNode, d.Platform.Known()); err != nil {
-					t.Fatal(err)
-				}
-				p := d.startRelay(t, "")
-				var floods []flood.Config
-				for reading := range flood.ReadingCount {
-					floods = append(floods, flood.Config{Addr: d.Listen, Shape: shape, Reading: reading, Clients: limits.sockets / 8, Commands: shape.Commands(1 << 20), Linger: clientTime,
-						Class: "order-payment", Tenant: "acme", Deadline: 2 * clientTime, IDPrefix: fmt.Sprintf("%02x", reading)})
-				}
-				outcomes := flood.RunAll(t.Context(), floods)
-				peak := p.PeakMemory()
-				if limit := int64(limits.memoryMB * 1e6); peak == 0 || peak > limit {
-					t.Errorf("the process had %d bytes, its limit is %d bytes", peak, limit)
-				}
-				for _, o := range outcomes {
-					if o.SentBytes == 0 {
-						t.Errorf("nothing was sent: %+v", o)
-					}
-				}
-				t.Logf("%.1f MB, %+v", float64(peak)/1e6, outcomes)
-			})
+			var floods []flood.Config
+			for reading := range flood.ReadingCount {
+				c := flood.Config{Shape: shape, Reading: reading, Clients: limits.sockets / 8, Commands: shape.Commands(1 << 20), Linger: floodTime,
+					Class: "order-payment", Tenant: "acme", Deadline: 2 * floodTime, IDPrefix: fmt.Sprintf("%02x%02x", shape, reading)}
+				floods = append(floods, c)
+				c.Clients = max(limits.sockets/80, 1)
+				all = append(all, c)
+			}
+			t.Run(name+shape.String(), func(t *testing.T) { checkMemoryUnderFloods(t, limits.memoryMB, limits.sockets, 2000, floods) })
+		}
+		t.Run(name+"all shapes", func(t *testing.T) { checkMemoryUnderFloods(t, limits.memoryMB, limits.sockets, 50_000, all) })
+	}
+}
+
+// checkMemoryUnderFloods plays floods at once against a relay with the given limits and checks its memory limit.
+func checkMemoryUnderFloods(t *testing.T, memoryMB float64, sockets, maxOpen int, floods []flood.Config) {
+	t.Parallel()
+	d := startDeployment(t, 20*time.Millisecond, memoryMB)
+	d.Config.Sockets, d.Config.MaxOpen = sockets, maxOpen
+	if err := d.WriteConfiguration(d.RelayNode, d.Platform.Known()); err != nil {
+		t.Fatal(err)
+	}
+	p := d.startRelay(t, "")
+	for i := range floods {
+		floods[i].Addr = d.Listen
+	}
+	outcomes := flood.RunAll(t.Context(), floods)
+	peak := p.PeakMemory()
+	if limit := int64(memoryMB * 1e6); peak == 0 || peak > limit {
+		t.Errorf("the process had %d bytes, its limit is %d bytes", peak, limit)
+	}
+	for i, o := range outcomes {
+		if o.SentBytes == 0 {
+			t.Errorf("%v, %v: nothing was sent: %+v", floods[i].Shape, floods[i].Reading, o)
 		}
 	}
+	t.Logf("%.1f MB, %+v", float64(peak)/1e6, outcomes)
 }
