--- a/internal/journal/faults_test.go
+++ b/internal/journal/faults_test.go
@@ -69,16 +69,13 @@
 }
 
 // ids returns the ids of the open transactions that a new process finds in the folder.
-func idsAfterKill(t *testing.T, j *Journal, dir string) (ids []string) {
+func idsAfterKill(t *testing.T, j *Journal, dir string) []string {
 	t.Helper()
 	_ = j.Close() // releases the lock, as the kernel does when a process ends
 	next := mustOpenAs(t, dir, "next")
 	defer next.Close()
 	open, _ := next.Pending()
-	for _, o := range open {
-		ids = append(ids, o.ID)
-	}
-	return ids
+	return openIDs(open)
 }
 
 // Guards against lost messages behind a write that failed halfway and could not be undone at once.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -33,6 +33,9 @@
 	liveShare = 0.4
 	// fileShare is the share of the folder's limit above which the file is compacted.
 	fileShare = 0.55
+	// minOwnShare is the share of the folder's limit that other files must leave to this process's file before transactions are accepted.
+	// Less is kept for changes of the entries in those files.
+	minOwnShare = 0.25
 )
 
 // Journal is the open journal file of this process together with its pending entries. Only Limit and Stats are safe for
@@ -40,9 +43,9 @@
 type Journal struct {
 	process
 	dir             string
-	name            string   // of this process's file, which stays locked while the process runs
-	orphans         []orphan // files of ended processes whose entries are not in this process's file yet
-	otherFilesBytes int64    // size, in whole blocks, of the files of other running processes when the folder was last read
+	name            string    // of this process's file, which stays locked while the process runs
+	orphans         orphanSet // files of ended processes whose entries are not in this process's file yet
+	otherFilesBytes int64     // size, in whole blocks, of the files of other running processes when the folder was last read
 	limitBytes      atomic.Int64
 	file            file
 	fileBytes       int64
@@ -76,10 +79,11 @@
 	inFlight       bool      // a flow has begun and not ended
 	flowBegun      time.Time // start of the latest flow
 	compactedBytes int64     // upper bound of its size in a compacted file
+	inOrphan       bool      // its record is in the file of an ended process alone
 }
 
-// Open opens the journal in dir, which may hold limit bytes. It replays the files of processes that have ended, writes their
-// pending entries to a new file of this process and removes the old files. It does not touch the files of running processes.
+// Open opens the journal in dir, which may hold limit bytes. It replays the files of processes that have ended and merges their pending
+// entries into a new file of this process, as far as there is room. It does not touch the files of running processes.
 func Open(dir string, limit int64) (*Journal, error) {
 	return open(dir, limit, thisProcess())
 }
@@ -99,7 +103,7 @@
 
 // open is Open for a given process.
 func open(dir string, limitBytes int64, owner process) (*Journal, error) {
-	j := &Journal{dir: dir, name: filePrefix + "." + owner.id, process: owner, open: map[string]*entry{}, notices: map[string]*entry{}}
+	j := &Journal{dir: dir, name: filePrefix + "." + owner.id, process: owner, orphans: newOrphanSet(), open: map[string]*entry{}, notices: map[string]*entry{}}
 	j.SetLimit(limitBytes)
 	if j.limitBytes.Load() < 8*blockBytes {
 		return nil, fmt.Errorf("journal: a limit of %d bytes is too small", limitBytes)
@@ -119,15 +123,17 @@
 
 // prepareWrite makes the file ready for the next record.
 func (j *Journal) prepareWrite() error {
-	if err := j.adoptOrphans(); err != nil {
+	if err := j.undoPartialWrite(); err != nil {
 		return err
 	}
-	return j.undoPartialWrite()
+	return j.mergeOrphans()
 }
 
 // ownLimitBytes returns the part of the folder's limit that is left for this process's file. During a handover the files of both
-// processes count against the same limit.
-func (j *Journal) ownLimitBytes() int64 { return j.limitBytes.Load() - j.otherFilesBytes }
+// processes count against the same limit, and so do the files of ended processes until they are merged.
+func (j *Journal) ownLimitBytes() int64 {
+	return j.limitBytes.Load() - j.otherFilesBytes - j.orphans.bytes()
+}
 
 // SetLimit sets how many bytes the folder may hold. It is safe for concurrent use.
 func (j *Journal) SetLimit(bytes int64) { j.limitBytes.Store(bytes - bytes%blockBytes) }
@@ -160,7 +166,9 @@
 
 // HasRoom reports whether the journal has space for new transactions of the given total size.
 func (j *Journal) HasRoom(bytes int64) bool {
-	return float64(j.liveBytes+bytes+blockBytes) <= liveShare*float64(j.ownLimitBytes())
+	ownLimit := float64(j.ownLimitBytes())
+	live := j.liveBytes - j.orphans.entryBytes + j.orphans.recordBytes
+	return ownLimit >= minOwnShare*float64(j.limitBytes.Load()) && float64(live+bytes+blockBytes) <= liveShare*ownLimit
 }
 
 // Commit writes the changes of one step. If it returns an error, none of the changes is recorded.
@@ -176,25 +184,33 @@
 		j.buf = appendChange(j.buf, j.stored(ch))
 	}
 	if float64(j.fileBytes+int64(len(j.buf))) > fileShare*float64(j.ownLimitBytes()) {
-		if err := j.compact(); err != nil {
+		if err := j.compact(false); err != nil {
 			slog.Error("journal not compacted", "err", err) // the changes may still fit without a compaction
 		}
 	}
-	if roundUpToBlocks(j.fileBytes+int64(len(j.buf))) > j.ownLimitBytes() {
+	if err := j.write(j.buf); err != nil {
+		return err
+	}
+	for _, ch := range changes {
+		j.apply(ch)
+	}
+	j.publishStats()
+	return nil
+}
+
+// write appends records to the file.
+func (j *Journal) write(records []byte) error {
+	if roundUpToBlocks(j.fileBytes+int64(len(records))) > j.ownLimitBytes() {
 		return fmt.Errorf("journal: full: file %d bytes, limit %d bytes", j.fileBytes, j.ownLimitBytes())
 	}
-	if n, err := j.file.Write(j.buf); err != nil {
+	if n, err := j.file.Write(records); err != nil {
 		j.torn = n > 0
 		if undoErr := j.undoPartialWrite(); undoErr != nil {
 			slog.Error("journal write not undone yet", "err", undoErr)
 		}
 		return fmt.Errorf("journal: %w", err)
 	}
-	j.fileBytes += int64(len(j.buf))
-	for _, ch := range changes {
-		j.apply(ch)
-	}
-	j.publishStats()
+	j.fileBytes += int64(len(records))
 	return nil
 }
 
@@ -226,7 +242,7 @@
 
 // Close closes the files and thereby releases their locks.
 func (j *Journal) Close() error {
-	closeAll(j.orphans)
+	j.orphans.close()
 	if j.file == nil {
 		return nil
 	}
@@ -288,10 +304,16 @@
 
 // remove deletes the entry with the given id, if there is one.
 func (j *Journal) remove(m map[string]*entry, id string) {
-	if e := m[id]; e != nil {
-		j.liveBytes -= e.compactedBytes
-		delete(m, id)
+	e := m[id]
+	if e == nil {
+		return
 	}
+	j.liveBytes -= e.compactedBytes
+	if e.inOrphan {
+		j.orphans.entries--
+		j.orphans.entryBytes -= e.compactedBytes
+	}
+	delete(m, id)
 }
 
 // appendEntry appends the records that stand for an entry in a compacted file.
@@ -301,23 +323,36 @@
 		return appendChange(b, traffic.Ended{ID: n.ID, Notice: &n})
 	}
 	b = appendChange(b, j.stored(traffic.TransactionAccepted{Transaction: e.open.Transaction}))
-	if e.open.Attempts > 0 {
-		b = appendChange(b, j.stored(summary{e.open.ID, e.open.Attempts, e.open.FirstSent, e.inFlight, e.flowBegun}))
+	return j.appendSummary(b, e)
+}
+
+// appendSummary appends the record that stands for the flows of an open transaction, if there were any.
+func (j *Journal) appendSummary(b []byte, e *entry) []byte {
+	if e.open.Attempts == 0 && e.open.FirstSent.IsZero() {
+		return b
 	}
-	return b
+	return appendChange(b, j.stored(summary{e.open.ID, e.open.Attempts, e.open.FirstSent, e.inFlight, e.flowBegun}))
 }
 
-// compact writes the pending entries to a new file, which then replaces the old one.
-func (j *Journal) compact() error {
+// compact writes the pending entries to a new file, which then replaces the old one. With merge, it includes the entries in the files of
+// ended processes; without, only what has changed about them.
+func (j *Journal) compact(merge bool) error {
 	b := appendChange(nil, traffic.NoticeAnswered{ID: newFileClock(j.anchor, j.boot).id()})
-	for _, m := range []map[string]*entry{j.open, j.notices} {
-		for _, e := range sortedBySeq(m) {
+	b = j.appendOrphanChanges(b)
+	for _, e := range sortedBySeq(j.open) {
+		if e.inOrphan && !merge {
+			b = j.appendSummary(b, e)
+		} else {
+			b = j.appendEntry(b, e)
+		}
+	}
+	for _, e := range sortedBySeq(j.notices) {
+		if !e.inOrphan || merge {
 			b = j.appendEntry(b, e)
 		}
 	}
-	oldBytes := j.fileBytes + orphansBytes(j.orphans)
-	if roundUpToBlocks(int64(len(b)))+roundUpToBlocks(oldBytes) > j.ownLimitBytes() {
-		return fmt.Errorf("journal: no space for a compaction: new file %d, old files %d, limit %d bytes", len(b), oldBytes, j.ownLimitBytes())
+	if roundUpToBlocks(int64(len(b)))+roundUpToBlocks(j.fileBytes) > j.ownLimitBytes() {
+		return fmt.Errorf("journal: no space for a compaction: new file %d, old file %d, limit %d bytes", len(b), j.fileBytes, j.ownLimitBytes())
 	}
 	newName := j.name + compactionSuffix
 	f, err := j.create(j.path(newName))
@@ -339,6 +374,7 @@
 		j.file.Close()
 	}
 	j.file, j.fileBytes, j.torn = f, int64(len(b)), false
+	j.orphans.unwritten = nil
 	j.compactions++
 	j.publishStats()
 	return nil
--- /dev/null
+++ b/internal/journal/orphans.go
@@ -0,0 +1,145 @@
+package journal
+
+import (
+	"encoding/binary"
+	"os"
+	"slices"
+	"strings"
+
+	"slatemux/internal/traffic"
+)
+
+const (
+	// predecessorIDPrefix marks a record that names a file whose entries are changed by later records. Such a record is written as the
+	// answer to a notice that never existed, which older programs ignore.
+	predecessorIDPrefix = "\x00after "
+	// renamedSuffix is appended to the name of a process's file while a file of an ended process has that name.
+	renamedSuffix = ".next"
+)
+
+// orphan is the file of a process that has ended. This process holds the file's lock.
+type orphan struct {
+	name  string
+	file  *os.File
+	bytes int64
+	links fileLinks
+}
+
+// orphanSet holds the files of ended processes that this process has replayed and not merged into its own file. They remain the record of
+// their entries, while this process's file holds the changes since.
+type orphanSet struct {
+	files       []orphan
+	open        map[string]bool // ids of the open transactions in the files
+	notices     map[string]bool // ids of the unanswered notices in the files
+	recordBytes int64           // upper bound of the records about the files and these ids in a compacted file
+	unwritten   []byte          // records that this process's file needs before any change of these entries
+	entries     int             // pending entries whose record is in the files alone
+	entryBytes  int64           // upper bound of their size in a compacted file
+}
+
+// newOrphanSet returns an empty set.
+func newOrphanSet() orphanSet {
+	return orphanSet{open: map[string]bool{}, notices: map[string]bool{}}
+}
+
+// add adds files.
+func (s *orphanSet) add(files []orphan) {
+	s.files = append(s.files, files...)
+	for _, o := range files {
+		record := appendChange(nil, o.links.record())
+		s.recordBytes += int64(len(record))
+		s.unwritten = append(s.unwritten, record...)
+	}
+}
+
+// addID adds the id of an entry in the files.
+func (s *orphanSet) addID(ids map[string]bool, id string) {
+	if !ids[id] {
+		ids[id] = true
+		s.recordBytes += maxSummaryBytes(id)
+	}
+}
+
+// holds reports whether a file of this name is in the set.
+func (s *orphanSet) holds(name string) bool {
+	return slices.ContainsFunc(s.files, func(o orphan) bool { return o.name == name })
+}
+
+// bytes returns the size of the files in whole blocks.
+func (s *orphanSet) bytes() (sum int64) {
+	for _, o := range s.files {
+		sum += roundUpToBlocks(o.bytes)
+	}
+	return sum
+}
+
+// close closes the files and thereby releases their locks.
+func (s *orphanSet) close() { closeAll(s.files) }
+
+// closeAll closes files and thereby releases their locks.
+func closeAll(files []orphan) {
+	for _, o := range files {
+		o.file.Close()
+	}
+}
+
+// fileLinks says in which order files are replayed.
+type fileLinks struct {
+	identity     string   // differs among all files, also over reused process ids
+	predecessors []string // identities of the files whose entries are changed by records of this file
+}
+
+// record returns the record by which another file names this one as its predecessor.
+func (l *fileLinks) record() traffic.NoticeAnswered {
+	return traffic.NoticeAnswered{ID: predecessorIDPrefix + l.identity}
+}
+
+// readLinks reads the links from the records of a file.
+func readLinks(name string, raw []byte) fileLinks {
+	links := fileLinks{identity: name}
+	for len(raw) >= headerBytes {
+		size := int(binary.LittleEndian.Uint32(raw))
+		if size < 1 || size > len(raw)-headerBytes {
+			break
+		}
+		record := raw[:headerBytes+size]
+		raw = raw[len(record):]
+		if record[headerBytes] != kindAnswered {
+			continue
+		}
+		ch, _, err := decode(record)
+		if err != nil {
+			break
+		}
+		id := ch.(traffic.NoticeAnswered).ID
+		if _, ok := parseFileClock(id); ok {
+			links.identity = name + " " + id
+		} else if predecessor, ok := strings.CutPrefix(id, predecessorIDPrefix); ok {
+			links.predecessors = append(links.predecessors, predecessor)
+		}
+	}
+	return links
+}
+
+// sortByLinks returns the files in an order in which each one follows its predecessors.
+func sortByLinks(files []orphan) []orphan {
+	sorted := make([]orphan, 0, len(files))
+	visited := map[string]bool{}
+	var visit func(o orphan)
+	visit = func(o orphan) {
+		if visited[o.name] {
+			return
+		}
+		visited[o.name] = true
+		for _, predecessor := range files {
+			if slices.Contains(o.links.predecessors, predecessor.links.identity) {
+				visit(predecessor)
+			}
+		}
+		sorted = append(sorted, o)
+	}
+	for _, o := range files {
+		visit(o)
+	}
+	return sorted
+}
--- a/internal/journal/recovery.go
+++ b/internal/journal/recovery.go
@@ -3,9 +3,12 @@
 package journal
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"log/slog"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -15,27 +18,15 @@
 )
 
 // Recover recovers the pending entries of processes that have ended since the folder was last read, and returns them in the order in which
-// they were recorded. Entries that this process already has are not returned. If the entries cannot be written to this process's file, the
-// files of the ended processes stay until a later write succeeds. If they do not fit into the folder, a later call returns them.
+// they were recorded. Entries that this process already has are not returned. The files of the ended processes stay, locked, until their
+// pending entries are in this process's file or have ended.
 func (j *Journal) Recover() ([]traffic.Open, []traffic.Notice, error) {
 	replayed, orphans, err := j.replayOrphans()
 	if err != nil {
 		return nil, nil, err
 	}
-	oldBytes := j.fileBytes + orphansBytes(j.orphans) + orphansBytes(orphans)
-	if size := j.liveBytes + replayed.liveBytes; len(orphans) > 0 && roundUpToBlocks(size)+roundUpToBlocks(oldBytes) > j.ownLimitBytes() {
-		closeAll(orphans) // unlocks the files
-		return nil, nil, fmt.Errorf("journal: no space to take over: new file %d, old files %d, limit %d bytes", size, oldBytes, j.ownLimitBytes())
-	}
 	open, notices := j.takeOver(replayed, orphans).Pending()
-	return open, notices, j.adoptOrphans()
-}
-
-// orphan is the file of a process that has ended. This process holds the file's lock.
-type orphan struct {
-	name  string
-	file  *os.File
-	bytes int64
+	return open, notices, j.prepareWrite()
 }
 
 // replayOrphans replays and locks the files in the folder that no running process has locked. If an ended process had the same id as this
@@ -49,7 +40,7 @@
 	j.otherFilesBytes = 0
 	for _, path := range names {
 		base := filepath.Base(path)
-		if base == j.name+compactionSuffix || base == j.name && j.file != nil || j.holdsOrphan(base) {
+		if base == j.name+compactionSuffix || base == j.name && j.file != nil || j.orphans.holds(base) {
 			continue
 		}
 		if strings.HasSuffix(base, compactionSuffix) { // compaction file of another process, in progress or left over
@@ -71,52 +62,145 @@
 			slog.Warn("journal of an ended process not read", "file", base, "err", err)
 			continue
 		}
-		replayed.replay(base, raw)
-		orphans = append(orphans, orphan{base, f, int64(len(raw))})
+		orphans = append(orphans, orphan{base, f, int64(len(raw)), readLinks(base, raw)})
 	}
-	return replayed, orphans, nil
+	return replayed, replayed.replayFiles(sortByLinks(orphans)), nil
 }
 
-// holdsOrphan reports whether this process has replayed a file whose entries are not in its own file yet.
-func (j *Journal) holdsOrphan(name string) bool {
-	return slices.ContainsFunc(j.orphans, func(o orphan) bool { return o.name == name })
+// replayFiles replays files and returns those that could be read.
+func (j *Journal) replayFiles(files []orphan) (read []orphan) {
+	for _, o := range files {
+		raw := make([]byte, o.bytes)
+		if _, err := o.file.ReadAt(raw, 0); err != nil {
+			slog.Warn("journal of an ended process not read", "file", o.name, "err", err)
+			o.file.Close()
+			continue
+		}
+		j.replay(o.name, raw)
+		read = append(read, o)
+	}
+	return read
 }
 
 // takeOver adds the pending entries of ended processes, and returns those that this process did not have.
-func (j *Journal) takeOver(replayed *Journal, orphans []orphan) *Journal {
-	j.orphans = append(j.orphans, orphans...)
+func (j *Journal) takeOver(replayed *Journal, files []orphan) *Journal {
+	j.orphans.add(files)
 	added := &Journal{open: map[string]*entry{}, notices: map[string]*entry{}}
 	for _, e := range sortedBySeq(replayed.open) {
 		if e.inFlight { // the flow was in progress when the process ended: it may have run
 			e.setMayHaveRun()
 		}
-		if own := j.open[e.open.ID]; own != nil {
-			if own.open.FirstSent.IsZero() {
-				own.open.FirstSent = e.open.FirstSent
-			}
-			continue
+		id := e.open.ID
+		j.orphans.addID(j.orphans.open, id)
+		if own := j.open[id]; own == nil {
+			j.addFromOrphan(j.open, id, e)
+			added.open[id] = e
+		} else if own.open.FirstSent.IsZero() {
+			own.open.FirstSent = e.open.FirstSent
+		}
+		if kept := j.open[id]; !kept.open.FirstSent.IsZero() {
+			j.orphans.unwritten = j.appendSummary(j.orphans.unwritten, kept)
 		}
-		j.add(j.open, e.open.ID, e)
-		added.open[e.open.ID] = e
 	}
 	for _, e := range sortedBySeq(replayed.notices) {
-		if j.notices[e.notice.ID] == nil {
-			j.add(j.notices, e.notice.ID, e)
-			added.notices[e.notice.ID] = e
+		id := e.notice.ID
+		j.orphans.addID(j.orphans.notices, id)
+		if j.notices[id] == nil {
+			j.addFromOrphan(j.notices, id, e)
+			added.notices[id] = e
 		}
 	}
 	return added
 }
 
-// adoptOrphans writes the entries of ended processes to this process's file and removes the files of these processes.
-func (j *Journal) adoptOrphans() error {
-	if len(j.orphans) == 0 && j.file != nil {
+// addFromOrphan adds an entry whose record is in the file of an ended process.
+func (j *Journal) addFromOrphan(m map[string]*entry, id string, e *entry) {
+	j.add(m, id, e)
+	e.inOrphan = true
+	j.orphans.entries++
+	j.orphans.entryBytes += e.compactedBytes
+}
+
+// mergeOrphans writes the entries of ended processes to this process's file and removes the files of these processes. Without room for
+// that it keeps the files, and makes this process's file ready for changes of their entries.
+func (j *Journal) mergeOrphans() error {
+	switch {
+	case j.file != nil && len(j.orphans.files) == 0:
 		return nil
+	case j.file != nil && j.orphans.entries == 0: // nothing to merge
+		if err := j.writeOrphanChanges(); err != nil {
+			return err
+		}
+	case len(j.orphans.files) == 0 || j.mergeFits():
+		if err := j.compact(true); err != nil {
+			return err
+		}
+	default:
+		return j.keepOrphans()
 	}
-	if err := j.compact(); err != nil {
+	j.removeOrphans()
+	return nil
+}
+
+// keepOrphans makes this process's file ready for changes of entries in the files of ended processes, which stay.
+func (j *Journal) keepOrphans() error {
+	if len(j.orphans.unwritten) > 0 {
+		for _, o := range j.orphans.files {
+			slog.Info("journal of an ended process kept", "file", o.name, "bytes", o.bytes, "limit", j.limitBytes.Load())
+		}
+	}
+	if j.file != nil {
+		return j.writeOrphanChanges()
+	}
+	j.chooseUnusedName()
+	return j.compact(false)
+}
+
+// mergeFits reports whether the folder has room for a file with the entries of this process and of the ended ones beside all present files.
+func (j *Journal) mergeFits() bool {
+	merged := j.liveBytes + j.orphans.recordBytes + blockBytes // a block for the clock record
+	return roundUpToBlocks(merged)+roundUpToBlocks(j.fileBytes) <= j.ownLimitBytes()
+}
+
+// chooseUnusedName changes the name of this process's file if an ended process with the same id has used that name.
+func (j *Journal) chooseUnusedName() {
+	for j.orphans.holds(j.name) {
+		j.name += renamedSuffix
+	}
+}
+
+// appendOrphanChanges appends the records that connect this process's file to the files of ended processes: which files these are, and which
+// of their entries have ended.
+func (j *Journal) appendOrphanChanges(b []byte) []byte {
+	for _, o := range j.orphans.files {
+		b = appendChange(b, o.links.record())
+	}
+	for _, id := range slices.Sorted(maps.Keys(j.orphans.open)) {
+		if j.open[id] == nil {
+			b = appendChange(b, traffic.Ended{ID: id})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(j.orphans.notices)) {
+		if j.notices[id] == nil {
+			b = appendChange(b, traffic.NoticeAnswered{ID: id})
+		}
+	}
+	return b
+}
+
+// writeOrphanChanges writes what has to precede changes of entries in the files of ended processes.
+func (j *Journal) writeOrphanChanges() error {
+	records := j.orphans.unwritten
+	if len(records) == 0 {
+		return nil
+	}
+	if roundUpToBlocks(j.fileBytes+int64(len(records))) > j.ownLimitBytes() {
+		return j.compact(false)
+	}
+	if err := j.write(records); err != nil {
 		return err
 	}
-	j.removeRecovered()
+	j.orphans.unwritten = nil
 	return nil
 }
 
@@ -137,30 +221,29 @@
 	}
 }
 
-// removeRecovered removes and unlocks the replayed files once this process's own file holds their pending entries.
-func (j *Journal) removeRecovered() {
-	for _, o := range j.orphans {
+// removeOrphans removes and unlocks the files of ended processes once no pending entry is in them alone. A file that can't be removed stays
+// locked, and is tried again with the next change.
+func (j *Journal) removeOrphans() {
+	var left []orphan
+	for _, o := range j.orphans.files {
 		if o.name != j.name {
-			os.Remove(j.path(o.name))
+			if err := os.Remove(j.path(o.name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+				slog.Error("journal of an ended process not removed", "file", o.name, "err", err)
+				left = append(left, o)
+				continue
+			}
 		}
 		os.Remove(j.path(o.name + compactionSuffix))
 		o.file.Close()
 		slog.Info("journal taken over", "file", o.name)
 	}
-	j.orphans = nil
-}
-
-// orphansBytes returns the size of replayed files, which exist beside this process's file until they are removed.
-func orphansBytes(orphans []orphan) (sum int64) {
-	for _, o := range orphans {
-		sum += o.bytes
+	for _, m := range []map[string]*entry{j.open, j.notices} {
+		for _, e := range m {
+			e.inOrphan = false
+		}
 	}
-	return sum
-}
-
-// closeAll closes the files and thereby releases their locks.
-func closeAll(orphans []orphan) {
-	for _, o := range orphans {
-		o.file.Close()
+	j.orphans.entries, j.orphans.entryBytes = 0, 0
+	if j.orphans.files = left; len(left) == 0 {
+		j.orphans = newOrphanSet()
 	}
 }
