--- a/internal/journal/orphans.go
+++ b/internal/journal/orphans.go
@@ -1,7 +1,8 @@
 package journal
 
 import (
-	"encoding/binary"
+	"io"
+	"log/slog"
 	"os"
 	"slices"
 	"strings"
@@ -25,6 +26,24 @@
 	links fileLinks
 }
 
+// newOrphan returns a file whose lock this process has just taken.
+func newOrphan(name string, f *os.File) (orphan, error) {
+	o := orphan{name: name, file: f}
+	info, err := f.Stat()
+	if err != nil {
+		return o, err
+	}
+	o.bytes = info.Size()
+	o.links, err = readLinks(name, f, o.bytes)
+	return o, err
+}
+
+// skip leaves a file that can't be read for a later try.
+func (o *orphan) skip(err error) {
+	slog.Warn("journal of an ended process not read", "file", o.name, "err", err)
+	o.file.Close()
+}
+
 // orphanSet holds the files of ended processes that this process has replayed and not merged into its own file. They remain the record of
 // their entries, while this process's file holds the changes since.
 type orphanSet struct {
@@ -94,31 +113,21 @@
 	return traffic.NoticeAnswered{ID: predecessorIDPrefix + l.identity}
 }
 
-// readLinks reads the links from the records of a file.
-func readLinks(name string, raw []byte) fileLinks {
+// readLinks reads the links from the records of a file of the given size in bytes.
+func readLinks(name string, f io.ReaderAt, size int64) (fileLinks, error) {
 	links := fileLinks{identity: name}
-	for len(raw) >= headerBytes {
-		size := int(binary.LittleEndian.Uint32(raw))
-		if size < 1 || size > len(raw)-headerBytes {
-			break
-		}
-		record := raw[:headerBytes+size]
-		raw = raw[len(record):]
-		if record[headerBytes] != kindAnswered {
-			continue
-		}
-		ch, _, err := decode(record)
-		if err != nil {
-			break
+	_, err := readRecords(f, size, func(ch any) {
+		answered, ok := ch.(traffic.NoticeAnswered)
+		if !ok {
+			return
 		}
-		id := ch.(traffic.NoticeAnswered).ID
-		if _, ok := parseFileClock(id); ok {
-			links.identity = name + " " + id
-		} else if predecessor, ok := strings.CutPrefix(id, predecessorIDPrefix); ok {
+		if _, ok := parseFileClock(answered.ID); ok {
+			links.identity = name + " " + answered.ID
+		} else if predecessor, ok := strings.CutPrefix(answered.ID, predecessorIDPrefix); ok {
 			links.predecessors = append(links.predecessors, predecessor)
 		}
-	}
-	return links
+	})
+	return links, err
 }
 
 // sortByLinks returns the files in an order in which each one follows its predecessors.
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -1,9 +1,13 @@
 package journal
 
 import (
+	"bufio"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"hash/crc32"
+	"io"
+	"slices"
 	"time"
 
 	"slatemux/internal/traffic"
@@ -36,6 +40,8 @@
 
 const (
 	headerBytes = 8
+	// readBufferBytes is the size of the buffer through which a file is read.
+	readBufferBytes = 64 << 10
 	// maxPayloadBytes is the largest payload that decode accepts.
 	maxPayloadBytes = traffic.MaxBody + 4096
 )
@@ -202,3 +208,40 @@
 	}
 	return ch, headerBytes + int(size), nil
 }
+
+// readRecords calls use for each change or summary in the first size bytes of a file, up to the first invalid record: a process that ends
+// during a write leaves a truncated one, and all records before it are complete. It returns the number of valid bytes. It holds one record at
+// a time, since a file may be larger than the memory of the process. The error is that of a read.
+func readRecords(f io.ReaderAt, size int64, use func(ch any)) (valid int64, err error) {
+	input := bufio.NewReaderSize(io.NewSectionReader(f, 0, size), readBufferBytes)
+	var record []byte
+	for valid < size {
+		header, err := input.Peek(headerBytes)
+		if err != nil {
+			return valid, ignoreEOF(err)
+		}
+		payloadBytes := int64(binary.LittleEndian.Uint32(header))
+		if payloadBytes > maxPayloadBytes {
+			return valid, nil
+		}
+		record = slices.Grow(record[:0], headerBytes+int(payloadBytes))[:headerBytes+payloadBytes]
+		if _, err := io.ReadFull(input, record); err != nil {
+			return valid, ignoreEOF(err)
+		}
+		ch, n, err := decode(record)
+		if err != nil {
+			return valid, nil
+		}
+		use(ch)
+		valid += int64(n)
+	}
+	return valid, nil
+}
+
+// ignoreEOF returns nil for the end of the input, and otherwise the error.
+func ignoreEOF(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return nil
+	}
+	return fmt.Errorf("journal: %w", err)
+}
--- a/internal/journal/recovery.go
+++ b/internal/journal/recovery.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"io/fs"
 	"log/slog"
 	"maps"
@@ -36,7 +35,6 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
-	replayed = &Journal{process: j.process, open: map[string]*entry{}, notices: map[string]*entry{}}
 	j.otherFilesBytes = 0
 	for _, path := range names {
 		base := filepath.Base(path)
@@ -56,30 +54,33 @@
 			}
 			continue
 		}
-		raw, err := io.ReadAll(f)
+		o, err := newOrphan(base, f)
 		if err != nil {
-			f.Close()
-			slog.Warn("journal of an ended process not read", "file", base, "err", err)
+			o.skip(err)
 			continue
 		}
-		orphans = append(orphans, orphan{base, f, int64(len(raw)), readLinks(base, raw)})
+		orphans = append(orphans, o)
 	}
-	return replayed, replayed.replayFiles(sortByLinks(orphans)), nil
+	replayed, orphans = j.replayFiles(sortByLinks(orphans))
+	return replayed, orphans, nil
 }
 
-// replayFiles replays files and returns those that could be read.
-func (j *Journal) replayFiles(files []orphan) (read []orphan) {
-	for _, o := range files {
-		raw := make([]byte, o.bytes)
-		if _, err := o.file.ReadAt(raw, 0); err != nil {
-			slog.Warn("journal of an ended process not read", "file", o.name, "err", err)
-			o.file.Close()
-			continue
+// replayFiles replays files and returns those that could be read, with their pending entries. Nothing of a file that fails on the way is used.
+func (j *Journal) replayFiles(files []orphan) (replayed *Journal, read []orphan) {
+	for {
+		replayed = &Journal{process: j.process, open: map[string]*entry{}, notices: map[string]*entry{}}
+		failed := slices.IndexFunc(files, func(o orphan) bool {
+			err := replayed.replay(o)
+			if err != nil {
+				o.skip(err)
+			}
+			return err != nil
+		})
+		if failed < 0 {
+			return replayed, files
 		}
-		j.replay(o.name, raw)
-		read = append(read, o)
+		files = slices.Delete(files, failed, failed+1)
 	}
-	return read
 }
 
 // takeOver adds the pending entries of ended processes, and returns those that this process did not have.
@@ -204,21 +205,18 @@
 	return nil
 }
 
-// replay applies the records of a file. It stops at the first invalid record.
-func (j *Journal) replay(file string, raw []byte) {
-	rest, clock := raw, clockReader{anchor: j.anchor, boot: j.boot}
-	for len(rest) > 0 {
-		ch, n, err := decode(rest)
-		if err != nil {
-			// A process that ends during a write leaves a truncated record; all records before it are complete.
-			slog.Warn("journal tail dropped", "file", file, "bytes", len(rest), "at", len(raw)-len(rest), "err", err)
-			break
-		}
+// replay applies the records of a file.
+func (j *Journal) replay(o orphan) error {
+	clock := clockReader{anchor: j.anchor, boot: j.boot}
+	valid, err := readRecords(o.file, o.bytes, func(ch any) {
 		if converted, ok := clock.change(ch); ok {
 			j.apply(converted)
 		}
-		rest = rest[n:]
+	})
+	if err == nil && valid < o.bytes {
+		slog.Warn("journal tail dropped", "file", o.name, "bytes", o.bytes-valid, "at", valid)
 	}
+	return err
 }
 
 // removeOrphans removes and unlocks the files of ended processes once no pending entry is in them alone. A file that can't be removed stays
