slatelab soak replaces processes, and draws the folder and the bodies

A rule more: the folder stays under its limit. What starts a process beside another one moved from the test to internal/lab/handover.go, where both use it; the checks of TestHandover and TestHandoverInSmallFolder are unchanged.

--- a/cmd/slatelab/soak.go
+++ b/cmd/slatelab/soak.go
@@ -30,8 +30,8 @@
 		Use:   "soak",
 		Short: "Play random days with restarts, signals in series, crowds of clients and faulty partners, and check every message",
 		Long: `Play one day for each seed with the real program. The seed gives the load, the restarts by SIGTERM with SIGKILL 3.7 s later or by SIGKILL
-alone, the signals in series before and behind them, crowds of idle clients, clients that send many commands at once, the limits of memory and
-descriptors, and partners that write answers twice, refuse, hang or reset. Clients use their open connections until the kill. Each broken rule is printed with its seed. The exit code is 1 if there is any.`,
+alone, replacements by a second process, the signals in series before and behind them, crowds of idle clients, clients that send many commands
+at once, the limits of memory, folder and descriptors, and partners that write answers twice, refuse, hang or reset. Clients use their open connections until the kill. Each broken rule is printed with its seed. The exit code is 1 if there is any.`,
 		Example: "  slatelab soak --seeds 50",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -95,8 +95,8 @@
 	for _, c := range result.Verdict.Classes {
 		offered, accepted, delivered = offered+c.Offered, accepted+c.Accepted, delivered+c.Delivered
 	}
-	text = fmt.Sprintf("seed %d: %d offered, %d accepted, %d delivered, crowd %d, %d restarts, %d floods, memory %.1f of %.0f MB, %d violations\n", seed, offered, accepted, delivered, day.Crowd,
-		len(day.Restarts), len(day.Floods), float64(result.PeakMemory)/1e6, day.MemoryMB, len(result.Verdict.Violations))
+	text = fmt.Sprintf("seed %d: %d offered, %d accepted, %d delivered, crowd %d, %d restarts, %d floods, memory %.1f of %.0f MB, folder %.1f of %.0f MB, %d violations\n", seed, offered, accepted, delivered,
+		day.Crowd, len(day.Restarts), len(day.Floods), float64(result.PeakMemory)/1e6, day.MemoryMB, float64(result.PeakDisk)/1e6, day.DiskMB, len(result.Verdict.Violations))
 	for _, v := range result.Verdict.Violations {
 		text += fmt.Sprintf("  %s: message %016x: %s\n", v.Rule, v.ID, v.Text)
 		for _, call := range result.Calls {
--- a/internal/lab/handover_test.go
+++ b/internal/lab/handover_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -22,7 +21,11 @@
 func TestHandover(t *testing.T) {
 	d := startDeployment(t, 30*time.Millisecond, 64)
 	tmp := t.TempDir()
-	first, _ := d.startBeside(t, tmp)
+	first, _, err := d.StartBeside(binary, tmp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(first.Kill)
 
 	loaded := make(chan error, 1)
 	go func() {
@@ -30,7 +33,11 @@
 			Steps: []load.Step{{For: 6 * time.Second, Rate: 150}}, Dests: []int{0, 1}, MaxRetries: 2, RetryAfterShare: 1, Seed: 9})
 	}()
 	time.Sleep(time.Second)
-	successor := d.startSuccessor(t, tmp)
+	successor, err := d.StartSuccessor(binary, tmp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(successor.Kill)
 	if err := first.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -61,34 +68,6 @@
 	}
 }
 
-// startBeside starts a relay that shares the client address and the folders of another one, with an admin endpoint of its own.
-func (d *Deployment) startBeside(t *testing.T, tmp string) (p *Process, ops string) {
-	t.Helper()
-	ops, err := FreePort()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if p, err = d.StartRelayWithEnv(binary, nil, []string{"TMPDIR=" + tmp, "NODE_OPS=" + ops}, ""); err != nil {
-		t.Fatalf("the relay did not start: %v", err)
-	}
-	t.Cleanup(p.Kill)
-	return p, ops
-}
-
-// startSuccessor starts a relay beside the running one and waits until it is ready.
-func (d *Deployment) startSuccessor(t *testing.T, tmp string) *Process {
-	t.Helper()
-	successor, ops := d.startBeside(t, tmp)
-	deadline := time.Now().Add(6 * time.Second)
-	for !isReady(ops) {
-		if time.Now().After(deadline) {
-			t.Fatalf("the successor did not become ready\n%s", successor.Log())
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return successor
-}
-
 // Guards against messages that are lost because the journals of a replaced process and of its successor do not fit into the folder together.
 func TestHandoverInSmallFolder(t *testing.T) {
 	t.Parallel()
@@ -101,15 +80,23 @@
 		t.Fatal(err)
 	}
 	tmp := t.TempDir()
-	first, _ := d.startBeside(t, tmp)
+	first, _, err := d.StartBeside(binary, tmp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(first.Kill)
 	loaded := make(chan error, 1)
 	go func() {
 		loaded <- d.RunLoad(context.Background(), load.Config{Clients: 20, Patience: 400 * time.Millisecond, Streams: twoStreams(6 << 10),
 			Steps: []load.Step{{For: 10 * time.Second, Rate: 120}}, Dests: []int{0, 1}, Seed: 9})
 	}()
 	time.Sleep(3 * time.Second)
-	successor := d.startSuccessor(t, tmp)
-	folder := watchFolder(d.StateDir())
+	successor, err := d.StartSuccessor(binary, tmp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(successor.Kill)
+	folder := WatchFolder(d.StateDir())
 	if err := first.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -123,7 +110,7 @@
 		t.Fatal(err)
 	}
 	v := d.judgeRun(t, successor)
-	if peak := folder(); peak > diskMB*1e6 {
+	if peak := folder.Stop(); peak > diskMB*1e6 {
 		t.Errorf("the folder had %d bytes, its limit is %v MB", peak, diskMB)
 	}
 	if _, accepted, refused := totals(v); accepted == 0 || refused == 0 {
@@ -131,44 +118,6 @@
 	}
 }
 
-// watchFolder follows the size of a folder. The returned function ends that and returns the largest size in bytes.
-func watchFolder(dir string) (stop func() (peak int64)) {
-	done, result := make(chan struct{}), make(chan int64)
-	go func() {
-		peak := int64(0)
-		for {
-			size := int64(0)
-			files, _ := os.ReadDir(dir)
-			for _, f := range files {
-				if info, err := f.Info(); err == nil {
-					size += info.Size()
-				}
-			}
-			peak = max(peak, size)
-			select {
-			case <-done:
-				result <- peak
-				return
-			case <-time.After(5 * time.Millisecond):
-			}
-		}
-	}()
-	return func() int64 {
-		close(done)
-		return <-result
-	}
-}
-
-// isReady reports whether the admin endpoint at addr answers that the relay is ready.
-func isReady(addr string) bool {
-	resp, err := http.Get("http://" + addr + "/ops/readiness")
-	if err != nil {
-		return false
-	}
-	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // A relay that cannot listen on its admin endpoint does not count as ready, although its error "address already in use" contains the
 // word ready.
 func TestNotReadyWhenOpsAddressIsTaken(t *testing.T) {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -1,6 +1,6 @@
-// Package soak plays random days against the real program: restarts by SIGTERM and SIGKILL, signals in series, partners that write answers
-// twice, refuse, hang or reset, crowds of clients, and clients that send many commands at once. A seed gives the day. The rules of package
-// ledger are checked on every message, and the memory limit on every process.
+// Package soak plays random days against the real program: restarts by SIGTERM and SIGKILL, replacements by a second process, signals in
+// series, partners that write answers twice, refuse, hang or reset, crowds of clients, and clients that send many commands at once. A seed
+// gives the day. The rules of package ledger are checked on every message, the memory limit on every process, and that of the folder.
 package soak
 
 import (
@@ -45,6 +45,8 @@
 const (
 	// MemoryRule is broken if a process goes over its memory limit.
 	MemoryRule = "memory"
+	// DiskRule is broken if the folder of the relay goes over its limit.
+	DiskRule = "disk"
 	// FloodAnswerRule is broken if a client of a flood that reads at full speed has neither an answer nor a close when its time is over.
 	FloodAnswerRule = "flood-answer"
 	// FloodAcceptedRule is broken if a submission for an unknown destination is accepted.
@@ -61,8 +63,11 @@
 	Restarts []Restart
 	Partners []partner.Config
 	MemoryMB float64
+	DiskMB   float64
 	Sockets  int
 	Floods   []Flood
+
+	BodyBytes int // of the messages
 }
 
 // Flood is a number of clients that send many commands at once.
@@ -79,6 +84,7 @@
 	After   time.Duration // since the relay was ready
 	Signals []syscall.Signal
 	Planned bool // SIGTERM, and SIGKILL after killDelay; otherwise SIGKILL alone
+	Beside  bool // the next process is ready before the SIGTERM
 }
 
 // Result is the outcome of a day.
@@ -89,6 +95,7 @@
 	Log     string // of the last process
 
 	PeakMemory int64 // bytes, over all processes
+	PeakDisk   int64 // bytes, of the relay's folder
 }
 
 // Plan draws the day of a seed. length is the time without the restarts.
@@ -123,9 +130,20 @@
 		day.Partners = append(day.Partners, config)
 	}
 	day.planFloods(rand.New(rand.NewPCG(seed, 12)))
+	day.planReplacements(rand.New(rand.NewPCG(seed, 13)))
 	return day
 }
 
+// planReplacements draws the folder of the day, and the restarts in which the next process starts beside the one that ends.
+func (day *Day) planReplacements(rng *rand.Rand) {
+	day.DiskMB = []float64{3, 64}[rng.IntN(2)]
+	day.BodyBytes = []int{100, 6 << 10, 16 << 10}[rng.IntN(3)]
+	for i := range day.Restarts {
+		r := &day.Restarts[i]
+		r.Beside = r.Planned && rng.IntN(2) == 0
+	}
+}
+
 // planFloods draws the limits and the floods of the day.
 func (day *Day) planFloods(rng *rand.Rand) {
 	day.MemoryMB = []float64{32, 64, 128, 192}[rng.IntN(4)]
@@ -141,7 +159,7 @@
 // become ready or ended by itself.
 func Run(ctx context.Context, binary, dir string, day Day) (Result, error) {
 	classes := append(lab.DefaultClasses(), lab.Class{Name: "alarm", Repeat: "unsafe", Worth: 3, Aim: time.Second, Deadline: 5 * time.Second})
-	d, err := lab.Start(dir, lab.DeploymentConfig{Classes: classes, Tenants: []lab.Tenant{{Name: "acme", Share: 1}}, Partners: day.Partners, MemoryMB: day.MemoryMB, DiskMB: 64,
+	d, err := lab.Start(dir, lab.DeploymentConfig{Classes: classes, Tenants: []lab.Tenant{{Name: "acme", Share: 1}}, Partners: day.Partners, MemoryMB: day.MemoryMB, DiskMB: day.DiskMB,
 		Sockets: day.Sockets, MaxOpen: 2000, MaxCalls: 100, KeepAlive: 5 * time.Second, Seed: day.Seed})
 	if err != nil {
 		return Result{}, err
@@ -161,6 +179,8 @@
 	defer func() { relay.Kill() }()
 	memory := newMemoryWatch(day.MemoryMB)
 	memory.watch(relay)
+	folder := lab.WatchFolder(d.StateDir())
+	defer folder.Stop()
 	floods := day.startFloods(ctx, d.Listen)
 	crowdCtx, endCrowd := context.WithCancel(ctx)
 	defer endCrowd()
@@ -173,10 +193,9 @@
 	defer endLoad()
 	go func() { loaded <- d.RunLoad(loadCtx, day.load()) }()
 	for _, r := range day.Restarts {
-		if relay, err = restart(d, binary, env, relay, r); err != nil {
+		if relay, err = day.restart(d, binary, dir, relay, r, memory); err != nil {
 			return Result{}, errors.Join(err, fmt.Errorf("log: %s", relay.Log()))
 		}
-		memory.watch(relay)
 	}
 	time.Sleep(day.Length)
 	endLoad()
@@ -195,7 +214,11 @@
 	verdict := d.Ledger.Judge(ledger.DefaultRules(d.Classes), time.Now().Add(time.Hour))
 	peak, memoryViolations := memory.judge()
 	verdict.Violations = slices.Concat(verdict.Violations, memoryViolations, floodViolations)
-	return Result{Verdict: verdict, Calls: calls, Began: began, Log: relay.Log(), PeakMemory: peak}, nil
+	folderPeak := folder.Stop()
+	if float64(folderPeak) > day.DiskMB*1e6 {
+		verdict.Violations = append(verdict.Violations, ledger.Violation{Rule: DiskRule, Text: fmt.Sprintf("the folder had %d bytes, its limit is %.0f MB", folderPeak, day.DiskMB)})
+	}
+	return Result{Verdict: verdict, Calls: calls, Began: began, Log: relay.Log(), PeakMemory: peak, PeakDisk: folderPeak}, nil
 }
 
 // relayIP returns the address on which clients reach the relay. No connection is opened from it, so none takes the relay's port while the
@@ -207,48 +230,62 @@
 // load returns the load of the day.
 func (day *Day) load() load.Config {
 	stream := func(class int, share float64, deadline time.Duration) load.Stream {
-		return load.Stream{Class: class, Tenant: "acme", Share: share, BodyBytes: 100, Deadline: deadline}
+		return load.Stream{Class: class, Tenant: "acme", Share: share, BodyBytes: day.BodyBytes, Deadline: deadline}
 	}
 	return load.Config{Clients: day.Clients, Patience: 400 * time.Millisecond, Streams: []load.Stream{stream(0, 0.4, 8*time.Second), stream(1, 0.4, 3*time.Second),
 		stream(2, 0.2, 3*time.Second)}, Steps: []load.Step{{For: time.Hour, Rate: day.Rate}}, Dests: []int{0, 1}, MaxRetries: 1, RetryAfterShare: 0.5, Seed: day.Seed, Poisson: true}
 }
 
-// restart sends the signals of a restart, ends the process and starts the next one.
-func restart(d *lab.Deployment, binary string, env []string, relay *lab.Process, r Restart) (*lab.Process, error) {
+// restart sends the signals of a restart, ends the process and starts the next one. dir is the folder that both have as $TMPDIR.
+func (day *Day) restart(d *lab.Deployment, binary, dir string, relay *lab.Process, r Restart, memory *memoryWatch) (next *lab.Process, err error) {
 	time.Sleep(r.After)
 	for _, s := range r.Signals {
 		if err := relay.Signal(s); err != nil {
 			return relay, fmt.Errorf("soak: the relay ended by itself: %w", err)
 		}
 	}
-	down := ledger.Downtime{}
-	if r.Planned {
-		down.Stopping = time.Now()
-		for _, s := range append([]syscall.Signal{syscall.SIGTERM}, r.Signals...) { // the series goes on behind SIGTERM
-			_ = relay.Signal(s)
+	if r.Beside {
+		if next, err = d.StartSuccessor(binary, dir); err != nil {
+			return relay, err
 		}
-		ended := make(chan time.Time, 1)
-		go func() {
-			_ = relay.Wait()
-			ended <- time.Now()
-		}()
-		time.Sleep(time.Until(down.Stopping.Add(killDelay)))
-		relay.Kill()
-		down.From = <-ended
-	} else {
-		down.From = time.Now()
-		relay.Kill()
+		memory.watch(next)
 	}
-	time.Sleep(restartDelay)
-	next, err := d.StartRelayWithEnv(binary, nil, env, "")
-	if err != nil {
-		return relay, err
+	down := endProcess(relay, r)
+	if !r.Beside {
+		time.Sleep(restartDelay)
+		if next, err = d.StartRelayWithEnv(binary, nil, []string{"TMPDIR=" + dir}, ""); err != nil {
+			return relay, err
+		}
+		memory.watch(next)
+		down.Ready = time.Now()
 	}
-	down.Ready = time.Now()
 	d.Ledger.RecordDowntime(down)
 	return next, nil
 }
 
+// endProcess ends a process and returns the time in which it was down; Ready is the time of its end.
+func endProcess(relay *lab.Process, r Restart) (down ledger.Downtime) {
+	if !r.Planned {
+		down.From, down.Ready = time.Now(), time.Now()
+		relay.Kill()
+		return down
+	}
+	down.Stopping = time.Now()
+	for _, s := range append([]syscall.Signal{syscall.SIGTERM}, r.Signals...) { // the series goes on behind SIGTERM
+		_ = relay.Signal(s)
+	}
+	ended := make(chan time.Time, 1)
+	go func() {
+		_ = relay.Wait()
+		ended <- time.Now()
+	}()
+	time.Sleep(time.Until(down.Stopping.Add(killDelay)))
+	relay.Kill()
+	down.From = <-ended
+	down.Ready = down.From
+	return down
+}
+
 // idleClient keeps connecting until ctx ends: it sends nothing, a ping or half a command, and waits until the relay ends the connection.
 func idleClient(ctx context.Context, addr string, n int) {
 	for ctx.Err() == nil {
