Journals that continue each other are taken over together

What callers would see: a message that has ended is served once more, or one that is pending is not. Where a process ended while it held files that it could not merge, its file has the changes and the others the entries. If the lock call or a read of one of them fails for a moment (ENOLCK, EIO), the rest was taken over without it.

Test: in TestTakeOverModel every second lock call may fail, and each process has a clock record of its own, as real ones have.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -45,7 +45,7 @@
 	dir             string
 	name            string    // of this process's file, which stays locked while the process runs
 	orphans         orphanSet // files of ended processes whose entries are not in this process's file yet
-	otherFilesBytes int64     // size, in whole blocks, of the files of other running processes when the folder was last read
+	otherFilesBytes int64     // size, in whole blocks, of the files of other processes that are not in orphans, when the folder was last read
 	limitBytes      atomic.Int64
 	file            file
 	fileBytes       int64
@@ -132,7 +132,7 @@
 // ownLimitBytes returns the part of the folder's limit that is left for this process's file. During a handover the files of both
 // processes count against the same limit, and so do the files of ended processes until they are merged.
 func (j *Journal) ownLimitBytes() int64 {
-	return j.limitBytes.Load() - j.otherFilesBytes - j.orphans.bytes()
+	return j.limitBytes.Load() - j.otherFilesBytes - filesBytes(j.orphans.files)
 }
 
 // SetLimit sets how many bytes the folder may hold. It is safe for concurrent use.
--- a/internal/journal/orphans.go
+++ b/internal/journal/orphans.go
@@ -4,6 +4,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 
@@ -84,20 +85,17 @@
 	return slices.ContainsFunc(s.files, func(o orphan) bool { return o.name == name })
 }
 
-// bytes returns the size of the files in whole blocks.
-func (s *orphanSet) bytes() (sum int64) {
-	for _, o := range s.files {
+// filesBytes returns the size of files in whole blocks.
+func filesBytes(files []orphan) (sum int64) {
+	for _, o := range files {
 		sum += roundUpToBlocks(o.bytes)
 	}
 	return sum
 }
 
 // close closes the files and thereby releases their locks.
-func (s *orphanSet) close() { closeAll(s.files) }
-
-// closeAll closes files and thereby releases their locks.
-func closeAll(files []orphan) {
-	for _, o := range files {
+func (s *orphanSet) close() {
+	for _, o := range s.files {
 		o.file.Close()
 	}
 }
@@ -130,6 +128,45 @@
 	return links, err
 }
 
+// linksOf reads the links of files that another process may have locked. Of a file that can't be read, the name has to do.
+func linksOf(paths []string) (list []fileLinks) {
+	for _, path := range paths {
+		links := fileLinks{identity: filepath.Base(path)}
+		if f, err := os.Open(path); err == nil {
+			if info, err := f.Stat(); err == nil {
+				links, _ = readLinks(links.identity, f, info.Size())
+			}
+			f.Close()
+		}
+		list = append(list, links)
+	}
+	return list
+}
+
+// follows reports whether records of this file change entries of the other one.
+func (l *fileLinks) follows(other fileLinks) bool {
+	return slices.ContainsFunc(l.predecessors, func(identity string) bool {
+		name, _, _ := strings.Cut(identity, " ")
+		return identity == other.identity || name == other.identity // the name of a file whose clock record could not be read
+	})
+}
+
+// dropIncomplete closes and drops the files that have to be replayed together with one of the unavailable files, and returns the others. Without
+// the changes in one file, entries of the other that have ended would be pending again.
+func dropIncomplete(files []orphan, unavailable []fileLinks) []orphan {
+	for n := 0; n < len(unavailable); n++ {
+		files = slices.DeleteFunc(files, func(o orphan) bool {
+			if !o.links.follows(unavailable[n]) && !unavailable[n].follows(o.links) {
+				return false
+			}
+			o.file.Close()
+			unavailable = append(unavailable, o.links)
+			return true
+		})
+	}
+	return files
+}
+
 // sortByLinks returns the files in an order in which each one follows its predecessors.
 func sortByLinks(files []orphan) []orphan {
 	sorted := make([]orphan, 0, len(files))
@@ -140,9 +177,9 @@
 			return
 		}
 		visited[o.name] = true
-		for _, predecessor := range files {
-			if slices.Contains(o.links.predecessors, predecessor.links.identity) {
-				visit(predecessor)
+		for _, other := range files {
+			if o.links.follows(other.links) {
+				visit(other)
 			}
 		}
 		sorted = append(sorted, o)
--- a/internal/journal/recovery.go
+++ b/internal/journal/recovery.go
@@ -36,35 +36,47 @@
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
 	j.otherFilesBytes = 0
+	var unavailable []string
 	for _, path := range names {
 		base := filepath.Base(path)
 		if base == j.name+compactionSuffix || base == j.name && j.file != nil || j.orphans.holds(base) {
 			continue
 		}
 		if strings.HasSuffix(base, compactionSuffix) { // compaction file of another process, in progress or left over
-			if info, err := os.Stat(path); err == nil {
-				j.otherFilesBytes += roundUpToBlocks(info.Size())
-			}
+			j.addOtherFile(path)
 			continue
 		}
 		f, ok := lockIfOrphan(path)
 		if !ok { // locked by a running process
-			if info, err := os.Stat(path); err == nil {
-				j.otherFilesBytes += roundUpToBlocks(info.Size())
-			}
+			j.addOtherFile(path)
+			unavailable = append(unavailable, path)
 			continue
 		}
 		o, err := newOrphan(base, f)
 		if err != nil {
 			o.skip(err)
+			j.addOtherFile(path)
+			unavailable = append(unavailable, path)
 			continue
 		}
 		orphans = append(orphans, o)
 	}
+	foundBytes := filesBytes(orphans)
+	if len(orphans) > 0 {
+		orphans = dropIncomplete(orphans, linksOf(unavailable))
+	}
 	replayed, orphans = j.replayFiles(sortByLinks(orphans))
+	j.otherFilesBytes += foundBytes - filesBytes(orphans)
 	return replayed, orphans, nil
 }
 
+// addOtherFile counts a file of another process against the limit of the folder.
+func (j *Journal) addOtherFile(path string) {
+	if info, err := os.Stat(path); err == nil {
+		j.otherFilesBytes += roundUpToBlocks(info.Size())
+	}
+}
+
 // replayFiles replays files and returns those that could be read, with their pending entries. Nothing of a file that fails on the way is used.
 func (j *Journal) replayFiles(files []orphan) (replayed *Journal, read []orphan) {
 	for {
@@ -79,7 +91,8 @@
 		if failed < 0 {
 			return replayed, files
 		}
-		files = slices.Delete(files, failed, failed+1)
+		links := files[failed].links
+		files = dropIncomplete(slices.Delete(files, failed, failed+1), []fileLinks{links})
 	}
 }
 
--- a/internal/journal/takeover_test.go
+++ b/internal/journal/takeover_test.go
@@ -112,8 +112,8 @@
 	}
 }
 
-// maxModelOrphans bounds the processes in a row that end before what they recovered: each takes some of the folder for its changes.
-const maxModelOrphans = 4
+// maxModelFiles bounds the processes in a row that end before what they recovered: each takes some of the folder for its changes.
+const maxModelFiles = 4
 
 // expected is what a new process must find of a transaction, or of the notice of its end.
 type expected struct {
@@ -137,9 +137,22 @@
 	accepted int
 	running  []*processModel
 	left     map[string]*expected
+
+	locksFail bool // every second lock call
+	lockCalls int
 }
 
-// checkRecovered checks entries against those of the ended processes and gives them to a process.
+// flock is the system call with the faults of the model.
+func (m *folderModel) flock(fd, how int) error {
+	m.lockCalls++
+	if m.locksFail && m.lockCalls%2 == 0 {
+		return syscall.ENOLCK
+	}
+	return syscall.Flock(fd, how)
+}
+
+// checkRecovered checks recovered entries against those of the ended processes and gives them to a process. While locks fail, files may be left for
+// a later try.
 func (m *folderModel) checkRecovered(p *processModel, open []traffic.Open, notices []traffic.Notice) {
 	got := map[string]expected{}
 	for _, o := range open {
@@ -150,6 +163,9 @@
 	}
 	want := map[string]expected{}
 	for id, e := range m.left {
+		if _, ok := got[id]; !ok && m.locksFail {
+			continue
+		}
 		if e.inFlight {
 			e.inFlight, e.mayHaveRun = false, true
 		}
@@ -157,17 +173,27 @@
 			want[id] = expected{notice: true}
 		}
 		p.entries[id] = e
+		delete(m.left, id)
 	}
 	if !maps.Equal(got, want) {
 		m.t.Fatalf("recovered %v, want %v", got, want)
 	}
-	m.left = map[string]*expected{}
+}
+
+func (m *folderModel) countFiles() int {
+	names, err := filepath.Glob(filepath.Join(m.dir, filePrefix+"*"))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return len(names)
 }
 
 func (m *folderModel) start() {
 	m.started++
 	owner := thisProcess()
 	owner.id, owner.create = fmt.Sprint(m.started), m.disk.create
+	owner.anchor.Wall += int64(m.started) // each process has another anchor of the same clocks
+	owner.anchor.Machine += time.Duration(m.started)
 	if len(m.running) == 0 { // the id of an earlier process
 		owner.id = "1"
 	}
@@ -237,13 +263,13 @@
 // commit commits a change. Only a fault of the disk may refuse it.
 func (m *folderModel) commit(p *processModel, ch traffic.Change) bool {
 	err := p.journal.Commit([]traffic.Change{ch})
-	if err != nil && (m.disk.err == nil || !errors.Is(err, m.disk.err)) {
+	if err != nil && (m.disk.err == nil || !errors.Is(err, m.disk.err)) && !(m.locksFail && errors.Is(err, syscall.ENOLCK)) {
 		m.t.Fatalf("%T refused: %v", ch, err)
 	}
 	return err == nil
 }
 
-// Processes that are replaced and killed at any moment, in a folder with little room whose writes fail now and then, must hand over exactly what
+// Processes that are replaced and killed at any moment, in a folder with little room whose writes and locks fail now and then, must hand over exactly what
 // is pending, and stay under the limit of the folder.
 func TestTakeOverModel(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
@@ -253,6 +279,8 @@
 		}
 		defer os.RemoveAll(dir)
 		m := &folderModel{t: t, dir: dir, disk: &faultyDisk{}, limit: 60 * blockBytes, left: map[string]*expected{}}
+		flock = m.flock
+		defer func() { flock = syscall.Flock }()
 		m.start()
 		for range rapid.IntRange(1, 600).Draw(t, "steps") {
 			p := rapid.SampledFrom(m.running).Draw(t, "process")
@@ -262,7 +290,7 @@
 					m.accept(p)
 				}
 				m.start()
-			case kind == 1 && len(m.running[0].journal.orphans.files) <= maxModelOrphans:
+			case kind == 1 && m.countFiles() <= maxModelFiles:
 				m.kill(m.running[0])
 				if len(m.running) == 0 {
 					m.start()
@@ -271,6 +299,8 @@
 				m.disk.fail(syscall.ENOSPC)
 			case kind <= 6:
 				m.disk.fail(nil)
+			case kind == 7:
+				m.locksFail = !m.locksFail
 			default:
 				m.change(p)
 			}
@@ -286,6 +316,7 @@
 			m.kill(p)
 		}
 		m.disk.fail(nil)
+		m.locksFail = false
 		m.start()
 	})
 }
