A compaction writes an entry at a time

What callers saw: nothing.

Cause: compact put all pending entries into one slice, whose growth by appending leaves several times their size as garbage.

Change: writePending encodes an entry at a time, once to count the bytes for the check of the folder's limit and once through a buffer of 64 KiB into the new file, which replaces the old one when it is complete, as before.

Test: TestMemoryLimitHoldsAtRestart now has as many open messages as the limit allows, where it had 11; it held before as well.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -4,6 +4,7 @@
 package journal
 
 import (
+	"bufio"
 	"cmp"
 	"fmt"
 	"io"
@@ -337,22 +338,10 @@
 // compact writes the pending entries to a new file, which then replaces the old one. With merge, it includes the entries in the files of
 // ended processes; without, only what has changed about them.
 func (j *Journal) compact(merge bool) error {
-	b := appendChange(nil, traffic.NoticeAnswered{ID: newFileClock(j.anchor, j.boot).id()})
-	b = j.appendOrphanChanges(b)
-	for _, e := range sortedBySeq(j.open) {
-		if e.inOrphan && !merge {
-			b = j.appendSummary(b, e)
-		} else {
-			b = j.appendEntry(b, e)
-		}
-	}
-	for _, e := range sortedBySeq(j.notices) {
-		if !e.inOrphan || merge {
-			b = j.appendEntry(b, e)
-		}
-	}
-	if roundUpToBlocks(int64(len(b)))+roundUpToBlocks(j.fileBytes) > j.ownLimitBytes() {
-		return fmt.Errorf("journal: no space for a compaction: new file %d, old file %d, limit %d bytes", len(b), j.fileBytes, j.ownLimitBytes())
+	var size byteCount
+	_ = j.writePending(&size, merge)
+	if roundUpToBlocks(int64(size))+roundUpToBlocks(j.fileBytes) > j.ownLimitBytes() {
+		return fmt.Errorf("journal: no space for a compaction: new file %d, old file %d, limit %d bytes", size, j.fileBytes, j.ownLimitBytes())
 	}
 	if j.file == nil {
 		j.chooseName(merge)
@@ -364,7 +353,7 @@
 	}
 	// Lock the file before the rename. Otherwise a successor could find it unlocked under its final name while this process runs.
 	if err = lock(f); err == nil {
-		if _, err = f.Write(b); err == nil {
+		if err = j.writePendingBuffered(f, merge); err == nil {
 			err = os.Rename(j.path(newName), j.path(j.name))
 		}
 	}
@@ -376,9 +365,55 @@
 	if j.file != nil {
 		j.file.Close()
 	}
-	j.file, j.fileBytes, j.torn = f, int64(len(b)), false
+	j.file, j.fileBytes, j.torn = f, int64(size), false
 	j.orphans.unwritten = nil
 	j.compactions++
 	j.publishStats()
 	return nil
 }
+
+// byteCount counts the bytes that are written to it.
+type byteCount int64
+
+// Write counts the bytes of b.
+func (n *byteCount) Write(b []byte) (int, error) {
+	*n += byteCount(len(b))
+	return len(b), nil
+}
+
+// writePendingBuffered is writePending through a buffer. All pending entries at once would take as much memory as the entries themselves.
+func (j *Journal) writePendingBuffered(w io.Writer, merge bool) error {
+	buffered := bufio.NewWriterSize(w, fileBufferBytes)
+	if err := j.writePending(buffered, merge); err != nil {
+		return err
+	}
+	return buffered.Flush()
+}
+
+// writePending writes the content of a compacted file, an entry at a time. compact describes merge.
+func (j *Journal) writePending(w io.Writer, merge bool) error {
+	b := appendChange(nil, traffic.NoticeAnswered{ID: newFileClock(j.anchor, j.boot).id()})
+	if _, err := w.Write(j.appendOrphanChanges(b)); err != nil {
+		return err
+	}
+	for _, e := range sortedBySeq(j.open) {
+		if e.inOrphan && !merge {
+			b = j.appendSummary(b[:0], e)
+		} else {
+			b = j.appendEntry(b[:0], e)
+		}
+		if _, err := w.Write(b); err != nil {
+			return err
+		}
+	}
+	for _, e := range sortedBySeq(j.notices) {
+		if e.inOrphan && !merge {
+			continue
+		}
+		b = j.appendEntry(b[:0], e)
+		if _, err := w.Write(b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -40,8 +40,8 @@
 
 const (
 	headerBytes = 8
-	// readBufferBytes is the size of the buffer through which a file is read.
-	readBufferBytes = 64 << 10
+	// fileBufferBytes is the size of the buffer through which a file is read, or written by a compaction.
+	fileBufferBytes = 64 << 10
 	// maxPayloadBytes is the largest payload that decode accepts.
 	maxPayloadBytes = traffic.MaxBody + 4096
 )
@@ -213,7 +213,7 @@
 // during a write leaves a truncated one, and all records before it are complete. It returns the number of valid bytes. It holds one record at
 // a time, since a file may be larger than the memory of the process. The error is that of a read.
 func readRecords(f io.ReaderAt, size int64, use func(ch any)) (valid int64, err error) {
-	input := bufio.NewReaderSize(io.NewSectionReader(f, 0, size), readBufferBytes)
+	input := bufio.NewReaderSize(io.NewSectionReader(f, 0, size), fileBufferBytes)
 	var record []byte
 	for valid < size {
 		header, err := input.Peek(headerBytes)
--- a/internal/lab/restart_test.go
+++ b/internal/lab/restart_test.go
@@ -9,10 +9,12 @@
 	"slatemux/internal/traffic"
 )
 
-// A journal that is larger than the memory limit, as disk_mb allows it, must not take the next process over that limit.
+// A journal that is larger than the memory limit, as disk_mb allows it, must not take the next process over that limit. As many of its messages
+// are open as a process may hold.
 func TestMemoryLimitHoldsAtRestart(t *testing.T) {
 	t.Parallel()
 	const memoryMB, diskMB = 32, 64
+	const openMessages = memoryMB * 1_000_000 / 8 / traffic.MaxBody
 	d := startDeployment(t, 20*time.Millisecond, memoryMB)
 	j, err := journal.Open(d.StateDir(), diskMB*1e6)
 	if err != nil {
@@ -22,7 +24,7 @@
 		tr := traffic.Transaction{ID: fmt.Sprintf("%016x", n), Class: "order-payment", Tenant: "acme", IdempotencyKey: fmt.Sprint(n), Deadline: time.Now().Add(20 * time.Second),
 			Body: make([]byte, traffic.MaxBody)}
 		changes := []traffic.Change{traffic.TransactionAccepted{Transaction: tr}}
-		if n > 10 { // these stay pending
+		if n >= openMessages {
 			changes = append(changes, traffic.Ended{ID: tr.ID})
 		}
 		if err := j.Commit(changes); err != nil {
