--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -7,7 +7,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -123,7 +122,6 @@
 	classes      []class
 	membership   string // pushed or on_request
 	orderPauseMs int
-	limitShare   float64 // of the usual limits; 0 for all of them
 }
 
 // deployment is a relay's configuration with its folders. Several processes may run in it, one after the other or beside each other.
@@ -174,10 +172,9 @@
 // writeConfig writes the platform's configuration file.
 func (d *deployment) writeConfig() error {
 	type object = map[string]any
-	share := cmp.Or(d.setup.limitShare, 1)
 	config := object{
 		"name": "n0", "listen": d.listen, "discovery": d.platform.address, "seed": "8c1f30d27a5be964",
-		"limits": object{"cores": 1.0, "memory_mb": 192 * share, "sockets": int(1024 * share), "disk_mb": 3 * share},
+		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
 		"known":  json.RawMessage(d.platform.wholeList()),
 		"settings": object{
 			"classes": d.setup.classes, "kinds": []string{"partner"}, "localities": []string{"here"}, "zone": "here",
@@ -290,3 +287,14 @@
 	}
 	return os.Mkdir(dir, 0o700)
 }
+
+// folderBytes returns the size of the files in a folder, each in whole 512 bytes.
+func folderBytes(dir string) (sum int64) {
+	paths, _ := filepath.Glob(filepath.Join(dir, "*"))
+	for _, path := range paths {
+		if info, err := os.Stat(path); err == nil {
+			sum += (info.Size() + 511) / 512 * 512
+		}
+	}
+	return sum
+}
