--- a/review/rig2/order_pause.go
+++ b/review/rig2/order_pause.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	booking := class{Name: "booking", Repeat: "unsafe", Scope: "all", AimMs: 4000, DeadlineMs: 20000, LateWorth: 0.5, Value: 1, Fifo: true}
+	booking := class{Name: "booking", Repeat: "unsafe", Scope: "all", AimMs: 4000, DeadlineMs: 12000, LateWorth: 0.5, Value: 1, Fifo: true}
 	d, err := w.newDeployment(setup{classes: []class{booking}, membership: "pushed", orderPauseMs: int(orderPause.Milliseconds())}, p)
 	return e, p, d, err
 }
@@ -89,7 +89,7 @@
 	}
 	time.Sleep(3300 * time.Millisecond) // the old process has closed its listener
 	e.setHangs(false)
-	if err := accepted(d.putOnce(booking(2, 15*time.Second))); err != nil {
+	if err := accepted(d.putOnce(booking(2, 12*time.Second))); err != nil {
 		return false, err
 	}
 	for deadline := time.Now().Add(12 * time.Second); time.Now().Before(deadline) && len(e.snapshot()) < 2; {
--- a/review/rig2/pipeline.go
+++ b/review/rig2/pipeline.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return false, err
 	}
-	payment := class{Name: "fee-payment", Repeat: "unsafe", Scope: "all", AimMs: 2500, DeadlineMs: 16000, LateWorth: 0.3, Value: 4}
+	payment := class{Name: "fee-payment", Repeat: "unsafe", Scope: "all", AimMs: 2500, DeadlineMs: 12000, LateWorth: 0.3, Value: 4}
 	d, err := w.newDeployment(setup{classes: []class{payment}, membership: "pushed"}, p)
 	if err != nil {
 		return false, err
--- a/review/rig2/replacement_disk.go
+++ b/review/rig2/replacement_disk.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -13,20 +14,23 @@
 // Then the relay is killed once and started again. It has to start, and every message that it had taken on has to end.
 func replacementFullJournal(w *world) (bool, error) {
 	const (
-		small, usual = 100, 16 << 10 // bytes of a body
-		working      = 1             // destinations
-		silent       = 2
-		smallCount   = 320
-		longCount    = 46                      // messages for the silent partner with much time
-		shortCount   = 21                      // and with little
-		longTime     = 20 * time.Second        // left of the former
-		shortTime    = 1000 * time.Millisecond // left of the latter
-		maxRefusals  = 20                      // in a row, until a client turns to smaller messages
-		maxCount     = 150
-		silentFor    = 12 * time.Second
-		endSlack     = 350 * time.Millisecond
-		readySlack   = 1500 * time.Millisecond
-		maxBytes     = 3_000_000 // disk_mb, in bytes
+		small, usual                = 100, 16 << 10 // bytes of a body
+		working                     = 1             // destinations
+		silent                      = 2
+		smallCount                  = 120
+		smallPerUsual               = 3                       // small messages for the working partner with each message for the silent one
+		longCount                   = 46                      // messages for the silent partner with much time
+		shortCount                  = 21                      // and with little
+		longTime                    = 12 * time.Second        // left of the former
+		shortTime                   = 1300 * time.Millisecond // left of the latter
+		newClients, newTries        = 2, 60
+		wantedSilent, wantedWorking = 34, 11
+		maxRefusals                 = 20 // in a row, until a client turns to smaller messages
+		maxCount                    = 150
+		silentFor                   = 12 * time.Second
+		endSlack                    = 350 * time.Millisecond
+		readySlack                  = 1500 * time.Millisecond
+		maxBytes                    = 3_000_000 // disk_mb, in bytes
 	)
 	e, err := w.newEndpoint("s-working", working, 20*time.Millisecond)
 	if err != nil {
@@ -40,7 +44,7 @@
 	if err != nil {
 		return false, err
 	}
-	payment := class{Name: "fee-payment", Repeat: "unsafe", Scope: "all", AimMs: 2500, DeadlineMs: 28000, LateWorth: 0.3, Value: 4}
+	payment := class{Name: "fee-payment", Repeat: "unsafe", Scope: "all", AimMs: 2500, DeadlineMs: 12000, LateWorth: 0.3, Value: 4}
 	d, err := w.newDeployment(setup{classes: []class{payment}, membership: "pushed"}, p)
 	if err != nil {
 		return false, err
@@ -94,11 +98,9 @@
 	if err != nil {
 		return false, err
 	}
-	var all sync.WaitGroup
-	for range 8 {
-		all.Go(func() { _, _ = handInUntil(nil, working, small, longTime, smallCount/8, smallCount) })
+	if _, err := handInUntil(old, working, small, longTime, smallCount, 2*smallCount); err != nil {
+		return false, err
 	}
-	all.Wait()
 	if _, err := handInUntil(old, working, usual, longTime, 9, 18); err != nil {
 		return false, err
 	}
@@ -108,13 +110,19 @@
 		time.Sleep(silentFor)
 		quiet.setHangs(false)
 	}()
-	if _, err := handInUntil(old, silent, usual, longTime, longCount, longCount); err != nil {
-		return false, err
-	}
-	shortFrom := time.Now()
-	if _, err := handInUntil(old, silent, usual, shortTime, shortCount, shortCount); err != nil {
-		return false, err
+	for n := range longCount + shortCount {
+		left := longTime
+		if n >= longCount {
+			left = shortTime
+		}
+		if _, err := handIn(old, silent, usual, left); err != nil {
+			return false, err
+		}
+		if _, err := handInUntil(old, working, small, longTime, smallPerUsual, smallPerUsual); err != nil {
+			return false, err
+		}
 	}
+	shortEnd := time.Now().Add(shortTime)
 	w.say("messages open: %d and %d; bytes in the folder: %d", longCount, shortCount, folderBytes(d.stateDir))
 	if w.trouble {
 		successor, err := d.startRelay("second")
@@ -127,16 +135,27 @@
 		running = successor
 	}
 	// New connections reach both processes. The first one has no room, and refuses.
-	got, err := handInUntil(nil, silent, usual, longTime, 34, 150)
-	if err != nil {
-		return false, err
-	}
-	more, err := handInUntil(nil, working, usual, longTime, 11, 60)
-	if err != nil {
-		return false, err
+	var all sync.WaitGroup
+	var newSilent, newWorking atomic.Int64
+	for range newClients {
+		all.Go(func() {
+			for tries := 0; tries < newTries && (newSilent.Load() < wantedSilent || newWorking.Load() < wantedWorking); tries++ {
+				if newSilent.Load() < wantedSilent {
+					if ok, _ := handIn(nil, silent, usual, longTime); ok {
+						newSilent.Add(1)
+					}
+				}
+				if newWorking.Load() < wantedWorking {
+					if ok, _ := handIn(nil, working, usual, longTime); ok {
+						newWorking.Add(1)
+					}
+				}
+			}
+		})
 	}
-	w.say("messages taken on during the replacement: %d and %d; bytes in the folder: %d", got, more, folderBytes(d.stateDir))
-	time.Sleep(time.Until(shortFrom.Add(shortTime + 300*time.Millisecond)))
+	all.Wait()
+	w.say("messages taken on during the replacement: %d and %d; bytes in the folder: %d", newSilent.Load(), newWorking.Load(), folderBytes(d.stateDir))
+	time.Sleep(time.Until(shortEnd.Add(100 * time.Millisecond)))
 	// The clients of the first process go on, with messages of any size, as long as their connections stay open.
 	count, closing := 0, time.Now().Add(2*time.Second)
 	for _, size := range []int{usual, 4 << 10, 1 << 10, 250, 50, 1} {
