Review case 9: the endpoint's work on the call that was cut off is recorded

Cause: the record showed the gap between two calls of a key, and not that both were at work at once. Change: the endpoint of the case works on for a second behind the end of a connection. The check is unchanged.

--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -17,6 +17,7 @@
 	answered time.Time // zero without an answer
 	ended    time.Time // end of the connection before an answer; zero otherwise
 	refused  bool      // with 429, because the endpoint was shut
+	workedTo time.Time // end of the work on a call whose connection ended; zero if there was none
 }
 
 // endpoint stands in for an endpoint of a partner.
@@ -29,6 +30,7 @@
 	hangs bool
 	work  time.Duration // that a call takes
 	opens time.Time     // until then the endpoint is shut; it tells callers to wait so long
+	after time.Duration // for which a call is still at work once its connection has ended
 	calls []*call
 }
 
@@ -74,6 +76,13 @@
 		c.ended = time.Now()
 		e.mu.Unlock()
 		e.w.note("endpoint %s: the connection of message %s ended without an answer", e.host.Host, c.id)
+		if e.after > 0 {
+			time.Sleep(e.after)
+			e.mu.Lock()
+			c.workedTo = time.Now()
+			e.mu.Unlock()
+			e.w.note("endpoint %s: the work on message %s is done", e.host.Host, c.id)
+		}
 		return
 	}
 	e.mu.Lock()
--- a/review/rig2/order_pause.go
+++ b/review/rig2/order_pause.go
@@ -26,6 +26,7 @@
 		endpoints, hosts = append(endpoints, e), append(hosts, e.host)
 	}
 	e := endpoints[0]
+	e.after = time.Second // less than the pause
 	p, err := w.newPlatform(hosts)
 	if err != nil {
 		return nil, nil, nil, err
@@ -62,6 +63,9 @@
 	}
 	gap := second.arrived.Sub(first.ended)
 	w.say("the call of the later message came %v after the end of the unanswered call of the earlier one; the pause is %v", gap.Round(time.Millisecond), orderPause)
+	if second.arrived.Before(first.workedTo) {
+		w.say("the endpoint was at work on both messages at once for up to %v", first.workedTo.Sub(second.arrived).Round(time.Millisecond))
+	}
 	return gap >= orderPause-orderSlack, nil
 }
 
@@ -95,5 +99,6 @@
 	for deadline := time.Now().Add(12 * time.Second); time.Now().Before(deadline) && len(e.snapshot()) < 2; {
 		time.Sleep(50 * time.Millisecond)
 	}
+	time.Sleep(e.after)
 	return w.judgeOrder(e, newID(1), newID(2))
 }
